--- /dev/null
+++ b/components/admission/src/settings.rs
@@ -0,0 +1,41 @@
+//! What an operator may set about a sidecar's decisions.
+
+use placement::Bound;
+use serde::{Deserialize, Serialize};
+
+/// The settings of the reducer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The load bound.
+    pub bound: Bound,
+    /// The most requests that run at a time.
+    pub slots: usize,
+    /// The most requests that wait.
+    pub queue: usize,
+    /// How long a load report counts, in milliseconds.
+    pub report_keep_ms: u64,
+    /// How often a sidecar reports its load while it changes, in milliseconds.
+    pub report_every_ms: u64,
+    /// The most idempotency keys remembered; no further one is taken above it.
+    pub keys: usize,
+    /// The most bytes of stored answers; the oldest are dropped above it.
+    pub answers_bytes: usize,
+    /// The largest stored answer of one key, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            bound: Bound { multiple: 1.25, floor: 8_000 },
+            slots: 64,
+            queue: 64,
+            report_keep_ms: 3_000,
+            report_every_ms: 250,
+            keys: 200_000,
+            answers_bytes: 16 * 1024 * 1024,
+            answer_bytes: 1024 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/components/admission/src/state.rs
@@ -0,0 +1,408 @@
+//! The state of a sidecar and its transitions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+use placement::Pool;
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Open, Refused, Report, Vitals};
+
+use crate::call::{Answer, Call, Stage};
+use crate::keys::{Keys, Verdict, digest};
+use crate::pool::{Aggregate, aggregator};
+use crate::queue::Queue;
+use crate::{CallId, Effect, Event, Peer, Settings};
+
+/// The weight of the newest run in the mean time of a run, as one part in this
+/// many.
+const RUN_SMOOTHING: u64 = 8;
+
+/// Everything that a sidecar knows.
+#[derive(Debug)]
+pub struct State {
+    settings: Settings,
+    own: Peer,
+    incarnation: u64,
+    calls: HashMap<CallId, Call>,
+    queue: Queue,
+    running: usize,
+    load: u64,
+    keys: Keys,
+    peers: Vec<Peer>,
+    aggregate: Aggregate,
+    pool: Pool,
+    pool_at: Option<Millis>,
+    reported: Option<(u64, Millis)>,
+    run_ms: u64,
+    leaving: bool,
+}
+
+impl State {
+    /// A sidecar in a new life; `incarnation` is above that of every earlier
+    /// one of the same name.
+    pub fn new(settings: Settings, own: Peer, incarnation: u64) -> Self {
+        Self {
+            settings,
+            own,
+            incarnation,
+            calls: HashMap::new(),
+            queue: Queue::default(),
+            running: 0,
+            load: 0,
+            keys: Keys::default(),
+            peers: Vec::new(),
+            aggregate: Aggregate::default(),
+            pool: Pool::default(),
+            pool_at: None,
+            reported: None,
+            run_ms: 0,
+            leaving: false,
+        }
+    }
+
+    /// What the sidecar says of itself.
+    pub fn vitals(&self) -> Vitals {
+        Vitals {
+            load: self.load,
+            pool: self.pool(),
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            leaving: self.leaving,
+        }
+    }
+
+    /// The load that it carries, in tokens.
+    pub fn load(&self) -> u64 {
+        self.load
+    }
+
+    /// The calls that have not got their last frame.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// The calls handed to the upstream and not ended.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// The life of this sidecar.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        let mut effects = match event {
+            Event::Open { call, open } => self.open(call, open, now),
+            Event::Cancel { call } => self.cancel(call),
+            Event::Head { call, status, headers } => self.head(call, status, headers),
+            Event::Chunk { call, bytes } => self.chunk(call, bytes),
+            Event::Ended { call } => self.ended(call, now),
+            Event::Failed { call, kind } => self.failed(call, kind),
+            Event::Pool(pool) => self.hear_pool(pool, now),
+            Event::Report { call, report } => self.report(call, report, now),
+            Event::Peers(peers) => self.peers(peers),
+            Event::Tick => self.tick(now),
+            Event::Leave => self.leave(),
+        };
+        self.fill(now, &mut effects);
+        if self.leaving && self.calls.is_empty() {
+            effects.push(Effect::Left);
+        }
+        effects
+    }
+
+    /// The pool with this sidecar's own load as it is now.
+    fn pool(&self) -> Pool {
+        let own = self.reported.map_or(0, |(load, _)| load);
+        let others = self.pool.load.saturating_sub(own);
+        Pool { load: others + self.load, members: self.pool.members.max(1) }
+    }
+
+    fn open(&mut self, id: CallId, open: Open, now: Millis) -> Vec<Effect> {
+        if open.incarnation != 0 && open.incarnation != self.incarnation {
+            return self.refuse(id, Kind::KeyOwnerGone);
+        }
+        if let Some(key) = &open.once {
+            match self.keys.take(key, digest(&open), &self.settings) {
+                Verdict::First => {}
+                Verdict::Replay(answer) => return self.replay(id, open.attempt, &answer),
+                Verdict::Refuse(kind) => return self.refuse(id, kind),
+            }
+        }
+        if let Some(kind) = self.objection(&open) {
+            if let Some(key) = &open.once {
+                self.keys.release(key);
+            }
+            return self.refuse(id, kind);
+        }
+        self.load += open.weight;
+        let call = Call {
+            attempt: open.attempt,
+            workspace: open.workspace.clone(),
+            priority: open.priority,
+            weight: open.weight,
+            came: now,
+            started: now,
+            deadline: now + Millis(open.remaining_ms),
+            key: open.once.clone(),
+            stage: Stage::Queued(open),
+            chunks: 0,
+            bytes: 0,
+            wanted: true,
+            answer: Answer::default(),
+        };
+        self.queue.push(id, &call);
+        self.calls.insert(id, call);
+        let frame = Frame::Admitted(Admitted { vitals: self.vitals() });
+        vec![Effect::Send { call: id, frame }]
+    }
+
+    /// Why a request may not run here now, if so.
+    fn objection(&self, open: &Open) -> Option<Kind> {
+        if self.leaving {
+            return Some(Kind::Leaving);
+        }
+        if !self.settings.bound.admits(self.load, open.weight, self.pool()) {
+            return Some(Kind::OverBound);
+        }
+        let waits = self.running >= self.settings.slots;
+        if waits && self.queue.len() >= self.settings.queue {
+            return Some(Kind::QueueFull);
+        }
+        if waits && self.wait_ms() > open.remaining_ms {
+            return Some(Kind::WouldMiss);
+        }
+        (open.remaining_ms == 0).then_some(Kind::ExpiredWaiting)
+    }
+
+    /// The wait to expect for a call that comes now, in milliseconds.
+    fn wait_ms(&self) -> u64 {
+        if self.running < self.settings.slots {
+            return 0;
+        }
+        let ahead = self.queue.len() as u64 + 1;
+        ahead * self.run_ms / self.settings.slots.max(1) as u64
+    }
+
+    fn refuse(&self, call: CallId, kind: Kind) -> Vec<Effect> {
+        let retry_after_ms = self.wait_ms().max(self.run_ms);
+        let refused = Refused { kind, retry_after_ms, vitals: self.vitals() };
+        vec![Effect::Finish { call, frame: Frame::Refused(refused) }]
+    }
+
+    /// Starts waiting calls while slots are free.
+    fn fill(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        while self.running < self.settings.slots {
+            let Some(id) = self.queue.pop(&self.calls) else { return };
+            let Some(call) = self.calls.get_mut(&id) else { continue };
+            let Stage::Queued(open) = std::mem::replace(&mut call.stage, Stage::Running) else {
+                continue;
+            };
+            call.started = now;
+            self.running += 1;
+            effects.push(Effect::Run { call: id, open });
+        }
+    }
+
+    fn head(
+        &mut self,
+        id: CallId,
+        status: u16,
+        headers: Vec<(Arc<str>, Arc<str>)>,
+    ) -> Vec<Effect> {
+        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+        call.stage = Stage::Answering;
+        if call.key.is_some() {
+            call.answer.status = status;
+            call.answer.headers.clone_from(&headers);
+        }
+        let frame = Frame::Head(Head { attempt: call.attempt, status, headers });
+        if call.wanted { vec![Effect::Send { call: id, frame }] } else { Vec::new() }
+    }
+
+    fn chunk(&mut self, id: CallId, bytes: bytes::Bytes) -> Vec<Effect> {
+        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+        let sequence = call.chunks;
+        call.chunks += 1;
+        call.bytes += bytes.len() as u64;
+        if call.key.is_some() {
+            call.answer.size += bytes.len();
+            if call.answer.size <= self.settings.answer_bytes {
+                call.answer.chunks.push(bytes.clone());
+            }
+        }
+        let frame = Frame::Chunk(Chunk { attempt: call.attempt, sequence, bytes });
+        if call.wanted { vec![Effect::Send { call: id, frame }] } else { Vec::new() }
+    }
+
+    fn ended(&mut self, id: CallId, now: Millis) -> Vec<Effect> {
+        let Some(call) = self.release(id) else { return Vec::new() };
+        let ran = call.started.until(now).0;
+        self.run_ms = if self.run_ms == 0 {
+            ran
+        } else {
+            (self.run_ms * (RUN_SMOOTHING - 1) + ran) / RUN_SMOOTHING
+        };
+        if let Some(key) = &call.key {
+            self.keys.store(key, call.answer, &self.settings);
+        }
+        let (attempt, chunks, bytes) = (call.attempt, call.chunks, call.bytes);
+        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
+        if call.wanted { vec![Effect::Finish { call: id, frame }] } else { Vec::new() }
+    }
+
+    /// The upstream's answer will not be whole.
+    fn failed(&mut self, id: CallId, kind: Kind) -> Vec<Effect> {
+        let Some(call) = self.release(id) else { return Vec::new() };
+        if let Some(key) = &call.key {
+            match kind.row().outcome {
+                Outcome::NotRun => self.keys.release(key),
+                Outcome::Unknown | Outcome::Ran => self.keys.doubt(key, kind),
+            }
+        }
+        if !call.wanted {
+            return Vec::new();
+        }
+        let frame = if kind.row().outcome == Outcome::NotRun {
+            let retry_after_ms = self.run_ms;
+            Frame::Refused(Refused { kind, retry_after_ms, vitals: self.vitals() })
+        } else {
+            Frame::Broken(Broken { attempt: call.attempt, kind })
+        };
+        vec![Effect::Finish { call: id, frame }]
+    }
+
+    /// The router is gone. A call with a key runs on, so that its answer can be
+    /// told to a repeat.
+    fn cancel(&mut self, id: CallId) -> Vec<Effect> {
+        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+        if call.key.is_some() && !call.is_queued() {
+            call.wanted = false;
+            return Vec::new();
+        }
+        let Some(call) = self.release(id) else { return Vec::new() };
+        if call.is_queued() {
+            if let Some(key) = &call.key {
+                self.keys.release(key);
+            }
+            return Vec::new();
+        }
+        vec![Effect::Abort { call: id }]
+    }
+
+    /// Takes a call out of every count.
+    fn release(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.load -= call.weight;
+        if call.is_queued() {
+            self.queue.remove(id);
+        } else {
+            self.running -= 1;
+        }
+        Some(call)
+    }
+
+    fn replay(&self, call: CallId, attempt: u32, answer: &Answer) -> Vec<Effect> {
+        let send = |frame| Effect::Send { call, frame };
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let mut effects = vec![
+            send(Frame::Admitted(Admitted { vitals: self.vitals() })),
+            send(Frame::Head(Head { attempt, status, headers })),
+        ];
+        for (sequence, bytes) in (0..).zip(&answer.chunks) {
+            effects.push(send(Frame::Chunk(Chunk { attempt, sequence, bytes: bytes.clone() })));
+        }
+        let (chunks, bytes) = (answer.chunks.len() as u64, answer.size as u64);
+        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
+        effects.push(Effect::Finish { call, frame });
+        effects
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<Effect> {
+        let mut late: Vec<_> =
+            self.calls.iter().filter(|(_, it)| it.deadline <= now).map(|(id, _)| *id).collect();
+        late.sort_unstable();
+        let mut effects = Vec::new();
+        for id in late {
+            effects.extend(self.expire(id));
+        }
+        self.aggregate.forget(Millis(self.settings.report_keep_ms), now);
+        effects.extend(self.report_load(now));
+        effects
+    }
+
+    fn expire(&mut self, id: CallId) -> Vec<Effect> {
+        let Some(call) = self.calls.get(&id) else { return Vec::new() };
+        let kind = match call.stage {
+            Stage::Queued(_) => Kind::ExpiredWaiting,
+            Stage::Running => Kind::Expired,
+            Stage::Answering => Kind::ExpiredRunning,
+        };
+        let mut effects = Vec::new();
+        if kind != Kind::ExpiredWaiting {
+            effects.push(Effect::Abort { call: id });
+        }
+        effects.extend(self.failed(id, kind));
+        effects
+    }
+
+    fn hear_pool(&mut self, pool: Pool, now: Millis) -> Vec<Effect> {
+        self.pool = pool;
+        self.pool_at = Some(now);
+        Vec::new()
+    }
+
+    fn report(&mut self, call: CallId, report: Report, now: Millis) -> Vec<Effect> {
+        self.aggregate.take(report, now);
+        let frame = Frame::Pool(self.aggregate.pool());
+        vec![Effect::Finish { call, frame }]
+    }
+
+    fn peers(&mut self, mut peers: Vec<Peer>) -> Vec<Effect> {
+        peers.retain(|peer| peer.name != self.own.name);
+        self.peers = peers;
+        Vec::new()
+    }
+
+    /// Reports the load: to itself when it is the aggregator, else over the
+    /// link.
+    fn report_load(&mut self, now: Millis) -> Vec<Effect> {
+        let due = self
+            .reported
+            .is_none_or(|(_, at)| at.until(now).0 >= self.settings.report_every_ms);
+        if !due {
+            return Vec::new();
+        }
+        self.reported = Some((self.load, now));
+        let report = Report {
+            name: self.own.name.clone(),
+            incarnation: self.incarnation,
+            load: self.load,
+        };
+        let to = aggregator(&self.peers, &self.own, self.silent_aggregators(now)).clone();
+        if to.name != self.own.name {
+            return vec![Effect::Report { to, report }];
+        }
+        self.aggregate.take(report, now);
+        self.hear_pool(self.aggregate.pool(), now)
+    }
+
+    /// How many aggregators in turn have not answered in time.
+    fn silent_aggregators(&self, now: Millis) -> usize {
+        let silent = self.pool_at.map_or(Millis::ZERO, |at| at.until(now));
+        let turns = silent.0 / self.settings.report_keep_ms.max(1);
+        usize::try_from(turns).unwrap_or(usize::MAX)
+    }
+
+    fn leave(&mut self) -> Vec<Effect> {
+        self.leaving = true;
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/components/intents/src/lib.rs
@@ -0,0 +1,16 @@
+//! Routing intents: documents, selectors and their compiled form.
+//!
+//! An operator's [`Document`] names workspaces, kinds of request, models and
+//! labels of upstreams, and holds the intents that say which work may go where.
+//! [`Plan::compile`] checks a document in full and turns it into a form that
+//! answers [`Plan::find`] by one look-up.
+
+mod document;
+mod error;
+mod plan;
+mod selector;
+
+pub use document::{Document, Intent, Kind, Upstream, Workspace};
+pub use error::Error;
+pub use plan::{Miss, Plan, Target};
+pub use selector::{Labels, Selector};
--- /dev/null
+++ b/components/intents/src/plan.rs
@@ -0,0 +1,249 @@
+//! The compiled form of a document.
+
+use std::collections::{HashMap, HashSet};
+use std::fmt::Debug;
+use std::sync::Arc;
+
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use snafu::ensure;
+use subtle::ConstantTimeEq;
+
+use crate::error::RuleSnafu;
+use crate::{Document, Error, Intent, Labels, Selector};
+
+/// The label that holds a thing's own name.
+const NAME: &str = "name";
+
+/// The label that tells which model an engine serves.
+const MODEL: &str = "model";
+
+/// The length of a SHA-256 digest in hexadecimal.
+const DIGEST_LENGTH: usize = 64;
+
+/// The longest deadline an intent may set, in milliseconds: a day.
+const LONGEST_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// A document in force.
+#[derive(Debug)]
+pub struct Plan {
+    document: Document,
+    workspaces: HashMap<Arc<str>, usize>,
+    kinds: HashMap<Arc<str>, usize>,
+    models: HashSet<Arc<str>>,
+    labels: HashMap<Arc<str>, Labels>,
+    /// For each workspace and kind, the matching intents by falling rank.
+    matches: Vec<Vec<usize>>,
+}
+
+/// Where a request may go, and how.
+#[derive(Clone, Copy, Debug)]
+pub struct Target<'a> {
+    /// The intent that decided.
+    pub intent: &'a Intent,
+    /// Whether the fleet may run the request again by itself.
+    pub repeatable: bool,
+}
+
+/// Why no intent decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// The workspace or the kind is not in the document, or no intent matches.
+    NoIntent,
+    /// The model is not in the document.
+    UnknownModel,
+    /// These two intents match at the same rank.
+    Ambiguous(Arc<str>, Arc<str>),
+}
+
+impl Plan {
+    /// Checks `document` and compiles it.
+    ///
+    /// # Errors
+    ///
+    /// The first value that breaks a rule, with its path.
+    pub fn compile(document: Document) -> Result<Self, Error> {
+        check(&document)?;
+        let workspaces = index(document.workspaces.iter().map(|it| &it.name));
+        let kinds = index(document.kinds.iter().map(|it| &it.name));
+        let models = document.models.iter().cloned().collect();
+        let labels =
+            document.upstreams.iter().map(|it| (it.name.clone(), it.labels.clone())).collect();
+        let matches = matches(&document);
+        Ok(Self { document, workspaces, kinds, models, labels, matches })
+    }
+
+    /// The generation of the document.
+    pub fn generation(&self) -> u64 {
+        self.document.generation
+    }
+
+    /// The document that was compiled.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Whether `key` is the key of `workspace`; takes the same time for any
+    /// wrong key.
+    pub fn authenticate(&self, workspace: &str, key: &str) -> bool {
+        let digest = hex(&Sha256::digest(key.as_bytes()));
+        let Some(place) = self.workspaces.get(workspace) else { return false };
+        let expected = &self.document.workspaces[*place].key_sha256;
+        bool::from(digest.as_bytes().ct_eq(expected.as_bytes()))
+    }
+
+    /// The intent that decides over a request.
+    ///
+    /// # Errors
+    ///
+    /// Why none does.
+    pub fn find(
+        &self,
+        workspace: &str,
+        kind: &str,
+        model: Option<&str>,
+    ) -> Result<Target<'_>, Miss> {
+        if model.is_some_and(|model| !self.models.contains(model)) {
+            return Err(Miss::UnknownModel);
+        }
+        let workspace = *self.workspaces.get(workspace).ok_or(Miss::NoIntent)?;
+        let kind = *self.kinds.get(kind).ok_or(Miss::NoIntent)?;
+        let places = &self.matches[workspace * self.document.kinds.len() + kind];
+        let mut fitting = places
+            .iter()
+            .map(|place| &self.document.intents[*place])
+            .filter(|intent| names(&intent.models, model));
+        let intent = fitting.next().ok_or(Miss::NoIntent)?;
+        if let Some(rival) = fitting.next()
+            && rival.rank == intent.rank
+        {
+            return Err(Miss::Ambiguous(intent.name.clone(), rival.name.clone()));
+        }
+        Ok(Target { intent, repeatable: self.document.kinds[kind].repeatable })
+    }
+
+    /// The labels of an upstream: what its host reports and what operators add.
+    pub fn labels(&self, upstream: &str, reported: &Labels) -> Labels {
+        let mut labels = reported.clone();
+        if let Some(added) = self.labels.get(upstream) {
+            labels.extend(added.iter().map(|(label, value)| (label.clone(), value.clone())));
+        }
+        labels.insert(NAME.into(), upstream.into());
+        labels
+    }
+}
+
+impl Intent {
+    /// Whether an upstream with `labels` in `domain` may take a request for
+    /// `model` under this intent.
+    pub fn fits(&self, labels: &Labels, domain: &str, model: Option<&str>) -> bool {
+        let served = labels.get(MODEL).map(AsRef::as_ref);
+        (model.is_none() || served == model)
+            && (self.domains.is_empty() || self.domains.iter().any(|it| &**it == domain))
+            && Selector::all(&self.upstreams, labels)
+    }
+}
+
+fn names(models: &[Arc<str>], model: Option<&str>) -> bool {
+    models.is_empty() || model.is_some_and(|model| models.iter().any(|it| &**it == model))
+}
+
+fn index<'a>(names: impl Iterator<Item = &'a Arc<str>>) -> HashMap<Arc<str>, usize> {
+    names.enumerate().map(|(place, name)| (name.clone(), place)).collect()
+}
+
+fn named(name: &Arc<str>, labels: &Labels) -> Labels {
+    let mut labels = labels.clone();
+    labels.insert(NAME.into(), name.clone());
+    labels
+}
+
+fn matches(document: &Document) -> Vec<Vec<usize>> {
+    let workspaces: Vec<_> =
+        document.workspaces.iter().map(|it| named(&it.name, &it.labels)).collect();
+    let kinds: Vec<_> = document.kinds.iter().map(|it| named(&it.name, &it.labels)).collect();
+    let mut matches = vec![Vec::new(); workspaces.len() * kinds.len()];
+    for (place, intent) in document.intents.iter().enumerate() {
+        let fitting: Vec<_> =
+            (0..kinds.len()).filter(|it| Selector::all(&intent.kinds, &kinds[*it])).collect();
+        for (workspace, labels) in workspaces.iter().enumerate() {
+            if !Selector::all(&intent.workspaces, labels) {
+                continue;
+            }
+            for kind in &fitting {
+                matches[workspace * kinds.len() + kind].push(place);
+            }
+        }
+    }
+    for places in &mut matches {
+        places.sort_by_key(|place| std::cmp::Reverse(document.intents[*place].rank));
+    }
+    matches
+}
+
+fn check(document: &Document) -> Result<(), Error> {
+    rule(document.generation > 0, "generation", &document.generation, "a number above 0")?;
+    unique("workspaces", document.workspaces.iter().map(|it| &it.name))?;
+    unique("kinds", document.kinds.iter().map(|it| &it.name))?;
+    unique("upstreams", document.upstreams.iter().map(|it| &it.name))?;
+    unique("intents", document.intents.iter().map(|it| &it.name))?;
+    for (place, workspace) in document.workspaces.iter().enumerate() {
+        let key = &workspace.key_sha256;
+        let whole = key.len() == DIGEST_LENGTH && key.bytes().all(is_lower_hex);
+        rule(
+            whole,
+            &format!("workspaces[{place}].key_sha256"),
+            key,
+            "64 lower-case hexadecimal digits",
+        )?;
+    }
+    for (place, intent) in document.intents.iter().enumerate() {
+        let path = format!("intents[{place}].deadline_ms");
+        let allowed = (1..=LONGEST_DEADLINE_MS).contains(&intent.deadline_ms);
+        rule(allowed, &path, &intent.deadline_ms, "1 to 86400000")?;
+        for (model, name) in intent.models.iter().enumerate() {
+            let path = format!("intents[{place}].models[{model}]");
+            rule(document.models.contains(name), &path, name, "one of the document's models")?;
+        }
+    }
+    Ok(())
+}
+
+fn unique<'a>(list: &str, names: impl Iterator<Item = &'a Arc<str>>) -> Result<(), Error> {
+    let mut seen = HashSet::new();
+    for (place, name) in names.enumerate() {
+        let path = format!("{list}[{place}].name");
+        rule(!name.is_empty(), &path, name, "a name that is not empty")?;
+        rule(seen.insert(name), &path, name, "a name that stands once in the list")?;
+    }
+    Ok(())
+}
+
+fn rule(
+    holds: bool,
+    path: &str,
+    value: &(impl Serialize + Debug),
+    rule: &'static str,
+) -> Result<(), Error> {
+    ensure!(
+        holds,
+        RuleSnafu {
+            path,
+            value: serde_json::to_string(value).unwrap_or_else(|_| format!("{value:?}")),
+            rule
+        }
+    );
+    Ok(())
+}
+
+fn is_lower_hex(byte: u8) -> bool {
+    byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/components/load/src/lib.rs
@@ -0,0 +1,9 @@
+//! A caller of the fleet, for the laptop binary, the tests and the benchmark.
+
+mod answer;
+mod caller;
+mod error;
+
+pub use answer::{Answer, Reply};
+pub use caller::{Caller, Chat};
+pub use error::Error;
--- /dev/null
+++ b/components/placement/src/rendezvous.rs
@@ -0,0 +1,30 @@
+//! Weighted rendezvous hashing.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Two to the power of 53: the number of steps a `f64` keeps exactly below one.
+const STEPS: f64 = 9_007_199_254_740_992.0;
+
+/// The hash of a routing key made of a workspace and a chat.
+pub fn key(workspace: &str, chat: &str) -> u64 {
+    xxh3_64_with_seed(chat.as_bytes(), xxh3_64(workspace.as_bytes()))
+}
+
+/// The score of `upstream` for `key`; the highest score is ranked first.
+///
+/// `weight` is the upstream's relative capacity and must be above zero.
+pub fn score(key: u64, upstream: &str, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(upstream.as_bytes(), key);
+    #[expect(clippy::cast_precision_loss, reason = "53 bits fit a f64 exactly")]
+    let unit = ((hash >> 11) as f64 + 0.5) / STEPS;
+    -weight / unit.ln()
+}
+
+/// Sorts `candidates` by descending score, ties by name.
+pub fn rank<T>(key: u64, candidates: &mut [T], name: impl Fn(&T) -> (&str, f64)) {
+    candidates.sort_by_cached_key(|candidate| {
+        let (upstream, weight) = name(candidate);
+        let bits = score(key, upstream, weight).to_bits();
+        (std::cmp::Reverse(bits), upstream.to_owned())
+    });
+}
--- /dev/null
+++ b/components/platform/src/error.rs
@@ -0,0 +1,30 @@
+//! What can go wrong with the platform.
+
+use snafu::Snafu;
+
+/// A fault of one of the platform's services.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// The service can't be reached or broke off; a write may have taken effect.
+    #[snafu(display("the platform's service did not answer: {reason}"))]
+    Silent {
+        /// What the client says.
+        reason: String,
+    },
+    /// The service answered with an error.
+    #[snafu(display("the platform's service answered {status}"))]
+    Status {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer can't be read.
+    #[snafu(display("the answer can't be read"))]
+    Shape {
+        /// What `serde_json` says.
+        source: serde_json::Error,
+    },
+    /// The answer holds no value where one must be.
+    #[snafu(display("the answer holds no value"))]
+    Missing,
+}
--- /dev/null
+++ b/components/router/src/background.rs
@@ -0,0 +1,104 @@
+//! What a router does besides serving requests.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use intents::{Document, Plan};
+use routing::{Effect, Event, Host};
+use snafu::ResultExt;
+use tokio::task::JoinSet;
+
+use crate::core::Core;
+use crate::error::{Error, IntentsSnafu, ReadSnafu};
+
+/// How often the file of the intents is looked at.
+const INTENTS_EVERY: Duration = Duration::from_secs(1);
+
+/// Reads and compiles the intents.
+pub(crate) fn read_plan(path: &str) -> Result<Arc<Plan>, Error> {
+    let json = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+    let document = Document::parse(&json).context(IntentsSnafu { path })?;
+    Ok(Arc::new(Plan::compile(document).context(IntentsSnafu { path })?))
+}
+
+/// Starts the tasks; they end when the stop is finished.
+pub(crate) fn spawn(core: &Rc<Core>) {
+    let core = core.clone();
+    ntex::rt::spawn(async move {
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(follow_hosts(core.clone()));
+        tasks.spawn_local(follow_intents(core.clone()));
+        core.stop.asked().await;
+        tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
+        core.apply(Event::Drain);
+        core.stop.finished().await;
+        tasks.shutdown().await;
+    })
+    .detach();
+}
+
+async fn follow_hosts(core: Rc<Core>) {
+    let every = Duration::from_millis(core.settings.hosts_every_ms);
+    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
+    let mut connecting = JoinSet::new();
+    loop {
+        if let Ok(list) = hosts.read().await {
+            let list = list.into_iter().map(host).collect();
+            for effect in core.apply(Event::Hosts(list)) {
+                if let Effect::Connect { upstream, address } = effect {
+                    connecting.spawn_local(connect(core.clone(), upstream, address));
+                }
+            }
+        }
+        while connecting.try_join_next().is_some() {}
+        tokio::time::sleep(every).await;
+    }
+}
+
+fn host(entry: platform::Entry) -> Host {
+    Host {
+        name: entry.name,
+        address: entry.address,
+        domain: entry.domain,
+        labels: entry.labels,
+        leaving: entry.leaving,
+    }
+}
+
+async fn connect(core: Rc<Core>, upstream: Arc<str>, address: Arc<str>) {
+    match core.links.connect(&upstream, &address).await {
+        Ok(Some(welcome)) => {
+            core.apply(Event::Met(welcome));
+        }
+        Ok(None) => {}
+        Err(_) => {
+            core.apply(Event::Missed { upstream });
+        }
+    }
+}
+
+/// Takes a new generation from the file when the file changes.
+async fn follow_intents(core: Rc<Core>) {
+    let path = core.settings.intents.clone();
+    let mut seen = changed(&path);
+    loop {
+        tokio::time::sleep(INTENTS_EVERY).await;
+        let now = changed(&path);
+        if now == seen {
+            continue;
+        }
+        seen = now;
+        match read_plan(&path) {
+            Ok(plan) => {
+                core.apply(Event::Configure(plan));
+            }
+            Err(fault) => spdlog::error!("new intents refused: {}", fault),
+        }
+    }
+}
+
+fn changed(path: &str) -> Option<SystemTime> {
+    Path::new(path).metadata().ok()?.modified().ok()
+}
--- /dev/null
+++ b/components/router/src/http.rs
@@ -0,0 +1,263 @@
+//! The pages that a router serves.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use clock::Millis;
+use errors::{Answer, Kind};
+use futures_util::stream;
+use ntex::http::StatusCode;
+use ntex::web::types::{Path, Payload, State};
+use ntex::web::{self, HttpRequest, HttpResponse};
+use routing::Ask;
+use serde_json::json;
+
+use crate::answer::{self, REQUEST_ID, UPSTREAM, event};
+use crate::core::Core;
+use crate::prompt::Prompt;
+use crate::relay::{Relay, Step, Template};
+use crate::{body, key};
+
+/// The kind of a chat request that names none.
+const DEFAULT_KIND: &str = "chat";
+
+/// The load of a call to a plain service, in tokens.
+const PLAIN_WEIGHT: u64 = 1_000;
+
+/// The caller's headers that go on to the upstream.
+const FORWARDED: [&str; 3] = ["content-type", "accept", "last-event-id"];
+
+type Shared = State<Rc<Core>>;
+
+pub(crate) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/services/{kind}", web::route().to(service))
+        .route("/v1/services/{kind}/{path}*", web::route().to(service))
+        .route("/v1/keys/{kind}", web::post().to(mint_key))
+        .route("/v1/explain/{request}", web::get().to(explain))
+        .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
+        .route("/readyz", web::get().to(ready))
+        .route("/status", web::get().to(status))
+        .route("/{path}*", web::route().to(nothing));
+}
+
+/// A caller whose key was checked, and the ids of its request.
+struct Caller {
+    workspace: Arc<str>,
+    id: u64,
+    request: Arc<str>,
+}
+
+impl Caller {
+    /// Checks the workspace key: `Authorization: Bearer WORKSPACE:KEY`.
+    fn check(core: &Core, request: &HttpRequest) -> Result<Self, HttpResponse> {
+        let (id, name) = core.number();
+        let refuse = |kind| Err(refusal(kind, &name, ""));
+        let Some(plan) = core.plan() else { return refuse(Kind::NoConfiguration) };
+        let token = header(request, "authorization").and_then(|it| it.strip_prefix("Bearer "));
+        let Some((workspace, key)) = token.and_then(|it| it.split_once(':')) else {
+            return refuse(Kind::Unauthorized);
+        };
+        if !plan.authenticate(workspace, key) {
+            return refuse(Kind::Unauthorized);
+        }
+        Ok(Self { workspace: workspace.into(), id, request: name })
+    }
+
+    fn refuse(&self, kind: Kind, detail: &str) -> HttpResponse {
+        refusal(kind, &self.request, detail)
+    }
+}
+
+fn refusal(kind: Kind, request: &str, detail: &str) -> HttpResponse {
+    answer::response(&Answer::new(kind, request, 0, detail))
+}
+
+fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name).and_then(|it| it.to_str().ok())
+}
+
+fn declared(request: &HttpRequest) -> Option<usize> {
+    header(request, "content-length").and_then(|it| it.parse().ok())
+}
+
+/// The time the caller gives the request: `X-Deadline-Ms`.
+fn deadline(request: &HttpRequest) -> Option<Millis> {
+    header(request, "x-deadline-ms").and_then(|it| it.parse().ok()).map(Millis)
+}
+
+fn template(request: &HttpRequest, path: String, body: Bytes) -> Template {
+    let headers = FORWARDED
+        .iter()
+        .filter_map(|name| Some(((*name).into(), header(request, name)?.into())))
+        .collect();
+    Template {
+        method: request.method().as_str().into(),
+        path: path.into(),
+        headers,
+        body,
+        traceparent: header(request, "traceparent").map(Into::into),
+    }
+}
+
+async fn chat(request: HttpRequest, payload: Payload, core: Shared) -> HttpResponse {
+    let caller = match Caller::check(&core, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal,
+    };
+    let body = match body::read(payload, declared(&request), &core.settings).await {
+        Ok(body) => body,
+        Err(kind) => return caller.refuse(kind, ""),
+    };
+    let prompt = match Prompt::parse(&body) {
+        Ok(prompt) => prompt,
+        Err(fault) => return caller.refuse(Kind::Malformed, &fault),
+    };
+    let kind = header(&request, "x-request-kind").unwrap_or(DEFAULT_KIND);
+    let ask = Ask {
+        id: caller.id,
+        request: caller.request,
+        workspace: caller.workspace,
+        kind: kind.into(),
+        model: Some(prompt.model),
+        chat: prompt.chat,
+        once: None,
+        weight: prompt.weight,
+        deadline: deadline(&request),
+    };
+    let template = template(&request, "/v1/chat/completions".to_owned(), body);
+    relay(&core, ask, template).await
+}
+
+async fn service(request: HttpRequest, payload: Payload, core: Shared) -> HttpResponse {
+    let caller = match Caller::check(&core, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal,
+    };
+    let body = match body::read(payload, declared(&request), &core.settings).await {
+        Ok(body) => body,
+        Err(kind) => return caller.refuse(kind, ""),
+    };
+    let key = header(&request, "idempotency-key");
+    if key.is_some_and(|key| key.is_empty() || key.len() > key::MAX_KEY) {
+        return caller.refuse(Kind::Malformed, "Idempotency-Key: 1 to 200 bytes");
+    }
+    let kind = request.match_info().get("kind").unwrap_or("").to_owned();
+    let once = key.map(|key| key::read(&caller.workspace, key));
+    let chat = once.as_ref().map_or_else(|| caller.request.clone(), |it| it.key.clone());
+    let ask = Ask {
+        id: caller.id,
+        request: caller.request,
+        workspace: caller.workspace,
+        kind: kind.as_str().into(),
+        model: None,
+        chat,
+        once,
+        weight: PLAIN_WEIGHT,
+        deadline: deadline(&request),
+    };
+    let template = template(&request, service_path(&request, &kind), body);
+    relay(&core, ask, template).await
+}
+
+/// The path and query after `/v1/services/KIND`.
+fn service_path(request: &HttpRequest, kind: &str) -> String {
+    let whole = request.uri().path_and_query().map_or("", |it| it.as_str());
+    let prefix = format!("/v1/services/{kind}");
+    let rest = whole.strip_prefix(&prefix).unwrap_or("");
+    if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") }
+}
+
+async fn relay(core: &Shared, ask: Ask, template: Template) -> HttpResponse {
+    let request = ask.request.clone();
+    let mut relay = Relay::start(core.get_ref().clone(), ask, template);
+    let (head, upstream) = match relay.next().await {
+        Step::Head(head, upstream) => (head, upstream),
+        Step::Failed(answer) | Step::Cut(answer) => return answer::response(&answer),
+        Step::Bytes(_) | Step::Finished => return refusal(Kind::Crossed, &request, ""),
+    };
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    let mut events = false;
+    for (name, value) in &head.headers {
+        events |= &**name == "content-type" && value.starts_with("text/event-stream");
+        builder.header(&**name, &**value);
+    }
+    builder.header(REQUEST_ID, &*request);
+    builder.header(UPSTREAM, &*upstream);
+    let parts = stream::unfold(Rest::Answer(relay), move |rest| part(rest, events));
+    builder.streaming(Box::pin(parts))
+}
+
+/// What is left of an answer's body.
+enum Rest {
+    Answer(Relay),
+    /// The connection is broken, so that no reader takes the answer for whole.
+    Break,
+    Nothing,
+}
+
+type Part = Result<ntex::util::Bytes, std::io::Error>;
+
+/// The next part of the body. An answer that will not be whole ends with an
+/// error event where the protocol has one, and always with a broken connection.
+async fn part(rest: Rest, events: bool) -> Option<(Part, Rest)> {
+    let broken = || Some((Err(std::io::Error::other("the answer broke off")), Rest::Nothing));
+    let mut relay = match rest {
+        Rest::Answer(relay) => relay,
+        Rest::Break => return broken(),
+        Rest::Nothing => return None,
+    };
+    match relay.next().await {
+        Step::Bytes(bytes) => {
+            let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
+            Some((Ok(bytes), Rest::Answer(relay)))
+        }
+        Step::Finished => None,
+        Step::Failed(answer) | Step::Cut(answer) if events => {
+            Some((Ok(event(&answer).into()), Rest::Break))
+        }
+        Step::Failed(_) | Step::Cut(_) | Step::Head(..) => broken(),
+    }
+}
+
+async fn mint_key(request: HttpRequest, kind: Path<String>, core: Shared) -> HttpResponse {
+    let caller = match Caller::check(&core, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal,
+    };
+    match core.owner(&caller.workspace, &kind, &caller.request) {
+        Some(owner) => HttpResponse::Ok().json(&json!({ "key": key::mint(&owner) })),
+        None => caller.refuse(Kind::NoUpstream, ""),
+    }
+}
+
+async fn explain(request: HttpRequest, id: Path<String>, core: Shared) -> HttpResponse {
+    let caller = match Caller::check(&core, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal,
+    };
+    let decision = core.decisions.borrow().find(&id);
+    match decision.filter(|it| it.workspace == caller.workspace) {
+        Some(decision) => HttpResponse::Ok().json(&*decision),
+        None => caller.refuse(Kind::NotFound, &id),
+    }
+}
+
+async fn ready(core: Shared) -> HttpResponse {
+    if core.is_ready() {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready\n")
+}
+
+async fn status(core: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&core.status())
+}
+
+async fn nothing(core: Shared) -> HttpResponse {
+    let (_, request) = core.number();
+    refusal(Kind::NotFound, &request, "")
+}
--- /dev/null
+++ b/components/router/src/lib.rs
@@ -0,0 +1,20 @@
+//! The router process: the edge around the `routing` reducer.
+//!
+//! Everything but the wait for signals happens on the one thread of the HTTP
+//! server, so that no state is shared between threads.
+
+mod answer;
+mod background;
+mod body;
+mod core;
+mod decisions;
+mod error;
+mod http;
+mod key;
+mod links;
+mod prompt;
+mod relay;
+mod server;
+
+pub use error::Error;
+pub use server::Router;
--- /dev/null
+++ b/components/router/src/links.rs
@@ -0,0 +1,74 @@
+//! The links to the sidecars, one an upstream, opened when first needed.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use link::{Call, Connection};
+use tokio::sync::Mutex;
+use wire::{Frame, Hello, Welcome};
+
+/// One upstream's link; the lock is held while it is being opened.
+type Slot = Rc<Mutex<Option<Connection>>>;
+
+/// All links of a router.
+#[derive(Debug)]
+pub(crate) struct Links {
+    hello: Hello,
+    patience: Duration,
+    slots: RefCell<HashMap<Arc<str>, Slot>>,
+}
+
+impl Links {
+    pub(crate) fn new(settings: &settings::Router) -> Self {
+        Self {
+            hello: Hello { key: settings.link_key.clone(), name: settings.name.clone() },
+            patience: Duration::from_millis(settings.connect_ms),
+            slots: RefCell::default(),
+        }
+    }
+
+    /// Makes sure that a link to `upstream` stands. Returns the greeting if it
+    /// was opened now.
+    pub(crate) async fn connect(
+        &self,
+        upstream: &Arc<str>,
+        address: &str,
+    ) -> Result<Option<Welcome>, link::Error> {
+        self.open(upstream, address).await.map(|(_, welcome)| welcome)
+    }
+
+    /// Sends the only frame of a request. The greeting comes with it if the
+    /// link was opened now.
+    pub(crate) async fn call(
+        &self,
+        upstream: &Arc<str>,
+        address: &str,
+        frame: &Frame,
+    ) -> Result<(Call, Option<Welcome>), link::Error> {
+        let (connection, welcome) = self.open(upstream, address).await?;
+        let call = connection.call(frame).await?;
+        Ok((call, welcome))
+    }
+
+    async fn open(
+        &self,
+        upstream: &Arc<str>,
+        address: &str,
+    ) -> Result<(Connection, Option<Welcome>), link::Error> {
+        let slot = self.slots.borrow_mut().entry(upstream.clone()).or_default().clone();
+        let mut slot = slot.lock().await;
+        if let Some(connection) = &*slot
+            && !connection.is_closed()
+        {
+            return Ok((connection.clone(), None));
+        }
+        *slot = None;
+        let (connection, welcome) =
+            Connection::open(address, self.hello.clone(), self.patience).await?;
+        *slot = Some(connection.clone());
+        Ok((connection, Some(welcome)))
+    }
+}
--- /dev/null
+++ b/components/router/src/relay.rs
@@ -0,0 +1,221 @@
+//! One request on its way: the reducer's effects, carried out one by one.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use clock::Millis;
+use errors::Answer;
+use link::Call;
+use routing::{Ask, Effect, Event, Owner, Reply};
+use tokio::time::{Instant, timeout_at};
+use wire::{Frame, Head, Open};
+
+use crate::core::Core;
+use crate::key;
+
+/// What the caller gets next.
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// The head of the answer, and the upstream that it is from.
+    Head(Head, Arc<str>),
+    /// A part of the answer's body.
+    Bytes(Bytes),
+    /// The answer is whole.
+    Finished,
+    /// The final answer is an error.
+    Failed(Answer),
+    /// The answer that has begun will not be whole.
+    Cut(Answer),
+}
+
+/// What goes to the sidecar with every attempt.
+#[derive(Debug)]
+pub(crate) struct Template {
+    pub method: Arc<str>,
+    pub path: Arc<str>,
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    pub body: Bytes,
+    pub traceparent: Option<Arc<str>>,
+}
+
+/// A request between its arrival and its final answer. Dropping it earlier
+/// means that the caller went away.
+pub(crate) struct Relay {
+    core: Rc<Core>,
+    id: u64,
+    request: Arc<str>,
+    workspace: Arc<str>,
+    once: Option<Arc<str>>,
+    weight: u64,
+    template: Template,
+    effects: VecDeque<Effect>,
+    call: Option<Call>,
+    attempt: u32,
+    upstream: Arc<str>,
+    deadline: Option<Instant>,
+    over: bool,
+}
+
+impl Relay {
+    /// Takes a request to the reducer.
+    pub(crate) fn start(core: Rc<Core>, ask: Ask, template: Template) -> Self {
+        let mut relay = Self {
+            id: ask.id,
+            request: ask.request.clone(),
+            workspace: ask.workspace.clone(),
+            once: ask.once.as_ref().map(|it| it.key.clone()),
+            weight: ask.weight,
+            template,
+            effects: VecDeque::new(),
+            call: None,
+            attempt: 0,
+            upstream: "".into(),
+            deadline: None,
+            over: false,
+            core,
+        };
+        relay.apply(Event::Ask(ask));
+        relay
+    }
+
+    /// What the caller gets next; nothing comes after an end.
+    pub(crate) async fn next(&mut self) -> Step {
+        loop {
+            while let Some(effect) = self.effects.pop_front() {
+                if let Some(step) = self.act(effect).await {
+                    return step;
+                }
+            }
+            self.wait().await;
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let effects = self.core.apply(event);
+        self.effects.extend(effects);
+    }
+
+    async fn act(&mut self, effect: Effect) -> Option<Step> {
+        match effect {
+            Effect::Head(head) => return Some(Step::Head(head, self.upstream.clone())),
+            Effect::Relay(bytes) => return Some(Step::Bytes(bytes)),
+            Effect::Finish => return Some(self.end(Step::Finished)),
+            Effect::Fail(answer) => return Some(self.end(Step::Failed(answer))),
+            Effect::Cut(answer) => return Some(self.end(Step::Cut(answer))),
+            Effect::Cancel => self.call = None,
+            Effect::Bind { key, owner } => self.bind(&key, &owner).await,
+            Effect::Send { .. } => self.send(effect).await,
+            Effect::Record(_) | Effect::Connect { .. } | Effect::Drained => {}
+        }
+        None
+    }
+
+    fn end(&mut self, step: Step) -> Step {
+        self.over = true;
+        self.call = None;
+        step
+    }
+
+    async fn bind(&mut self, key: &str, owner: &Owner) {
+        let owner = match &self.core.store {
+            Some(store) => {
+                let (key, value) = (format!("once/{key}"), key::write_owner(owner));
+                let stored = store.put_if_absent(&key, &value).await;
+                stored.ok().and_then(|text| key::read_owner(&text))
+            }
+            None => None,
+        };
+        self.apply(Event::Bound { id: self.id, owner });
+    }
+
+    async fn send(&mut self, effect: Effect) {
+        let Effect::Send {
+            attempt,
+            upstream,
+            address,
+            incarnation,
+            priority,
+            remaining,
+            generation,
+        } = effect
+        else {
+            return;
+        };
+        self.call = None;
+        self.attempt = attempt;
+        self.upstream = upstream.clone();
+        let deadline = Instant::now() + remaining.duration();
+        self.deadline = Some(deadline);
+        let frame = Frame::Open(self.open(incarnation, priority, remaining, generation));
+        let called = timeout_at(deadline, self.core.links.call(&upstream, &address, &frame)).await;
+        let id = self.id;
+        match called {
+            Ok(Ok((call, welcome))) => {
+                self.call = Some(call);
+                if let Some(welcome) = welcome {
+                    self.core.apply(Event::Met(welcome));
+                }
+            }
+            Ok(Err(fault)) => self.apply(Event::Lost { id, attempt, sent: !fault.nothing_sent() }),
+            Err(_) => self.apply(Event::Expire { id }),
+        }
+    }
+
+    fn open(&self, incarnation: u64, priority: i32, remaining: Millis, generation: u64) -> Open {
+        Open {
+            request: self.request.clone(),
+            attempt: self.attempt,
+            workspace: self.workspace.clone(),
+            priority,
+            remaining_ms: remaining.0,
+            weight: self.weight,
+            incarnation,
+            once: self.once.clone(),
+            generation,
+            traceparent: self.template.traceparent.clone(),
+            method: self.template.method.clone(),
+            path: self.template.path.clone(),
+            headers: self.template.headers.clone(),
+            body: self.template.body.clone(),
+        }
+    }
+
+    /// Waits for the next frame, the loss of the link or the deadline.
+    async fn wait(&mut self) {
+        let (id, attempt) = (self.id, self.attempt);
+        let Some(call) = &mut self.call else { return std::future::pending().await };
+        let deadline = self.deadline.unwrap_or_else(Instant::now);
+        let event = match timeout_at(deadline, call.next()).await {
+            Ok(Ok(Some(frame))) => Event::Reply { id, attempt, reply: reply(frame) },
+            Ok(Ok(None) | Err(_)) => Event::Lost { id, attempt, sent: true },
+            Err(_) => Event::Expire { id },
+        };
+        self.apply(event);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            self.core.apply(Event::Quit { id: self.id });
+        }
+    }
+}
+
+fn reply(frame: Frame) -> Reply {
+    match frame {
+        Frame::Refused(refused) => Reply::Refused(refused),
+        Frame::Admitted(admitted) => Reply::Admitted(admitted),
+        Frame::Head(head) => Reply::Head(head),
+        Frame::Chunk(chunk) => Reply::Chunk(chunk),
+        Frame::End(end) => Reply::End(end),
+        Frame::Broken(broken) => Reply::Broken(broken),
+        Frame::Hello(_)
+        | Frame::Welcome(_)
+        | Frame::Open(_)
+        | Frame::Report(_)
+        | Frame::Pool(_) => Reply::Strange,
+    }
+}
--- /dev/null
+++ b/components/routing/src/ask.rs
@@ -0,0 +1,208 @@
+//! A request comes: which intent decides, and which upstream is tried.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+use intents::{Intent, Miss, Plan};
+use placement::{key, rank};
+
+use crate::request::{Phase, Request};
+use crate::state::State;
+use crate::{Ask, Decision, Effect, Owner, Passed, Try};
+
+/// How many upstreams that were passed over a decision names.
+const MAX_PASSED: usize = 8;
+
+impl State {
+    pub(crate) fn ask(&mut self, ask: Ask, now: Millis) -> Vec<Effect> {
+        if self.draining {
+            return self.refuse(&ask, Kind::Draining, "", now);
+        }
+        let Some(plan) = self.plan.clone() else {
+            return self.refuse(&ask, Kind::NoConfiguration, "", now);
+        };
+        let target = match plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) {
+            Ok(target) => target,
+            Err(Miss::NoIntent) => return self.refuse(&ask, Kind::NoIntent, "", now),
+            Err(Miss::UnknownModel) => return self.refuse(&ask, Kind::UnknownModel, "", now),
+            Err(Miss::Ambiguous(one, other)) => {
+                let detail = format!("{one} and {other}");
+                return self.refuse(&ask, Kind::AmbiguousIntent, &detail, now);
+            }
+        };
+        if !target.repeatable && ask.once.is_none() {
+            return self.refuse(&ask, Kind::KeyMissing, "", now);
+        }
+        let (candidates, passed) = self.candidates(&plan, target.intent, &ask, now);
+        let allowed = Millis(target.intent.deadline_ms);
+        let id = ask.id;
+        self.requests.insert(
+            id,
+            Request {
+                deadline: now + ask.deadline.map_or(allowed, |it| it.min(allowed)),
+                ask,
+                came: now,
+                phase: Phase::Sent,
+                repeatable: target.repeatable,
+                priority: target.intent.priority,
+                intent: target.intent.name.clone(),
+                generation: plan.generation(),
+                candidates,
+                passed,
+                tries: Vec::new(),
+            },
+        );
+        self.budget.earn();
+        self.start(id, now)
+    }
+
+    /// The first attempt: at the owner for a call with a key, else at the best
+    /// candidate.
+    fn start(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(once) = request.ask.once.clone() else { return self.attempt(id, now) };
+        if let Some(owner) = once.owner {
+            return self.send_to_owner(id, &owner, now);
+        }
+        let met = |name: &&Arc<str>| self.upstreams.get(*name).is_some_and(|it| it.incarnation > 0);
+        let Some(upstream) = request.candidates.iter().rev().find(met).cloned() else {
+            return self.fail(id, Kind::KeyUnsettled, 0, "no fitting upstream is available", now);
+        };
+        request.phase = Phase::Binding;
+        let incarnation = self.upstreams[&upstream].incarnation;
+        vec![Effect::Bind { key: once.key, owner: Owner { upstream, incarnation } }]
+    }
+
+    pub(crate) fn bound(&mut self, id: u64, owner: Option<&Owner>, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        if request.phase != Phase::Binding {
+            return Vec::new();
+        }
+        match owner {
+            Some(owner) => self.send_to_owner(id, owner, now),
+            None => self.fail(id, Kind::KeyUnsettled, 0, "", now),
+        }
+    }
+
+    /// A key's calls go to its owner's life or nowhere.
+    fn send_to_owner(&mut self, id: u64, owner: &Owner, now: Millis) -> Vec<Effect> {
+        let Some(upstream) = self.upstreams.get(&owner.upstream) else {
+            return self.fail(id, Kind::KeyOwnerGone, 0, &owner.upstream, now);
+        };
+        if upstream.incarnation > owner.incarnation {
+            return self.fail(id, Kind::KeyOwnerGone, 0, &owner.upstream, now);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        request.candidates.clear();
+        self.send(id, &owner.upstream, owner.incarnation, now)
+    }
+
+    /// Sends to the next candidate, or gives up.
+    pub(crate) fn attempt(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(upstream) = request.candidates.pop() else {
+            let detail = request.passed.first().map_or("", |it| it.why);
+            let kind = if detail == "over the load bound" {
+                Kind::OverBound
+            } else {
+                Kind::NoUpstream
+            };
+            let detail = detail.to_owned();
+            return self.fail(id, kind, 0, &detail, now);
+        };
+        self.send(id, &upstream, 0, now)
+    }
+
+    fn send(&mut self, id: u64, name: &Arc<str>, incarnation: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(upstream) = self.upstreams.get_mut(name) else { return Vec::new() };
+        request.phase = Phase::Sent;
+        request.tries.push(Try { upstream: name.clone(), sent: now, error: None });
+        upstream.vitals.load += request.ask.weight;
+        upstream.vitals.pool.load += request.ask.weight;
+        vec![Effect::Send {
+            attempt: request.attempt(),
+            upstream: name.clone(),
+            address: upstream.host.address.clone(),
+            incarnation,
+            priority: request.priority,
+            remaining: now.until(request.deadline),
+            generation: request.generation,
+        }]
+    }
+
+    /// The fitting upstreams without an objection, the best last, and the best
+    /// of those that were passed over.
+    fn candidates(
+        &self,
+        plan: &Plan,
+        intent: &Intent,
+        ask: &Ask,
+        now: Millis,
+    ) -> (Vec<Arc<str>>, Vec<Passed>) {
+        debug_assert_eq!(self.plan.as_ref().map(|it| it.generation()), Some(plan.generation()));
+        let mut fitting: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(|it| intent.fits(&it.labels, &it.host.domain, ask.model.as_deref()))
+            .collect();
+        let key = key(&ask.workspace, &ask.chat);
+        rank(key, &mut fitting, |upstream| (&upstream.host.name, 1.0));
+        let mut candidates = Vec::new();
+        let mut passed = Vec::new();
+        for upstream in fitting {
+            match upstream.objection(ask.weight, &self.settings, now) {
+                None => candidates.push(upstream.host.name.clone()),
+                Some(why) if passed.len() < MAX_PASSED => {
+                    passed.push(Passed { upstream: upstream.host.name.clone(), why });
+                }
+                Some(_) => {}
+            }
+        }
+        candidates.reverse();
+        (candidates, passed)
+    }
+
+    /// Where the calls of a fresh idempotency key would go best now.
+    pub fn owner(&self, workspace: &str, kind: &str, seed: &str, now: Millis) -> Option<Owner> {
+        let plan = self.plan.clone()?;
+        let intent = plan.find(workspace, kind, None).ok()?.intent;
+        let ask = Ask {
+            id: 0,
+            request: "".into(),
+            workspace: workspace.into(),
+            kind: kind.into(),
+            model: None,
+            chat: seed.into(),
+            once: None,
+            weight: 1,
+            deadline: None,
+        };
+        let (candidates, _) = self.candidates(&plan, intent, &ask, now);
+        let upstreams = candidates.iter().rev().filter_map(|name| self.upstreams.get(name));
+        let best = upstreams.into_iter().find(|it| it.is_up(now))?;
+        Some(Owner { upstream: best.host.name.clone(), incarnation: best.incarnation })
+    }
+
+    fn refuse(&self, ask: &Ask, kind: Kind, detail: &str, now: Millis) -> Vec<Effect> {
+        let after = self.settings.retry_after_ms;
+        let decision = Decision {
+            request: ask.request.clone(),
+            workspace: ask.workspace.clone(),
+            kind: ask.kind.clone(),
+            model: ask.model.clone(),
+            intent: None,
+            generation: self.plan.as_ref().map_or(0, |it| it.generation()),
+            came: now,
+            ended: now,
+            passed: Vec::new(),
+            tries: Vec::new(),
+            outcome: Outcome::NotRun,
+            error: Some(kind),
+            detail: detail.into(),
+        };
+        let answer = Effect::answer(kind, &ask.request, after, detail);
+        vec![Effect::Fail(answer), Effect::Record(Arc::new(decision))]
+    }
+}
--- /dev/null
+++ b/components/routing/src/decision.rs
@@ -0,0 +1,58 @@
+//! What is kept of a request for explaining.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+use serde::Serialize;
+
+/// Why a request went where it went, or did not run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Decision {
+    /// The request's id.
+    pub request: Arc<str>,
+    /// The workspace.
+    pub workspace: Arc<str>,
+    /// The kind of request.
+    pub kind: Arc<str>,
+    /// The model, if one was asked for.
+    pub model: Option<Arc<str>>,
+    /// The intent that decided, if one did.
+    pub intent: Option<Arc<str>>,
+    /// The generation it was decided under.
+    pub generation: u64,
+    /// When the request came.
+    pub came: Millis,
+    /// When it got its final answer.
+    pub ended: Millis,
+    /// The first upstreams that were passed over, and why.
+    pub passed: Vec<Passed>,
+    /// The attempts, in order.
+    pub tries: Vec<Try>,
+    /// What is known about the run.
+    pub outcome: Outcome,
+    /// The error, if there was one.
+    pub error: Option<Kind>,
+    /// More on the error.
+    pub detail: Arc<str>,
+}
+
+/// An upstream that was passed over.
+#[derive(Clone, Debug, Serialize)]
+pub struct Passed {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// Why.
+    pub why: &'static str,
+}
+
+/// One attempt.
+#[derive(Clone, Debug, Serialize)]
+pub struct Try {
+    /// Where it went.
+    pub upstream: Arc<str>,
+    /// When it was sent.
+    pub sent: Millis,
+    /// Why it failed, if it did.
+    pub error: Option<Kind>,
+}
--- /dev/null
+++ b/components/routing/src/event.rs
@@ -0,0 +1,198 @@
+//! What happens to a router, and what it does about it.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Answer, Kind};
+use intents::{Labels, Plan};
+use wire::{Admitted, Broken, Chunk, End, Head, Refused, Welcome};
+
+use crate::Decision;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller sent a whole request.
+    Ask(Ask),
+    /// The owner of an idempotency key was looked up.
+    Bound {
+        /// The request.
+        id: u64,
+        /// The owner; `None` if it could not be looked up.
+        owner: Option<Owner>,
+    },
+    /// A frame came in answer to an attempt.
+    Reply {
+        /// The request.
+        id: u64,
+        /// The attempt that was sent.
+        attempt: u32,
+        /// The frame.
+        reply: Reply,
+    },
+    /// The stream of an attempt ended before its last frame.
+    Lost {
+        /// The request.
+        id: u64,
+        /// The attempt that was sent.
+        attempt: u32,
+        /// Whether any byte of the request may have reached the sidecar.
+        sent: bool,
+    },
+    /// The caller went away.
+    Quit {
+        /// The request.
+        id: u64,
+    },
+    /// The request's deadline passed.
+    Expire {
+        /// The request.
+        id: u64,
+    },
+    /// The platform's list of hosts came.
+    Hosts(Vec<Host>),
+    /// A connection to an upstream's sidecar stands.
+    Met(Welcome),
+    /// An upstream's sidecar can't be reached.
+    Missed {
+        /// The upstream.
+        upstream: Arc<str>,
+    },
+    /// A configuration came.
+    Configure(Arc<Plan>),
+    /// The router is to stop.
+    Drain,
+}
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The router's own number for the request.
+    pub id: u64,
+    /// The id that callers and operators see.
+    pub request: Arc<str>,
+    /// The workspace, already authenticated.
+    pub workspace: Arc<str>,
+    /// The kind of request.
+    pub kind: Arc<str>,
+    /// The model, if one is asked for.
+    pub model: Option<Arc<str>>,
+    /// What keeps a chat together.
+    pub chat: Arc<str>,
+    /// The idempotency key, if there is one.
+    pub once: Option<Once>,
+    /// The load that the request brings, in tokens.
+    pub weight: u64,
+    /// The time the caller gives it, if less than the intent's.
+    pub deadline: Option<Millis>,
+}
+
+/// An idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Once {
+    /// The key, within the workspace.
+    pub key: Arc<str>,
+    /// The owner that the key itself names, if it does.
+    pub owner: Option<Owner>,
+}
+
+/// The one place where the calls of a key may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// The life of its sidecar.
+    pub incarnation: u64,
+}
+
+/// A frame that answers an attempt.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// The request did not run there.
+    Refused(Refused),
+    /// The request was taken.
+    Admitted(Admitted),
+    /// The head of the answer.
+    Head(Head),
+    /// A part of the answer.
+    Chunk(Chunk),
+    /// The answer is whole.
+    End(End),
+    /// The answer will not be whole.
+    Broken(Broken),
+    /// A frame that may not come here.
+    Strange,
+}
+
+/// One line of the platform's list of hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// The upstream's name.
+    pub name: Arc<str>,
+    /// Where its sidecar listens.
+    pub address: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// What the platform says of it.
+    pub labels: Labels,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Find the owner of a key in the platform's service, or make `owner` it.
+    Bind {
+        /// The key, within the workspace.
+        key: Arc<str>,
+        /// The owner if the key has none yet.
+        owner: Owner,
+    },
+    /// Send an attempt; replies to earlier attempts are of no interest now.
+    Send {
+        /// The attempt, from 1.
+        attempt: u32,
+        /// Where to.
+        upstream: Arc<str>,
+        /// The address of its sidecar.
+        address: Arc<str>,
+        /// The life of the sidecar that may run it; any, if zero.
+        incarnation: u64,
+        /// The intent's priority.
+        priority: i32,
+        /// The time left.
+        remaining: Millis,
+        /// The generation it was decided under.
+        generation: u64,
+    },
+    /// Pass on the head of the answer.
+    Head(Head),
+    /// Pass on a part of the answer.
+    Relay(bytes::Bytes),
+    /// The answer is whole.
+    Finish,
+    /// Give the final answer.
+    Fail(Answer),
+    /// Cut off an answer that has begun.
+    Cut(Answer),
+    /// Tell the sidecar that the answer is no longer wanted.
+    Cancel,
+    /// Keep a decision for explaining.
+    Record(Arc<Decision>),
+    /// Connect to an upstream's sidecar.
+    Connect {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// The address of its sidecar.
+        address: Arc<str>,
+    },
+    /// Nothing is in flight any more.
+    Drained,
+}
+
+impl Effect {
+    pub(crate) fn answer(kind: Kind, request: &str, retry_after_ms: u64, detail: &str) -> Answer {
+        Answer::new(kind, request, retry_after_ms, detail)
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! The router's reducer: what a router decides, without clocks or sockets.
+//!
+//! [`State::apply`] takes one [`Event`] and the time, and returns [`Effect`]s
+//! for the edge to carry out. The same reducer runs in production, in the
+//! tests and in the capacity measurements.
+
+mod ask;
+mod budget;
+mod decision;
+mod event;
+mod reply;
+mod request;
+mod settings;
+mod state;
+mod upstream;
+
+pub use budget::Budget;
+pub use decision::{Decision, Passed, Try};
+pub use event::{Ask, Effect, Event, Host, Once, Owner, Reply};
+pub use settings::Settings;
+pub use state::State;
+pub use upstream::Upstream;
--- /dev/null
+++ b/components/routing/src/reply.rs
@@ -0,0 +1,192 @@
+//! What becomes of an attempt.
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+use wire::{Broken, Chunk, End, Head, Refused, Vitals};
+
+use crate::request::Phase;
+use crate::state::State;
+use crate::{Effect, Reply};
+
+impl State {
+    pub(crate) fn reply(
+        &mut self,
+        id: u64,
+        attempt: u32,
+        reply: Reply,
+        now: Millis,
+    ) -> Vec<Effect> {
+        if !self.is_current(id, attempt) {
+            return Vec::new();
+        }
+        match reply {
+            Reply::Refused(refused) => self.refused(id, &refused, now),
+            Reply::Admitted(admitted) => self.admitted(id, admitted.vitals, now),
+            Reply::Head(head) => self.head(id, head, now),
+            Reply::Chunk(chunk) => self.chunk(id, chunk, now),
+            Reply::End(end) => self.end(id, end, now),
+            Reply::Broken(broken) => self.broken(id, broken, now),
+            Reply::Strange => self.cut(id, Kind::Crossed, now),
+        }
+    }
+
+    /// Whether replies to `attempt` still count.
+    fn is_current(&self, id: u64, attempt: u32) -> bool {
+        self.requests
+            .get(&id)
+            .is_some_and(|it| it.attempt() == attempt && it.phase != Phase::Binding)
+    }
+
+    fn hear(&mut self, id: u64, vitals: Vitals, now: Millis) {
+        let name = self.requests.get(&id).and_then(|it| it.upstream());
+        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
+            upstream.hear(vitals, now);
+        }
+    }
+
+    fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
+        self.hear(id, refused.vitals, now);
+        self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
+    }
+
+    fn admitted(&mut self, id: u64, vitals: Vitals, now: Millis) -> Vec<Effect> {
+        self.hear(id, vitals, now);
+        if let Some(request) = self.requests.get_mut(&id)
+            && request.phase == Phase::Sent
+        {
+            request.phase = Phase::Admitted;
+        }
+        Vec::new()
+    }
+
+    fn head(&mut self, id: u64, head: Head, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        if head.attempt != request.attempt() || request.is_answering() {
+            return self.cut(id, Kind::Crossed, now);
+        }
+        request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+        vec![Effect::Head(head)]
+    }
+
+    fn chunk(&mut self, id: u64, chunk: Chunk, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let attempt = request.attempt();
+        let Phase::Answering { chunks, bytes } = &mut request.phase else {
+            return self.cut(id, Kind::Crossed, now);
+        };
+        if chunk.attempt != attempt {
+            return self.cut(id, Kind::Crossed, now);
+        }
+        if chunk.sequence < *chunks {
+            return Vec::new();
+        }
+        if chunk.sequence > *chunks {
+            return self.cut(id, Kind::Truncated, now);
+        }
+        *chunks += 1;
+        *bytes += chunk.bytes.len() as u64;
+        vec![Effect::Relay(chunk.bytes)]
+    }
+
+    fn end(&mut self, id: u64, end: End, now: Millis) -> Vec<Effect> {
+        self.hear(id, end.vitals, now);
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        if end.attempt != request.attempt() {
+            return self.cut(id, Kind::Crossed, now);
+        }
+        let whole = Phase::Answering { chunks: end.chunks, bytes: end.bytes };
+        if request.phase != whole {
+            return self.cut(id, Kind::Truncated, now);
+        }
+        let mut effects = vec![Effect::Finish];
+        effects.extend(self.close(id, None, "", now));
+        effects
+    }
+
+    fn broken(&mut self, id: u64, broken: Broken, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        if broken.attempt != request.attempt() {
+            return self.cut(id, Kind::Crossed, now);
+        }
+        if request.is_answering() {
+            let kind =
+                if broken.kind.row().outcome == Outcome::Ran { broken.kind } else { Kind::Truncated };
+            return self.fail(id, kind, 0, "", now);
+        }
+        self.try_elsewhere(id, broken.kind, 0, now)
+    }
+
+    pub(crate) fn lost(
+        &mut self,
+        id: u64,
+        attempt: u32,
+        sent: bool,
+        now: Millis,
+    ) -> Vec<Effect> {
+        if !self.is_current(id, attempt) {
+            return Vec::new();
+        }
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let (answering, upstream) = (request.is_answering(), request.upstream().cloned());
+        if let Some(upstream) = upstream {
+            self.suspect(&upstream, now);
+        }
+        if answering {
+            return self.fail(id, Kind::Truncated, 0, "", now);
+        }
+        let kind = if sent { Kind::LinkLost } else { Kind::Unreachable };
+        self.try_elsewhere(id, kind, 0, now)
+    }
+
+    pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let kind = match request.phase {
+            Phase::Binding => Kind::Cancelled,
+            Phase::Sent | Phase::Admitted => Kind::Expired,
+            Phase::Answering { .. } => Kind::ExpiredRunning,
+        };
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.close(id, Some(kind), "the caller went away", now));
+        effects
+    }
+
+    pub(crate) fn expire(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let kind = match request.phase {
+            Phase::Binding => Kind::ExpiredWaiting,
+            Phase::Sent | Phase::Admitted => Kind::Expired,
+            Phase::Answering { .. } => Kind::ExpiredRunning,
+        };
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.fail(id, kind, 0, "", now));
+        effects
+    }
+
+    fn cut(&mut self, id: u64, kind: Kind, now: Millis) -> Vec<Effect> {
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.fail(id, kind, 0, "", now));
+        effects
+    }
+
+    /// After an attempt that gave nothing to the caller: the next candidate if
+    /// that is safe and allowed, else the final answer.
+    fn try_elsewhere(&mut self, id: u64, kind: Kind, after: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        if let Some(last) = request.tries.last_mut() {
+            last.error = Some(kind);
+        }
+        let row = kind.row();
+        let safe = match row.outcome {
+            Outcome::NotRun => row.elsewhere,
+            Outcome::Unknown => request.repeatable && request.once().is_none(),
+            Outcome::Ran => false,
+        };
+        let allowed = request.attempt() < self.settings.max_attempts
+            && request.deadline > now
+            && !request.candidates.is_empty();
+        if safe && allowed && self.budget.spend() {
+            return self.attempt(id, now);
+        }
+        self.fail(id, kind, after, "", now)
+    }
+}
--- /dev/null
+++ b/components/routing/src/request.rs
@@ -0,0 +1,56 @@
+//! One request on its way.
+
+use std::sync::Arc;
+
+use clock::Millis;
+
+use crate::{Ask, Once, Passed, Try};
+
+/// How far the current attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The owner of the key is being looked up.
+    Binding,
+    /// Sent; the sidecar has not said anything.
+    Sent,
+    /// The sidecar has taken it.
+    Admitted,
+    /// The head of the answer was passed on.
+    Answering { chunks: u64, bytes: u64 },
+}
+
+/// The state of a request between its arrival and its final answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub ask: Ask,
+    pub came: Millis,
+    pub deadline: Millis,
+    pub phase: Phase,
+    pub repeatable: bool,
+    pub priority: i32,
+    pub intent: Arc<str>,
+    pub generation: u64,
+    /// The candidates not tried yet, the next one last.
+    pub candidates: Vec<Arc<str>>,
+    pub passed: Vec<Passed>,
+    pub tries: Vec<Try>,
+}
+
+impl Request {
+    pub(crate) fn attempt(&self) -> u32 {
+        u32::try_from(self.tries.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn once(&self) -> Option<&Once> {
+        self.ask.once.as_ref()
+    }
+
+    /// Where the current attempt went.
+    pub(crate) fn upstream(&self) -> Option<&Arc<str>> {
+        self.tries.last().map(|it| &it.upstream)
+    }
+
+    pub(crate) fn is_answering(&self) -> bool {
+        matches!(self.phase, Phase::Answering { .. })
+    }
+}
--- /dev/null
+++ b/components/routing/src/settings.rs
@@ -0,0 +1,46 @@
+//! What an operator may set about a router's decisions.
+
+use placement::Bound;
+use serde::{Deserialize, Serialize};
+
+/// The settings of the reducer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The load bound, as far as the router applies it beforehand.
+    pub bound: Bound,
+    /// How long a sidecar's word on its load counts, in milliseconds.
+    pub fresh_ms: u64,
+    /// The most attempts of one request, the first included.
+    pub max_attempts: u32,
+    /// Retries earned by each request, as a share of one.
+    pub retry_share: f64,
+    /// Retries that may be saved up.
+    pub retry_burst: f64,
+    /// How long an upstream is left alone after its first failure, in
+    /// milliseconds; doubled with each further one.
+    pub suspect_ms: u64,
+    /// The longest an upstream is left alone, in milliseconds.
+    pub suspect_max_ms: u64,
+    /// How many decisions are kept for explaining.
+    pub decisions: usize,
+    /// When a refused caller is told to come back at the earliest, in
+    /// milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            bound: Bound { multiple: 1.25, floor: 8_000 },
+            fresh_ms: 2_000,
+            max_attempts: 4,
+            retry_share: 0.2,
+            retry_burst: 20.0,
+            suspect_ms: 250,
+            suspect_max_ms: 10_000,
+            decisions: 4_096,
+            retry_after_ms: 250,
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/state.rs
@@ -0,0 +1,200 @@
+//! The state of a router and the events that concern the whole of it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+use intents::Plan;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::Welcome;
+
+use crate::request::Request;
+use crate::{Budget, Decision, Effect, Event, Host, Settings, Upstream};
+
+/// Everything that a router knows.
+#[derive(Debug)]
+pub struct State {
+    pub(crate) settings: Settings,
+    pub(crate) plan: Option<Arc<Plan>>,
+    pub(crate) upstreams: BTreeMap<Arc<str>, Upstream>,
+    pub(crate) requests: HashMap<u64, Request>,
+    pub(crate) budget: Budget,
+    pub(crate) draining: bool,
+    pub(crate) random: ChaCha8Rng,
+}
+
+impl State {
+    /// A router that knows nothing yet; `seed` decides its jitter.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let budget = Budget::new(settings.retry_share, settings.retry_burst);
+        Self {
+            settings,
+            plan: None,
+            upstreams: BTreeMap::new(),
+            requests: HashMap::new(),
+            budget,
+            draining: false,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The configuration in force, if there is one.
+    pub fn plan(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
+    }
+
+    /// The upstreams known, by name.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// How many requests have not got their final answer.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether new requests may be sent here: a configuration is in force, an
+    /// upstream is up, and the router is not stopping.
+    pub fn is_ready(&self, now: Millis) -> bool {
+        let up = self.upstreams.values().any(|upstream| upstream.is_up(now));
+        self.plan.is_some() && up && !self.draining
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    ///
+    /// Effects of an event about one request all concern that request, apart
+    /// from `Drained`.
+    pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        match event {
+            Event::Ask(ask) => self.ask(ask, now),
+            Event::Bound { id, owner } => self.bound(id, owner.as_ref(), now),
+            Event::Reply { id, attempt, reply } => self.reply(id, attempt, reply, now),
+            Event::Lost { id, attempt, sent } => self.lost(id, attempt, sent, now),
+            Event::Quit { id } => self.quit(id, now),
+            Event::Expire { id } => self.expire(id, now),
+            Event::Hosts(hosts) => self.hosts(hosts, now),
+            Event::Met(welcome) => self.met(&welcome, now),
+            Event::Missed { upstream } => self.missed(&upstream, now),
+            Event::Configure(plan) => self.configure(plan),
+            Event::Drain => self.drain(),
+        }
+    }
+
+    /// A lower or equal generation changes nothing.
+    fn configure(&mut self, plan: Arc<Plan>) -> Vec<Effect> {
+        let current = self.plan.as_ref().map_or(0, |it| it.generation());
+        if plan.generation() <= current {
+            return Vec::new();
+        }
+        for upstream in self.upstreams.values_mut() {
+            upstream.labels = plan.labels(&upstream.host.name, &upstream.host.labels);
+        }
+        self.plan = Some(plan);
+        Vec::new()
+    }
+
+    fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
+        let mut known = std::mem::take(&mut self.upstreams);
+        for host in hosts {
+            let labels = match &self.plan {
+                Some(plan) => plan.labels(&host.name, &host.labels),
+                None => host.labels.clone(),
+            };
+            let mut upstream = known
+                .remove(&host.name)
+                .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
+            upstream.host = host;
+            upstream.labels = labels;
+            self.upstreams.insert(upstream.host.name.clone(), upstream);
+        }
+        let missing = self.upstreams.values().filter(|it| it.incarnation == 0);
+        missing
+            .filter(|upstream| !upstream.is_suspect(now))
+            .map(|upstream| Effect::Connect {
+                upstream: upstream.host.name.clone(),
+                address: upstream.host.address.clone(),
+            })
+            .collect()
+    }
+
+    fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
+        if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
+            upstream.meet(welcome, now);
+        }
+        Vec::new()
+    }
+
+    fn missed(&mut self, upstream: &str, now: Millis) -> Vec<Effect> {
+        self.suspect(upstream, now);
+        Vec::new()
+    }
+
+    pub(crate) fn suspect(&mut self, upstream: &str, now: Millis) {
+        let jitter = self.random.random::<f64>();
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.miss(&self.settings, jitter, now);
+        }
+    }
+
+    fn drain(&mut self) -> Vec<Effect> {
+        self.draining = true;
+        if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
+    }
+
+    /// Takes the request out and records its decision.
+    pub(crate) fn close(
+        &mut self,
+        id: u64,
+        error: Option<Kind>,
+        detail: &str,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let Some(mut request) = self.requests.remove(&id) else { return Vec::new() };
+        if let Some(last) = request.tries.last_mut()
+            && last.error.is_none()
+        {
+            last.error = error;
+        }
+        let decision = Decision {
+            request: request.ask.request,
+            workspace: request.ask.workspace,
+            kind: request.ask.kind,
+            model: request.ask.model,
+            intent: Some(request.intent),
+            generation: request.generation,
+            came: request.came,
+            ended: now,
+            passed: request.passed,
+            tries: request.tries,
+            outcome: error.map_or(Outcome::Ran, |kind| kind.row().outcome),
+            error,
+            detail: detail.into(),
+        };
+        let mut effects = vec![Effect::Record(Arc::new(decision))];
+        if self.draining && self.requests.is_empty() {
+            effects.push(Effect::Drained);
+        }
+        effects
+    }
+
+    /// Ends the request with an error.
+    pub(crate) fn fail(
+        &mut self,
+        id: u64,
+        kind: Kind,
+        retry_after_ms: u64,
+        detail: &str,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms);
+        let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
+        let first =
+            if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
+        let mut effects = vec![first];
+        effects.extend(self.close(id, Some(kind), detail, now));
+        effects
+    }
+}
--- /dev/null
+++ b/components/routing/src/upstream.rs
@@ -0,0 +1,118 @@
+//! What a router believes about one upstream.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use intents::Labels;
+use wire::{Vitals, Welcome};
+
+use crate::{Host, Settings};
+
+/// The most doublings of the time that a failing upstream is left alone.
+const MAX_DOUBLINGS: u32 = 16;
+
+/// A router's view of an upstream; it may be wrong, and the sidecar has the
+/// last word.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    pub(crate) host: Host,
+    pub(crate) labels: Labels,
+    pub(crate) incarnation: u64,
+    pub(crate) vitals: Vitals,
+    pub(crate) heard: Option<Millis>,
+    pub(crate) failures: u32,
+    pub(crate) suspect_until: Millis,
+}
+
+impl Upstream {
+    pub(crate) fn new(host: Host, labels: Labels) -> Self {
+        Self {
+            host,
+            labels,
+            incarnation: 0,
+            vitals: Vitals::default(),
+            heard: None,
+            failures: 0,
+            suspect_until: Millis::ZERO,
+        }
+    }
+
+    /// The upstream's name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.host.name
+    }
+
+    /// The load it last told of, in tokens.
+    pub fn load(&self) -> u64 {
+        self.vitals.load
+    }
+
+    /// The life of the sidecar last met; zero before the first.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Whether it was met and is not being left alone.
+    pub fn is_up(&self, now: Millis) -> bool {
+        self.incarnation > 0 && !self.is_suspect(now) && !self.is_leaving()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.host.leaving || self.vitals.leaving
+    }
+
+    pub(crate) fn is_suspect(&self, now: Millis) -> bool {
+        self.suspect_until > now
+    }
+
+    pub(crate) fn hear(&mut self, vitals: Vitals, now: Millis) {
+        self.vitals = vitals;
+        self.heard = Some(now);
+    }
+
+    /// Takes a greeting; one from an earlier life than known is ignored.
+    pub(crate) fn meet(&mut self, welcome: &Welcome, now: Millis) {
+        if welcome.incarnation < self.incarnation {
+            return;
+        }
+        self.incarnation = welcome.incarnation;
+        self.failures = 0;
+        self.suspect_until = Millis::ZERO;
+        self.hear(welcome.vitals, now);
+    }
+
+    pub(crate) fn miss(&mut self, settings: &Settings, jitter: f64, now: Millis) {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        let base = settings.suspect_ms.saturating_mul(1 << doublings).min(settings.suspect_max_ms);
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a back-off is a few seconds"
+        )]
+        let pause = (base as f64 * (0.5 + jitter / 2.0)) as u64;
+        self.failures = self.failures.saturating_add(1);
+        self.suspect_until = now + Millis(pause);
+    }
+
+    /// Why a request of `weight` should not be tried here now, if so.
+    pub(crate) fn objection(
+        &self,
+        weight: u64,
+        settings: &Settings,
+        now: Millis,
+    ) -> Option<&'static str> {
+        if self.is_leaving() {
+            return Some("leaving");
+        }
+        if self.is_suspect(now) {
+            return Some("suspect");
+        }
+        let fresh = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
+        let over = !settings.bound.admits(self.vitals.load, weight, self.vitals.pool);
+        if fresh && over {
+            return Some("over the load bound");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/components/settings/src/check.rs
@@ -0,0 +1,60 @@
+//! Rules that a type alone can't hold.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+
+use snafu::ensure;
+
+use crate::Error;
+use crate::error::RuleSnafu;
+
+/// The shortest key that a process may use, in bytes.
+const SHORTEST_KEY: usize = 16;
+
+/// Settings that can be checked after reading.
+pub trait Check {
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// The first value that breaks a rule.
+    fn check(&self) -> Result<(), Error>;
+}
+
+pub(crate) fn rule(
+    holds: bool,
+    path: &'static str,
+    value: impl Display,
+    rule: &'static str,
+) -> Result<(), Error> {
+    ensure!(holds, RuleSnafu { path, value: value.to_string(), rule });
+    Ok(())
+}
+
+pub(crate) fn address(path: &'static str, value: &str) -> Result<(), Error> {
+    rule(value.parse::<SocketAddr>().is_ok(), path, value, "an IP number and a port")
+}
+
+pub(crate) fn base(path: &'static str, value: &str) -> Result<(), Error> {
+    let holds = value.starts_with("http://") && !value.ends_with('/');
+    rule(holds, path, value, "an http:// address without a trailing slash")
+}
+
+pub(crate) fn name(path: &'static str, value: &str) -> Result<(), Error> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    let holds = !value.is_empty() && value.bytes().all(allowed);
+    rule(holds, path, value, "letters, digits, '-' and '_', at least one")
+}
+
+/// The value of a key is never shown.
+pub(crate) fn key(path: &'static str, value: &str) -> Result<(), Error> {
+    rule(value.len() >= SHORTEST_KEY, path, "the key", "at least 16 bytes")
+}
+
+pub(crate) fn bound(path: &'static str, value: f64) -> Result<(), Error> {
+    rule((1.0..=10.0).contains(&value), path, value, "1 to 10")
+}
+
+pub(crate) fn positive(path: &'static str, value: u64) -> Result<(), Error> {
+    rule(value > 0, path, value, "a number above 0")
+}
--- /dev/null
+++ b/components/settings/src/router.rs
@@ -0,0 +1,99 @@
+//! Settings of `silverstack-router`.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::check::{address, base, bound, key, name, positive};
+use crate::{Check, Error};
+
+/// The settings of a router.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Router {
+    /// The router's name; part of every request id.
+    pub name: Arc<str>,
+    /// Where callers connect: IP number and port.
+    pub listen: Arc<str>,
+    /// The key that all processes of the fleet share.
+    pub link_key: Arc<str>,
+    /// The platform's list of hosts.
+    pub hosts_url: Arc<str>,
+    /// The platform's key-value service; without it, a call that may not be
+    /// repeated needs a key from this fleet.
+    #[serde(default)]
+    pub store_url: Option<Arc<str>>,
+    /// The file of the routing intents.
+    pub intents: Arc<str>,
+    /// How often the list of hosts is read, in milliseconds.
+    #[serde(default = "defaults::hosts_every_ms")]
+    pub hosts_every_ms: u64,
+    /// The largest request body, in bytes.
+    #[serde(default = "defaults::body_bytes")]
+    pub body_bytes: usize,
+    /// How long a request body may take to come, in milliseconds.
+    #[serde(default = "defaults::body_ms")]
+    pub body_ms: u64,
+    /// How long a link may take to stand, in milliseconds.
+    #[serde(default = "defaults::connect_ms")]
+    pub connect_ms: u64,
+    /// How long a planned stop waits for requests in flight, in milliseconds.
+    #[serde(default = "defaults::drain_ms")]
+    pub drain_ms: u64,
+    /// How long `/readyz` says no before a planned stop refuses new requests,
+    /// in milliseconds.
+    #[serde(default = "defaults::drain_notice_ms")]
+    pub drain_notice_ms: u64,
+    /// The decisions' settings.
+    #[serde(default)]
+    pub routing: routing::Settings,
+}
+
+mod defaults {
+    pub(super) fn hosts_every_ms() -> u64 {
+        500
+    }
+
+    pub(super) fn body_bytes() -> usize {
+        1024 * 1024
+    }
+
+    pub(super) fn body_ms() -> u64 {
+        10_000
+    }
+
+    pub(super) fn connect_ms() -> u64 {
+        500
+    }
+
+    pub(super) fn drain_ms() -> u64 {
+        60_000
+    }
+
+    pub(super) fn drain_notice_ms() -> u64 {
+        1_000
+    }
+}
+
+/// The largest request body that a frame of the link has room for, in bytes.
+const MAX_BODY: usize = 1024 * 1024;
+
+impl Check for Router {
+    fn check(&self) -> Result<(), Error> {
+        name("name", &self.name)?;
+        address("listen", &self.listen)?;
+        key("link_key", &self.link_key)?;
+        base("hosts_url", &self.hosts_url)?;
+        if let Some(url) = &self.store_url {
+            base("store_url", url)?;
+        }
+        positive("hosts_every_ms", self.hosts_every_ms)?;
+        positive("body_bytes", self.body_bytes as u64)?;
+        let fits = self.body_bytes <= MAX_BODY;
+        crate::check::rule(fits, "body_bytes", self.body_bytes, "at most 1048576")?;
+        positive("body_ms", self.body_ms)?;
+        positive("connect_ms", self.connect_ms)?;
+        bound("routing.bound.multiple", self.routing.bound.multiple)?;
+        positive("routing.max_attempts", u64::from(self.routing.max_attempts))
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/peers.rs
@@ -0,0 +1,73 @@
+//! The other members of the pool: who they are, and the load reports to them.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use admission::{Event, Peer};
+use link::Connection;
+use tokio::sync::mpsc::UnboundedReceiver;
+use wire::{Frame, Hello, Report};
+
+use crate::core::Core;
+
+/// How long a report may take.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Reads the platform's list of hosts again and again.
+pub(crate) async fn follow(core: Rc<Core>) {
+    let every = Duration::from_millis(core.settings.hosts_every_ms);
+    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
+    loop {
+        if let Ok(list) = hosts.read().await {
+            let own = list.iter().find(|it| it.name == core.settings.name);
+            if own.is_some_and(|it| it.leaving) {
+                core.apply(Event::Leave);
+            }
+            let peers = list.into_iter().filter(|it| !it.leaving && is_member(&core, it));
+            let peers = peers.map(|it| Peer { name: it.name, address: it.address }).collect();
+            core.apply(Event::Peers(peers));
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
+fn is_member(core: &Core, entry: &platform::Entry) -> bool {
+    let pool = &core.settings.pool;
+    pool.iter().all(|(label, value)| entry.labels.get(label) == Some(value))
+}
+
+/// Sends the load reports, each over a link that is kept.
+pub(crate) async fn report(core: Rc<Core>, mut outbox: UnboundedReceiver<(Peer, Report)>) {
+    let mut links: HashMap<Arc<str>, Connection> = HashMap::new();
+    while let Some((to, report)) = outbox.recv().await {
+        let asked = tokio::time::timeout(PATIENCE, ask(&core, &mut links, &to, report)).await;
+        match asked {
+            Ok(Some(pool)) => core.apply(Event::Pool(pool)),
+            Ok(None) | Err(_) => {
+                links.remove(&to.name);
+            }
+        }
+    }
+}
+
+async fn ask(
+    core: &Core,
+    links: &mut HashMap<Arc<str>, Connection>,
+    to: &Peer,
+    report: Report,
+) -> Option<placement::Pool> {
+    if links.get(&to.name).is_none_or(Connection::is_closed) {
+        let hello =
+            Hello { key: core.settings.link_key.clone(), name: core.settings.name.clone() };
+        let (connection, _) = Connection::open(&to.address, hello, PATIENCE).await.ok()?;
+        links.insert(to.name.clone(), connection);
+    }
+    let connection = links.get(&to.name)?;
+    let mut call = connection.call(&Frame::Report(report)).await.ok()?;
+    match call.next().await {
+        Ok(Some(Frame::Pool(pool))) => Some(pool),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,5 @@
+//! Logs, metrics and traces.
+
+mod log;
+
+pub use log::{Level, logs};
--- /dev/null
+++ b/components/wire/src/frame.rs
@@ -0,0 +1,179 @@
+//! The frames and their fields.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use errors::Kind;
+use placement::Pool;
+use serde::{Deserialize, Serialize};
+
+/// One frame of a stream.
+///
+/// A stream begins with [`Frame::Hello`], [`Frame::Open`] or [`Frame::Report`].
+/// `Open` is answered by one `Refused`, or by `Admitted`, `Head`, any number of
+/// `Chunk`s and one `End`; `Broken` may take the place of any frame after
+/// `Admitted`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The first frame of a connection, from the side that connected.
+    Hello(Hello),
+    /// The answer to `Hello`.
+    Welcome(Welcome),
+    /// A whole request.
+    Open(Open),
+    /// The request did not run here.
+    Refused(Refused),
+    /// The request was taken and may run from now on.
+    Admitted(Admitted),
+    /// The status and headers of the answer.
+    Head(Head),
+    /// A part of the answer's body.
+    Chunk(Chunk),
+    /// The answer is whole.
+    End(End),
+    /// The answer will never be whole.
+    Broken(Broken),
+    /// A sidecar's load, sent to the aggregator of its pool.
+    Report(Report),
+    /// The sum over the pool, in answer to `Report`.
+    Pool(Pool),
+}
+
+/// Who connects, and the proof that it may.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The link key that all processes of the fleet share.
+    pub key: Arc<str>,
+    /// The name of the connecting process.
+    pub name: Arc<str>,
+}
+
+/// Who answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The upstream's name.
+    pub name: Arc<str>,
+    /// The life of the sidecar; a restart has a higher one.
+    pub incarnation: u64,
+    /// The state of the sidecar.
+    pub vitals: Vitals,
+}
+
+/// What a sidecar says of itself with every answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vitals {
+    /// The load it carries, in tokens.
+    pub load: u64,
+    /// Its pool, as far as it knows.
+    pub pool: Pool,
+    /// Requests waiting in its queue.
+    pub queued: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A whole request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open {
+    /// The request's id, the same over all attempts.
+    pub request: Arc<str>,
+    /// The attempt, from 1.
+    pub attempt: u32,
+    /// The workspace.
+    pub workspace: Arc<str>,
+    /// Lower runs earlier.
+    pub priority: i32,
+    /// The time left until the caller's deadline, in milliseconds.
+    pub remaining_ms: u64,
+    /// The load that the request brings, in tokens.
+    pub weight: u64,
+    /// The upstream's life that may run the request; any, if zero.
+    pub incarnation: u64,
+    /// The idempotency key of a call that may run once at most.
+    pub once: Option<Arc<str>>,
+    /// The generation of the configuration that the request was decided under.
+    pub generation: u64,
+    /// The W3C trace context.
+    pub traceparent: Option<Arc<str>>,
+    /// The HTTP method.
+    pub method: Arc<str>,
+    /// The path and query.
+    pub path: Arc<str>,
+    /// The headers that go on to the upstream.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why a request did not run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The reason; its outcome is `not run` unless the reason is about a key.
+    pub kind: Kind,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+    /// The state of the sidecar.
+    pub vitals: Vitals,
+}
+
+/// A request was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Admitted {
+    /// The state of the sidecar.
+    pub vitals: Vitals,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The attempt that this answers.
+    pub attempt: u32,
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that go on to the caller.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+}
+
+/// A part of an answer's body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The attempt that this answers.
+    pub attempt: u32,
+    /// The place of this chunk, from 0.
+    pub sequence: u64,
+    /// The bytes.
+    pub bytes: Bytes,
+}
+
+/// The end of a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The attempt that this answers.
+    pub attempt: u32,
+    /// The number of chunks sent.
+    pub chunks: u64,
+    /// The number of body bytes sent.
+    pub bytes: u64,
+    /// The state of the sidecar.
+    pub vitals: Vitals,
+}
+
+/// An answer that will never be whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Broken {
+    /// The attempt that this answers.
+    pub attempt: u32,
+    /// What went wrong.
+    pub kind: Kind,
+}
+
+/// A sidecar's load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The upstream's name.
+    pub name: Arc<str>,
+    /// The sidecar's life.
+    pub incarnation: u64,
+    /// Its load, in tokens.
+    pub load: u64,
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Frames between the processes of the fleet.
+//!
+//! A stream of the link carries length-prefixed [`Frame`]s. This crate is the
+//! only user of `bincode`, so that a successor is a change to one file.
+
+mod codec;
+mod frame;
+
+pub use codec::{Error, MAX_FRAME, Reader, encode};
+pub use frame::{
+    Admitted, Broken, Chunk, End, Frame, Head, Hello, Open, Refused, Report, Vitals, Welcome,
+};
--- /dev/null
+++ b/src/bin/silverstack-local.rs
@@ -0,0 +1,76 @@
+//! The whole path in one process, to try silverstack on a laptop.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use silverstack::cli;
+use silverstack::local::{self, Fleet, Size};
+
+/// The program's name.
+const NAME: &str = "silverstack-local";
+
+/// Runs routers, sidecars and stand-ins in one process and sends them chats
+/// and calls.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    /// Print name and version.
+    version: bool,
+    /// Entry hosts.
+    #[options(meta = "N", default = "2")]
+    routers: usize,
+    /// Model engines.
+    #[options(meta = "N", default = "6")]
+    engines: usize,
+    /// Plain services.
+    #[options(meta = "N", default = "3")]
+    services: usize,
+    /// Chats to send.
+    #[options(meta = "N", default = "12")]
+    chats: usize,
+    /// Turns of each chat.
+    #[options(meta = "N", default = "4")]
+    turns: usize,
+    /// Print the summary only.
+    quiet: bool,
+    /// Keep serving until interrupted.
+    stay: bool,
+}
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        return cli::version(NAME);
+    }
+    let size = Size {
+        routers: arguments.routers.max(1),
+        engines: arguments.engines.max(1),
+        services: arguments.services.max(1),
+    };
+    let fleet = match Fleet::start(size).await {
+        Ok(fleet) => fleet,
+        Err(fault) => return cli::fail(NAME, fault, cli::FAILED),
+    };
+    let summary = local::run(&fleet, arguments.chats, arguments.turns, !arguments.quiet).await;
+    println!("{summary}");
+    if arguments.stay {
+        println!("serving; try:\n{}", example(&fleet.routers()[0]));
+        if let Err(fault) = process::Stop::signalled().await {
+            return cli::fail(NAME, fault, cli::FAILED);
+        }
+    }
+    let cut = fleet.stop().await;
+    if cut > 0 {
+        return cli::fail(NAME, format!("{cut} requests were cut by the stop"), cli::CUT);
+    }
+    ExitCode::from(if summary.is_clean() { cli::OK } else { cli::FAILED })
+}
+
+fn example(url: &str) -> String {
+    let body = r#"{"model":"menu-7b","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"oi"}]}"#;
+    format!(
+        "curl -N -H 'Authorization: Bearer mesa:mesa-laptop-key' -d '{body}' {url}/v1/chat/completions"
+    )
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! What the binaries of silverstack share.
+
+pub mod cli;
+pub mod local;
--- /dev/null
+++ b/src/local/fleet.rs
@@ -0,0 +1,272 @@
+//! Routers, sidecars and stand-ins, started and stopped together.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use router::Router;
+use serde_json::json;
+use settings::Service;
+use sidecar::Sidecar;
+use snafu::{ResultExt, Snafu};
+use standin::{Engine, EngineSettings, Hosts, Plain, Store};
+use tokio::task::JoinSet;
+
+/// Any free port of this host.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// The link key of the one process.
+const LINK_KEY: &str = "a-link-key-for-one-process";
+
+/// The intents, which the examples show.
+const INTENTS: &str = include_str!("../../examples/intents.json");
+
+/// The model that the intents name.
+pub(crate) const MODEL: &str = "menu-7b";
+
+/// The failure domains that the upstreams are spread over.
+const DOMAINS: [&str; 3] = ["poa-1", "poa-2", "caxias-1"];
+
+/// By how much the list of hosts lags.
+const HOSTS_LAG: Duration = Duration::from_millis(100);
+
+/// How long a call of a plain service takes.
+const PLAIN_LATENCY: Duration = Duration::from_millis(2);
+
+/// How long the routers may take to meet an upstream.
+const READY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// How many of each there are.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Entry hosts.
+    pub routers: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+}
+
+/// Why the fleet can't start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A stand-in can't start.
+    #[snafu(display("a stand-in can't start: {source}"))]
+    Standin {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The intents can't be written for the routers to read.
+    #[snafu(display("can't write {}: {source}", path.display()))]
+    Intents {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A router can't start.
+    #[snafu(display("a router can't start: {source}"))]
+    Router {
+        /// Why.
+        source: router::Error,
+    },
+    /// A sidecar can't start.
+    #[snafu(display("a sidecar can't start: {source}"))]
+    Sidecar {
+        /// Why.
+        source: sidecar::Error,
+    },
+    /// The routers did not become ready.
+    #[snafu(display("the routers did not become ready"))]
+    NotReady,
+}
+
+/// A fleet that runs.
+#[derive(Debug)]
+pub struct Fleet {
+    hosts: Hosts,
+    store: Store,
+    engines: Vec<Engine>,
+    services: Vec<Plain>,
+    routers: JoinSet<bool>,
+    router_stops: Vec<process::Stop>,
+    router_urls: Vec<String>,
+    sidecars: JoinSet<usize>,
+    sidecar_stops: Vec<process::Stop>,
+    intents: PathBuf,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until its routers are ready.
+    ///
+    /// # Errors
+    ///
+    /// A part can't start.
+    pub async fn start(size: Size) -> Result<Self, Error> {
+        let intents = write_intents()?;
+        let mut fleet = Self {
+            hosts: Hosts::start(ANY_PORT, HOSTS_LAG).context(StandinSnafu)?,
+            store: Store::start(ANY_PORT).context(StandinSnafu)?,
+            engines: Vec::new(),
+            services: Vec::new(),
+            routers: JoinSet::new(),
+            router_stops: Vec::new(),
+            router_urls: Vec::new(),
+            sidecars: JoinSet::new(),
+            sidecar_stops: Vec::new(),
+            intents,
+        };
+        for place in 0..size.engines {
+            fleet.add_engine(place)?;
+        }
+        for place in 0..size.services {
+            fleet.add_service(place)?;
+        }
+        for place in 0..size.routers {
+            fleet.add_router(place)?;
+        }
+        fleet.wait_until_ready(size).await?;
+        Ok(fleet)
+    }
+
+    /// The base URLs of the routers.
+    pub fn routers(&self) -> &[String] {
+        &self.router_urls
+    }
+
+    /// How often each idempotency key ran, over all services.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for service in &self.services {
+            for (key, count) in service.runs() {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    /// Stops everything in order, entry hosts first; returns how many requests
+    /// were cut.
+    pub async fn stop(mut self) -> usize {
+        let mut cut = 0;
+        self.router_stops.iter().for_each(process::Stop::ask);
+        while let Some(finished) = self.routers.join_next().await {
+            cut += usize::from(!finished.unwrap_or(false));
+        }
+        self.sidecar_stops.iter().for_each(process::Stop::ask);
+        while let Some(left) = self.sidecars.join_next().await {
+            cut += left.unwrap_or(1);
+        }
+        for engine in &self.engines {
+            engine.server().stop().await;
+        }
+        for service in &self.services {
+            service.server().stop().await;
+        }
+        self.hosts.server().stop().await;
+        self.store.server().stop().await;
+        let _ = std::fs::remove_file(&self.intents);
+        cut
+    }
+
+    fn add_engine(&mut self, place: usize) -> Result<(), Error> {
+        let settings = EngineSettings { model: MODEL.to_owned(), ..EngineSettings::default() };
+        let engine = Engine::start(ANY_PORT, settings).context(StandinSnafu)?;
+        let pool = BTreeMap::from([("model".into(), MODEL.into())]);
+        let name = format!("engine-{}", place + 1);
+        self.add_sidecar(&name, place, &engine.server().url(), Service::Engine, pool)?;
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    fn add_service(&mut self, place: usize) -> Result<(), Error> {
+        let name = format!("pickup-{}", place + 1);
+        let plain = Plain::start(ANY_PORT, &name, PLAIN_LATENCY).context(StandinSnafu)?;
+        let pool = BTreeMap::from([("service".into(), "pickup".into())]);
+        self.add_sidecar(&name, place, &plain.server().url(), Service::Plain, pool)?;
+        self.services.push(plain);
+        Ok(())
+    }
+
+    fn add_sidecar(
+        &mut self,
+        name: &str,
+        place: usize,
+        upstream_url: &str,
+        service: Service,
+        pool: BTreeMap<Arc<str>, Arc<str>>,
+    ) -> Result<(), Error> {
+        let settings = settings::Sidecar {
+            name: name.into(),
+            listen: ANY_PORT.into(),
+            admin: ANY_PORT.into(),
+            link_key: LINK_KEY.into(),
+            upstream_url: upstream_url.into(),
+            service,
+            hosts_url: self.hosts.server().url().into(),
+            pool: pool.clone(),
+            hosts_every_ms: 200,
+            drain_ms: 5_000,
+            admission: admission::Settings::default(),
+        };
+        let sidecar = Sidecar::bind(settings).context(SidecarSnafu)?;
+        self.hosts.put(json!({
+            "name": name,
+            "address": sidecar.address().to_string(),
+            "domain": DOMAINS[place % DOMAINS.len()],
+            "labels": pool,
+        }));
+        self.sidecar_stops.push(sidecar.stop());
+        self.sidecars.spawn_local(async move { sidecar.run().await.unwrap_or(1) });
+        Ok(())
+    }
+
+    fn add_router(&mut self, place: usize) -> Result<(), Error> {
+        let settings = json!({
+            "name": format!("entry-{}", place + 1),
+            "listen": ANY_PORT,
+            "link_key": LINK_KEY,
+            "hosts_url": self.hosts.server().url(),
+            "store_url": self.store.server().url(),
+            "intents": self.intents,
+            "hosts_every_ms": 100,
+            "drain_notice_ms": 0,
+            "drain_ms": 5_000,
+        });
+        let settings = settings::parse(&settings.to_string()).expect("the settings are right");
+        let router = Router::start(settings).context(RouterSnafu)?;
+        self.router_urls.push(format!("http://{}", router.address()));
+        self.router_stops.push(router.stop());
+        self.routers.spawn_local(router.run());
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self, size: Size) -> Result<(), Error> {
+        let met = size.engines + size.services;
+        let ready = async {
+            for url in &self.router_urls {
+                while !has_met(url, met).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        };
+        tokio::time::timeout(READY_PATIENCE, ready).await.map_err(|_| Error::NotReady)
+    }
+}
+
+/// Whether the router at `url` has met at least `most` upstreams.
+async fn has_met(url: &str, most: usize) -> bool {
+    let Ok(caller) = load::Caller::new(url, "", "").await else { return false };
+    let Ok(status) = caller.page("/status").await else { return false };
+    let upstreams = status["upstreams"].as_array();
+    upstreams.is_some_and(|it| it.iter().filter(|it| it["up"] == true).count() >= most)
+}
+
+fn write_intents() -> Result<PathBuf, Error> {
+    let path = std::env::temp_dir().join(format!("silverstack-{}.json", std::process::id()));
+    let mut file = std::fs::File::create(&path).context(IntentsSnafu { path: &path })?;
+    file.write_all(INTENTS.as_bytes()).context(IntentsSnafu { path: &path })?;
+    Ok(path)
+}
