Answer 200 chats and 200 keyed calls at a time through separate processes

Calls to plain services now weigh one token: a call with a key has one owner and can't move, so the load bound refused 11 of 200 to no use.

--- a/components/admission/src/keys.rs
+++ b/components/admission/src/keys.rs
@@ -75,7 +75,9 @@
         self.stored.push_back((key.clone(), size));
         self.bytes += size;
         while self.bytes > settings.answers_bytes {
-            let Some((oldest, size)) = self.stored.pop_front() else { break };
+            let Some((oldest, size)) = self.stored.pop_front() else {
+                break;
+            };
             self.bytes -= size;
             if let Some((_, record)) = self.records.get_mut(&oldest) {
                 *record = Record::Done(None);
--- a/components/admission/src/pool.rs
+++ b/components/admission/src/pool.rs
@@ -36,7 +36,10 @@
     /// The sum of all reports.
     pub fn pool(&self) -> Pool {
         let load = self.reports.values().map(|(report, _)| report.load).sum();
-        Pool { load, members: u32::try_from(self.reports.len()).unwrap_or(u32::MAX) }
+        Pool {
+            load,
+            members: u32::try_from(self.reports.len()).unwrap_or(u32::MAX),
+        }
     }
 }
 
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -36,7 +36,11 @@
 
     /// Takes the next call out.
     pub(crate) fn pop(&mut self, calls: &HashMap<CallId, Call>) -> Option<CallId> {
-        let next = self.waiting.iter().copied().min_by_key(|id| self.order(*id, calls))?;
+        let next = self
+            .waiting
+            .iter()
+            .copied()
+            .min_by_key(|id| self.order(*id, calls))?;
         self.remove(next);
         if let Some(call) = calls.get(&next) {
             self.serve(call);
@@ -58,7 +62,9 @@
     }
 
     fn order(&self, id: CallId, calls: &HashMap<CallId, Call>) -> (u64, i32, CallId) {
-        let Some(call) = calls.get(&id) else { return (0, 0, id) };
+        let Some(call) = calls.get(&id) else {
+            return (0, 0, id);
+        };
         let served = self.served.get(&call.workspace).copied().unwrap_or(0);
         (served, call.priority, id)
     }
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -28,7 +28,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            bound: Bound { multiple: 1.25, floor: 8_000 },
+            bound: Bound {
+                multiple: 1.25,
+                floor: 8_000,
+            },
             slots: 64,
             queue: 64,
             report_keep_ms: 3_000,
--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -101,7 +101,11 @@
         let mut effects = match event {
             Event::Open { call, open } => self.open(call, open, now),
             Event::Cancel { call } => self.cancel(call),
-            Event::Head { call, status, headers } => self.head(call, status, headers),
+            Event::Head {
+                call,
+                status,
+                headers,
+            } => self.head(call, status, headers),
             Event::Chunk { call, bytes } => self.chunk(call, bytes),
             Event::Ended { call } => self.ended(call, now),
             Event::Failed { call, kind } => self.failed(call, kind),
@@ -122,7 +126,10 @@
     fn pool(&self) -> Pool {
         let own = self.reported.map_or(0, |(load, _)| load);
         let others = self.pool.load.saturating_sub(own);
-        Pool { load: others + self.load, members: self.pool.members.max(1) }
+        Pool {
+            load: others + self.load,
+            members: self.pool.members.max(1),
+        }
     }
 
     fn open(&mut self, id: CallId, open: Open, now: Millis) -> Vec<Effect> {
@@ -160,7 +167,9 @@
         };
         self.queue.push(id, &call);
         self.calls.insert(id, call);
-        let frame = Frame::Admitted(Admitted { vitals: self.vitals() });
+        let frame = Frame::Admitted(Admitted {
+            vitals: self.vitals(),
+        });
         vec![Effect::Send { call: id, frame }]
     }
 
@@ -169,7 +178,11 @@
         if self.leaving {
             return Some(Kind::Leaving);
         }
-        if !self.settings.bound.admits(self.load, open.weight, self.pool()) {
+        if !self
+            .settings
+            .bound
+            .admits(self.load, open.weight, self.pool())
+        {
             return Some(Kind::OverBound);
         }
         let waits = self.running >= self.settings.slots;
@@ -193,15 +206,26 @@
 
     fn refuse(&self, call: CallId, kind: Kind) -> Vec<Effect> {
         let retry_after_ms = self.wait_ms().max(self.run_ms);
-        let refused = Refused { kind, retry_after_ms, vitals: self.vitals() };
-        vec![Effect::Finish { call, frame: Frame::Refused(refused) }]
+        let refused = Refused {
+            kind,
+            retry_after_ms,
+            vitals: self.vitals(),
+        };
+        vec![Effect::Finish {
+            call,
+            frame: Frame::Refused(refused),
+        }]
     }
 
     /// Starts waiting calls while slots are free.
     fn fill(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         while self.running < self.settings.slots {
-            let Some(id) = self.queue.pop(&self.calls) else { return };
-            let Some(call) = self.calls.get_mut(&id) else { continue };
+            let Some(id) = self.queue.pop(&self.calls) else {
+                return;
+            };
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
             let Stage::Queued(open) = std::mem::replace(&mut call.stage, Stage::Running) else {
                 continue;
             };
@@ -211,24 +235,31 @@
         }
     }
 
-    fn head(
-        &mut self,
-        id: CallId,
-        status: u16,
-        headers: Vec<(Arc<str>, Arc<str>)>,
-    ) -> Vec<Effect> {
-        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+    fn head(&mut self, id: CallId, status: u16, headers: Vec<(Arc<str>, Arc<str>)>) -> Vec<Effect> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
         call.stage = Stage::Answering;
         if call.key.is_some() {
             call.answer.status = status;
             call.answer.headers.clone_from(&headers);
         }
-        let frame = Frame::Head(Head { attempt: call.attempt, status, headers });
-        if call.wanted { vec![Effect::Send { call: id, frame }] } else { Vec::new() }
+        let frame = Frame::Head(Head {
+            attempt: call.attempt,
+            status,
+            headers,
+        });
+        if call.wanted {
+            vec![Effect::Send { call: id, frame }]
+        } else {
+            Vec::new()
+        }
     }
 
     fn chunk(&mut self, id: CallId, bytes: bytes::Bytes) -> Vec<Effect> {
-        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
         let sequence = call.chunks;
         call.chunks += 1;
         call.bytes += bytes.len() as u64;
@@ -238,12 +269,22 @@
                 call.answer.chunks.push(bytes.clone());
             }
         }
-        let frame = Frame::Chunk(Chunk { attempt: call.attempt, sequence, bytes });
-        if call.wanted { vec![Effect::Send { call: id, frame }] } else { Vec::new() }
+        let frame = Frame::Chunk(Chunk {
+            attempt: call.attempt,
+            sequence,
+            bytes,
+        });
+        if call.wanted {
+            vec![Effect::Send { call: id, frame }]
+        } else {
+            Vec::new()
+        }
     }
 
     fn ended(&mut self, id: CallId, now: Millis) -> Vec<Effect> {
-        let Some(call) = self.release(id) else { return Vec::new() };
+        let Some(call) = self.release(id) else {
+            return Vec::new();
+        };
         let ran = call.started.until(now).0;
         self.run_ms = if self.run_ms == 0 {
             ran
@@ -254,13 +295,24 @@
             self.keys.store(key, call.answer, &self.settings);
         }
         let (attempt, chunks, bytes) = (call.attempt, call.chunks, call.bytes);
-        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
-        if call.wanted { vec![Effect::Finish { call: id, frame }] } else { Vec::new() }
+        let frame = Frame::End(End {
+            attempt,
+            chunks,
+            bytes,
+            vitals: self.vitals(),
+        });
+        if call.wanted {
+            vec![Effect::Finish { call: id, frame }]
+        } else {
+            Vec::new()
+        }
     }
 
     /// The upstream's answer will not be whole.
     fn failed(&mut self, id: CallId, kind: Kind) -> Vec<Effect> {
-        let Some(call) = self.release(id) else { return Vec::new() };
+        let Some(call) = self.release(id) else {
+            return Vec::new();
+        };
         if let Some(key) = &call.key {
             match kind.row().outcome {
                 Outcome::NotRun => self.keys.release(key),
@@ -272,9 +324,16 @@
         }
         let frame = if kind.row().outcome == Outcome::NotRun {
             let retry_after_ms = self.run_ms;
-            Frame::Refused(Refused { kind, retry_after_ms, vitals: self.vitals() })
+            Frame::Refused(Refused {
+                kind,
+                retry_after_ms,
+                vitals: self.vitals(),
+            })
         } else {
-            Frame::Broken(Broken { attempt: call.attempt, kind })
+            Frame::Broken(Broken {
+                attempt: call.attempt,
+                kind,
+            })
         };
         vec![Effect::Finish { call: id, frame }]
     }
@@ -282,12 +341,16 @@
     /// The router is gone. A call with a key runs on, so that its answer can be
     /// told to a repeat.
     fn cancel(&mut self, id: CallId) -> Vec<Effect> {
-        let Some(call) = self.calls.get_mut(&id) else { return Vec::new() };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
         if call.key.is_some() && !call.is_queued() {
             call.wanted = false;
             return Vec::new();
         }
-        let Some(call) = self.release(id) else { return Vec::new() };
+        let Some(call) = self.release(id) else {
+            return Vec::new();
+        };
         if call.is_queued() {
             if let Some(key) = &call.key {
                 self.keys.release(key);
@@ -313,33 +376,55 @@
         let send = |frame| Effect::Send { call, frame };
         let (status, headers) = (answer.status, answer.headers.clone());
         let mut effects = vec![
-            send(Frame::Admitted(Admitted { vitals: self.vitals() })),
-            send(Frame::Head(Head { attempt, status, headers })),
+            send(Frame::Admitted(Admitted {
+                vitals: self.vitals(),
+            })),
+            send(Frame::Head(Head {
+                attempt,
+                status,
+                headers,
+            })),
         ];
         for (sequence, bytes) in (0..).zip(&answer.chunks) {
-            effects.push(send(Frame::Chunk(Chunk { attempt, sequence, bytes: bytes.clone() })));
+            effects.push(send(Frame::Chunk(Chunk {
+                attempt,
+                sequence,
+                bytes: bytes.clone(),
+            })));
         }
         let (chunks, bytes) = (answer.chunks.len() as u64, answer.size as u64);
-        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
+        let frame = Frame::End(End {
+            attempt,
+            chunks,
+            bytes,
+            vitals: self.vitals(),
+        });
         effects.push(Effect::Finish { call, frame });
         effects
     }
 
     fn tick(&mut self, now: Millis) -> Vec<Effect> {
-        let mut late: Vec<_> =
-            self.calls.iter().filter(|(_, it)| it.deadline <= now).map(|(id, _)| *id).collect();
+        let mut late: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, it)| it.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
         late.sort_unstable();
         let mut effects = Vec::new();
         for id in late {
             effects.extend(self.expire(id));
         }
-        self.aggregate.forget(Millis(self.settings.report_keep_ms), now);
+        self.aggregate
+            .forget(Millis(self.settings.report_keep_ms), now);
         effects.extend(self.report_load(now));
         effects
     }
 
     fn expire(&mut self, id: CallId) -> Vec<Effect> {
-        let Some(call) = self.calls.get(&id) else { return Vec::new() };
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
         let kind = match call.stage {
             Stage::Queued(_) => Kind::ExpiredWaiting,
             Stage::Running => Kind::Expired,
--- a/components/load/src/error.rs
+++ b/components/load/src/error.rs
@@ -1,5 +1,8 @@
 //! Why a caller did not get a whole answer.
 
+use std::time::Duration;
+
+use serde_json::Value;
 use snafu::Snafu;
 
 /// What came instead of a whole answer.
@@ -23,6 +26,8 @@
         kind: String,
         /// What is known about the run, if the body says so.
         outcome: String,
+        /// When to come back, if the body says so.
+        retry_after: Option<Duration>,
     },
     /// The stream ended without its last event.
     #[snafu(display("the answer is not whole: {text}"))]
@@ -39,6 +44,20 @@
 }
 
 impl Error {
+    /// The error in a body such as `{"error": …}`.
+    pub(crate) fn read(status: u16, body: String) -> Self {
+        let json: Value = serde_json::from_str(&body).unwrap_or_default();
+        let error = &json["error"];
+        let word = |name: &str| error[name].as_str().unwrap_or("").to_owned();
+        Self::Refused {
+            status,
+            kind: word("kind"),
+            outcome: word("outcome"),
+            retry_after: error["retry_after_ms"].as_u64().map(Duration::from_millis),
+            body,
+        }
+    }
+
     /// The outcome that the fleet named, if it did.
     pub fn outcome(&self) -> &str {
         match self {
@@ -47,6 +66,14 @@
         }
     }
 
+    /// When the fleet said to come back, if it did.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Refused { retry_after, .. } => *retry_after,
+            _ => None,
+        }
+    }
+
     /// The kind that the fleet named, if it did.
     pub fn kind(&self) -> &str {
         match self {
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -20,7 +20,9 @@
 pub(crate) fn read_plan(path: &str) -> Result<Arc<Plan>, Error> {
     let json = std::fs::read_to_string(path).context(ReadSnafu { path })?;
     let document = Document::parse(&json).context(IntentsSnafu { path })?;
-    Ok(Arc::new(Plan::compile(document).context(IntentsSnafu { path })?))
+    Ok(Arc::new(
+        Plan::compile(document).context(IntentsSnafu { path })?,
+    ))
 }
 
 /// Starts the tasks; they end when the stop is finished.
@@ -41,7 +43,9 @@
 
 async fn follow_hosts(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
-    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
+    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else {
+        return;
+    };
     let mut connecting = JoinSet::new();
     loop {
         if let Ok(list) = hosts.read().await {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -22,8 +22,10 @@
 /// The kind of a chat request that names none.
 const DEFAULT_KIND: &str = "chat";
 
-/// The load of a call to a plain service, in tokens.
-const PLAIN_WEIGHT: u64 = 1_000;
+/// The load of a call to a plain service, in tokens. It is next to nothing, so
+/// that the bound's floor leaves plain services to their slots and queue: a
+/// call with a key has one owner and can't be moved to another.
+const PLAIN_WEIGHT: u64 = 1;
 
 /// The caller's headers that go on to the upstream.
 const FORWARDED: [&str; 3] = ["content-type", "accept", "last-event-id"];
@@ -37,7 +39,10 @@
         .route("/v1/services/{kind}/{path}*", web::route().to(service))
         .route("/v1/keys/{kind}", web::post().to(mint_key))
         .route("/v1/explain/{request}", web::get().to(explain))
-        .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
+        .route(
+            "/healthz",
+            web::get().to(async || HttpResponse::Ok().body("ok\n")),
+        )
         .route("/readyz", web::get().to(ready))
         .route("/status", web::get().to(status))
         .route("/{path}*", web::route().to(nothing));
@@ -55,7 +60,9 @@
     fn check(core: &Core, request: &HttpRequest) -> Result<Self, HttpResponse> {
         let (id, name) = core.number();
         let refuse = |kind| Err(refusal(kind, &name, ""));
-        let Some(plan) = core.plan() else { return refuse(Kind::NoConfiguration) };
+        let Some(plan) = core.plan() else {
+            return refuse(Kind::NoConfiguration);
+        };
         let token = header(request, "authorization").and_then(|it| it.strip_prefix("Bearer "));
         let Some((workspace, key)) = token.and_then(|it| it.split_once(':')) else {
             return refuse(Kind::Unauthorized);
@@ -63,7 +70,11 @@
         if !plan.authenticate(workspace, key) {
             return refuse(Kind::Unauthorized);
         }
-        Ok(Self { workspace: workspace.into(), id, request: name })
+        Ok(Self {
+            workspace: workspace.into(),
+            id,
+            request: name,
+        })
     }
 
     fn refuse(&self, kind: Kind, detail: &str) -> HttpResponse {
@@ -85,7 +96,9 @@
 
 /// The time the caller gives the request: `X-Deadline-Ms`.
 fn deadline(request: &HttpRequest) -> Option<Millis> {
-    header(request, "x-deadline-ms").and_then(|it| it.parse().ok()).map(Millis)
+    header(request, "x-deadline-ms")
+        .and_then(|it| it.parse().ok())
+        .map(Millis)
 }
 
 fn template(request: &HttpRequest, path: String, body: Bytes) -> Template {
@@ -146,7 +159,9 @@
     }
     let kind = request.match_info().get("kind").unwrap_or("").to_owned();
     let once = key.map(|key| key::read(&caller.workspace, key));
-    let chat = once.as_ref().map_or_else(|| caller.request.clone(), |it| it.key.clone());
+    let chat = once
+        .as_ref()
+        .map_or_else(|| caller.request.clone(), |it| it.key.clone());
     let ask = Ask {
         id: caller.id,
         request: caller.request,
@@ -167,7 +182,11 @@
     let whole = request.uri().path_and_query().map_or("", |it| it.as_str());
     let prefix = format!("/v1/services/{kind}");
     let rest = whole.strip_prefix(&prefix).unwrap_or("");
-    if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") }
+    if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    }
 }
 
 async fn relay(core: &Shared, ask: Ask, template: Template) -> HttpResponse {
@@ -204,7 +223,12 @@
 /// The next part of the body. An answer that will not be whole ends with an
 /// error event where the protocol has one, and always with a broken connection.
 async fn part(rest: Rest, events: bool) -> Option<(Part, Rest)> {
-    let broken = || Some((Err(std::io::Error::other("the answer broke off")), Rest::Nothing));
+    let broken = || {
+        Some((
+            Err(std::io::Error::other("the answer broke off")),
+            Rest::Nothing,
+        ))
+    };
     let mut relay = match rest {
         Rest::Answer(relay) => relay,
         Rest::Break => return broken(),
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -158,7 +158,11 @@
                     self.core.apply(Event::Met(welcome));
                 }
             }
-            Ok(Err(fault)) => self.apply(Event::Lost { id, attempt, sent: !fault.nothing_sent() }),
+            Ok(Err(fault)) => self.apply(Event::Lost {
+                id,
+                attempt,
+                sent: !fault.nothing_sent(),
+            }),
             Err(_) => self.apply(Event::Expire { id }),
         }
     }
@@ -185,11 +189,21 @@
     /// Waits for the next frame, the loss of the link or the deadline.
     async fn wait(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
-        let Some(call) = &mut self.call else { return std::future::pending().await };
+        let Some(call) = &mut self.call else {
+            return std::future::pending().await;
+        };
         let deadline = self.deadline.unwrap_or_else(Instant::now);
         let event = match timeout_at(deadline, call.next()).await {
-            Ok(Ok(Some(frame))) => Event::Reply { id, attempt, reply: reply(frame) },
-            Ok(Ok(None) | Err(_)) => Event::Lost { id, attempt, sent: true },
+            Ok(Ok(Some(frame))) => Event::Reply {
+                id,
+                attempt,
+                reply: reply(frame),
+            },
+            Ok(Ok(None) | Err(_)) => Event::Lost {
+                id,
+                attempt,
+                sent: true,
+            },
             Err(_) => Event::Expire { id },
         };
         self.apply(event);
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -60,16 +60,23 @@
     }
 
     fn head(&mut self, id: u64, head: Head, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         if head.attempt != request.attempt() || request.is_answering() {
             return self.cut(id, Kind::Crossed, now);
         }
-        request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+        request.phase = Phase::Answering {
+            chunks: 0,
+            bytes: 0,
+        };
         vec![Effect::Head(head)]
     }
 
     fn chunk(&mut self, id: u64, chunk: Chunk, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         let attempt = request.attempt();
         let Phase::Answering { chunks, bytes } = &mut request.phase else {
             return self.cut(id, Kind::Crossed, now);
@@ -90,11 +97,16 @@
 
     fn end(&mut self, id: u64, end: End, now: Millis) -> Vec<Effect> {
         self.hear(id, end.vitals, now);
-        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         if end.attempt != request.attempt() {
             return self.cut(id, Kind::Crossed, now);
         }
-        let whole = Phase::Answering { chunks: end.chunks, bytes: end.bytes };
+        let whole = Phase::Answering {
+            chunks: end.chunks,
+            bytes: end.bytes,
+        };
         if request.phase != whole {
             return self.cut(id, Kind::Truncated, now);
         }
@@ -104,29 +116,30 @@
     }
 
     fn broken(&mut self, id: u64, broken: Broken, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         if broken.attempt != request.attempt() {
             return self.cut(id, Kind::Crossed, now);
         }
         if request.is_answering() {
-            let kind =
-                if broken.kind.row().outcome == Outcome::Ran { broken.kind } else { Kind::Truncated };
+            let kind = if broken.kind.row().outcome == Outcome::Ran {
+                broken.kind
+            } else {
+                Kind::Truncated
+            };
             return self.fail(id, kind, 0, "", now);
         }
         self.try_elsewhere(id, broken.kind, 0, now)
     }
 
-    pub(crate) fn lost(
-        &mut self,
-        id: u64,
-        attempt: u32,
-        sent: bool,
-        now: Millis,
-    ) -> Vec<Effect> {
+    pub(crate) fn lost(&mut self, id: u64, attempt: u32, sent: bool, now: Millis) -> Vec<Effect> {
         if !self.is_current(id, attempt) {
             return Vec::new();
         }
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         let (answering, upstream) = (request.is_answering(), request.upstream().cloned());
         if let Some(upstream) = upstream {
             self.suspect(&upstream, now);
@@ -134,12 +147,18 @@
         if answering {
             return self.fail(id, Kind::Truncated, 0, "", now);
         }
-        let kind = if sent { Kind::LinkLost } else { Kind::Unreachable };
+        let kind = if sent {
+            Kind::LinkLost
+        } else {
+            Kind::Unreachable
+        };
         self.try_elsewhere(id, kind, 0, now)
     }
 
     pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         let kind = match request.phase {
             Phase::Binding => Kind::Cancelled,
             Phase::Sent | Phase::Admitted => Kind::Expired,
@@ -151,7 +170,9 @@
     }
 
     pub(crate) fn expire(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         let kind = match request.phase {
             Phase::Binding => Kind::ExpiredWaiting,
             Phase::Sent | Phase::Admitted => Kind::Expired,
@@ -171,7 +192,9 @@
     /// After an attempt that gave nothing to the caller: the next candidate if
     /// that is safe and allowed, else the final answer.
     fn try_elsewhere(&mut self, id: u64, kind: Kind, after: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         if let Some(last) = request.tries.last_mut() {
             last.error = Some(kind);
         }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -140,7 +140,11 @@
 
     fn drain(&mut self) -> Vec<Effect> {
         self.draining = true;
-        if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
+        if self.requests.is_empty() {
+            vec![Effect::Drained]
+        } else {
+            Vec::new()
+        }
     }
 
     /// Takes the request out and records its decision.
@@ -151,7 +155,9 @@
         detail: &str,
         now: Millis,
     ) -> Vec<Effect> {
-        let Some(mut request) = self.requests.remove(&id) else { return Vec::new() };
+        let Some(mut request) = self.requests.remove(&id) else {
+            return Vec::new();
+        };
         if let Some(last) = request.tries.last_mut()
             && last.error.is_none()
         {
@@ -188,11 +194,16 @@
         detail: &str,
         now: Millis,
     ) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms);
         let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
-        let first =
-            if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
+        let first = if request.is_answering() {
+            Effect::Cut(answer)
+        } else {
+            Effect::Fail(answer)
+        };
         let mut effects = vec![first];
         effects.extend(self.close(id, Some(kind), detail, now));
         effects
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -83,7 +83,10 @@
 
     pub(crate) fn miss(&mut self, settings: &Settings, jitter: f64, now: Millis) {
         let doublings = self.failures.min(MAX_DOUBLINGS);
-        let base = settings.suspect_ms.saturating_mul(1 << doublings).min(settings.suspect_max_ms);
+        let base = settings
+            .suspect_ms
+            .saturating_mul(1 << doublings)
+            .min(settings.suspect_max_ms);
         #[expect(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
@@ -108,8 +111,12 @@
         if self.is_suspect(now) {
             return Some("suspect");
         }
-        let fresh = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
-        let over = !settings.bound.admits(self.vitals.load, weight, self.vitals.pool);
+        let fresh = self
+            .heard
+            .is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
+        let over = !settings
+            .bound
+            .admits(self.vitals.load, weight, self.vitals.pool);
         if fresh && over {
             return Some("over the load bound");
         }
--- a/components/sidecar/src/call.rs
+++ b/components/sidecar/src/call.rs
@@ -41,8 +41,14 @@
     let latest = Instant::now() + Duration::from_millis(open.remaining_ms) + GRACE;
     let (id, mailbox) = core.register();
     core.apply(Event::Open { call: id, open });
-    let task =
-        Task { core: core.clone(), id, sink: Some(sink), answer: Answer::None, latest, ended: false };
+    let task = Task {
+        core: core.clone(),
+        id,
+        sink: Some(sink),
+        answer: Answer::None,
+        latest,
+        ended: false,
+    };
     task.run(mailbox).await;
     core.forget(id);
 }
@@ -118,7 +124,9 @@
     }
 
     fn lose_router(&mut self) {
-        let Some(mut sink) = self.sink.take() else { return };
+        let Some(mut sink) = self.sink.take() else {
+            return;
+        };
         sink.reset();
         self.core.apply(Event::Cancel { call: self.id });
         // A call that was never handed over, or is aborted, has no more effects.
@@ -128,7 +136,11 @@
     fn pass(&mut self, part: Part) {
         let call = self.id;
         let event = match part {
-            Part::Head { status, headers } => Event::Head { call, status, headers },
+            Part::Head { status, headers } => Event::Head {
+                call,
+                status,
+                headers,
+            },
             Part::Chunk(bytes) => Event::Chunk { call, bytes },
             Part::Ended => Event::Ended { call },
             Part::Failed(kind) => Event::Failed { call, kind },
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -126,13 +126,23 @@
         let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
         listener.set_nonblocking(true).context(SocketSnafu)?;
         let listener = TcpListener::from_std(listener).context(SocketSnafu)?;
-        let own = Peer { name: settings.name.clone(), address: address.to_string().into() };
+        let own = Peer {
+            name: settings.name.clone(),
+            address: address.to_string().into(),
+        };
         let incarnation = Clock::new().now().0;
         let state = State::new(settings.admission.clone(), own, incarnation);
         let state = Shared(Arc::new(Mutex::new(state)));
         let stop = process::Stop::new();
         let admin = admin::Page::start(&settings.admin, &settings.name, &state, &stop)?;
-        Ok(Self { settings, state, listener, address, admin, stop })
+        Ok(Self {
+            settings,
+            state,
+            listener,
+            address,
+            admin,
+            stop,
+        })
     }
 
     /// Where routers connect.
@@ -163,7 +173,9 @@
         };
         let client = process::client(keep_alive)
             .await
-            .map_err(|fault| Error::Client { reason: fault.to_string() })?;
+            .map_err(|fault| Error::Client {
+                reason: fault.to_string(),
+            })?;
         let (reports, outbox) = unbounded_channel();
         let core = Rc::new(Core {
             settings: self.settings,
@@ -216,7 +228,9 @@
             continue;
         };
         let core = core.clone();
-        let identity = Identity { key: core.settings.link_key.clone() };
+        let identity = Identity {
+            key: core.settings.link_key.clone(),
+        };
         connections.spawn_local(async move {
             let greeter = core.clone();
             let handle = move |exchange: Exchange| answer(core.clone(), exchange);
--- a/components/standin/src/engine/steps.rs
+++ b/components/standin/src/engine/steps.rs
@@ -40,7 +40,9 @@
             return;
         }
         while self.running.len() < self.settings.batch {
-            let Some((_, sequence)) = self.waiting.pop_first() else { break };
+            let Some((_, sequence)) = self.waiting.pop_first() else {
+                break;
+            };
             self.running.push(sequence);
         }
         let mut running = std::mem::take(&mut self.running);
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -43,7 +43,9 @@
     if arguments.check {
         return ExitCode::from(cli::OK);
     }
-    if let Err(fault) = cli::level(&arguments.log).and_then(|it| telemetry::logs(it).map_err(|it| it.to_string())) {
+    if let Err(fault) =
+        cli::level(&arguments.log).and_then(|it| telemetry::logs(it).map_err(|it| it.to_string()))
+    {
         return cli::fail(NAME, fault, cli::USAGE);
     }
     let router = match Router::start(settings) {
@@ -58,5 +60,9 @@
         }
     })
     .detach();
-    if router.run().await { ExitCode::from(cli::OK) } else { ExitCode::from(cli::CUT) }
+    if router.run().await {
+        ExitCode::from(cli::OK)
+    } else {
+        ExitCode::from(cli::CUT)
+    }
 }
--- a/src/bin/silverstack-sidecar.rs
+++ b/src/bin/silverstack-sidecar.rs
@@ -43,14 +43,19 @@
     if arguments.check {
         return ExitCode::from(cli::OK);
     }
-    if let Err(fault) = cli::level(&arguments.log).and_then(|it| telemetry::logs(it).map_err(|it| it.to_string())) {
+    if let Err(fault) =
+        cli::level(&arguments.log).and_then(|it| telemetry::logs(it).map_err(|it| it.to_string()))
+    {
         return cli::fail(NAME, fault, cli::USAGE);
     }
     let sidecar = match Sidecar::bind(settings) {
         Ok(sidecar) => sidecar,
         Err(fault) => return cli::fail(NAME, fault, cli::USAGE),
     };
-    let (listen, admin) = (sidecar.address().to_string(), sidecar.admin_address().to_string());
+    let (listen, admin) = (
+        sidecar.address().to_string(),
+        sidecar.admin_address().to_string(),
+    );
     process::announce(&[("listen", listen), ("admin", admin)]);
     let stop = sidecar.stop();
     ntex::rt::spawn(async move {
--- a/src/bin/silverstack-standin.rs
+++ b/src/bin/silverstack-standin.rs
@@ -60,8 +60,9 @@
             Engine::start(listen, settings).map(|it| serve(it.server()))
         }
         "plain" => Plain::start(listen, &arguments.name, step).map(|it| serve(it.server())),
-        "hosts" => Hosts::start(listen, Duration::from_millis(arguments.lag))
-            .map(|it| serve(it.server())),
+        "hosts" => {
+            Hosts::start(listen, Duration::from_millis(arguments.lag)).map(|it| serve(it.server()))
+        }
         "store" => Store::start(listen).map(|it| serve(it.server())),
         other => return cli::fail(NAME, format!("{other} is not a stand-in"), cli::USAGE),
     };
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -172,7 +172,10 @@
     }
 
     fn add_engine(&mut self, place: usize) -> Result<(), Error> {
-        let settings = EngineSettings { model: MODEL.to_owned(), ..EngineSettings::default() };
+        let settings = EngineSettings {
+            model: MODEL.to_owned(),
+            ..EngineSettings::default()
+        };
         let engine = Engine::start(ANY_PORT, settings).context(StandinSnafu)?;
         let pool = BTreeMap::from([("model".into(), MODEL.into())]);
         let name = format!("engine-{}", place + 1);
@@ -219,7 +222,8 @@
             "labels": pool,
         }));
         self.sidecar_stops.push(sidecar.stop());
-        self.sidecars.spawn_local(async move { sidecar.run().await.unwrap_or(1) });
+        self.sidecars
+            .spawn_local(async move { sidecar.run().await.unwrap_or(1) });
         Ok(())
     }
 
@@ -237,7 +241,8 @@
         });
         let settings = settings::parse(&settings.to_string()).expect("the settings are right");
         let router = Router::start(settings).context(RouterSnafu)?;
-        self.router_urls.push(format!("http://{}", router.address()));
+        self.router_urls
+            .push(format!("http://{}", router.address()));
         self.router_stops.push(router.stop());
         self.routers.spawn_local(router.run());
         Ok(())
@@ -252,14 +257,20 @@
                 }
             }
         };
-        tokio::time::timeout(READY_PATIENCE, ready).await.map_err(|_| Error::NotReady)
+        tokio::time::timeout(READY_PATIENCE, ready)
+            .await
+            .map_err(|_| Error::NotReady)
     }
 }
 
 /// Whether the router at `url` has met at least `most` upstreams.
 async fn has_met(url: &str, most: usize) -> bool {
-    let Ok(caller) = load::Caller::new(url, "", "").await else { return false };
-    let Ok(status) = caller.page("/status").await else { return false };
+    let Ok(caller) = load::Caller::new(url, "", "").await else {
+        return false;
+    };
+    let Ok(status) = caller.page("/status").await else {
+        return false;
+    };
     let upstreams = status["upstreams"].as_array();
     upstreams.is_some_and(|it| it.iter().filter(|it| it["up"] == true).count() >= most)
 }
@@ -267,6 +278,7 @@
 fn write_intents() -> Result<PathBuf, Error> {
     let path = std::env::temp_dir().join(format!("silverstack-{}.json", std::process::id()));
     let mut file = std::fs::File::create(&path).context(IntentsSnafu { path: &path })?;
-    file.write_all(INTENTS.as_bytes()).context(IntentsSnafu { path: &path })?;
+    file.write_all(INTENTS.as_bytes())
+        .context(IntentsSnafu { path: &path })?;
     Ok(path)
 }
--- a/src/local/traffic.rs
+++ b/src/local/traffic.rs
@@ -21,6 +21,9 @@
 /// The tokens of each answer.
 const ANSWER_TOKENS: u64 = 24;
 
+/// How often a caller comes back after a refusal.
+const MOST_RETURNS: u32 = 40;
+
 /// What came of the traffic.
 #[derive(Clone, Debug, Default)]
 pub struct Summary {
@@ -123,7 +126,11 @@
             }
             Ok((answer, false)) => {
                 self.crossed += 1;
-                println!("{} turn {}: the answer is another's", answer.request, turn + 1);
+                println!(
+                    "{} turn {}: the answer is another's",
+                    answer.request,
+                    turn + 1
+                );
             }
             Err(fault) => {
                 self.lost += 1;
@@ -162,7 +169,7 @@
             stream: (place + turn) % 3 != 0,
         };
         let answer = match Caller::new(url, MESA.0, MESA.1).await {
-            Ok(caller) => caller.chat(&chat).await,
+            Ok(caller) => come_back(|| caller.chat(&chat)).await,
             Err(fault) => Err(fault),
         };
         let answer = match answer {
@@ -181,23 +188,51 @@
     found
 }
 
+/// Sends a request again after the time that a refusal names.
+async fn come_back<T, F>(send: impl Fn() -> F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    let mut left = MOST_RETURNS;
+    loop {
+        match send().await {
+            Err(fault) if left > 0 && fault.outcome() == "not_run" => {
+                let Some(after) = fault.retry_after() else {
+                    return Err(fault);
+                };
+                left -= 1;
+                tokio::time::sleep(after).await;
+            }
+            end => return end,
+        }
+    }
+}
+
 fn first_message(place: usize) -> Value {
-    let words: Vec<_> = (0..FIRST_WORDS).map(|it| format!("receita{}", place * 7 + it)).collect();
+    let words: Vec<_> = (0..FIRST_WORDS)
+        .map(|it| format!("receita{}", place * 7 + it))
+        .collect();
     json!({ "role": "user", "content": words.join(" ") })
 }
 
 /// One pickup: confirmed, and confirmed again under the same key.
 async fn confirm(url: String, place: usize) -> Result<String, String> {
-    let caller = Caller::new(&url, COURIER.0, COURIER.1).await.map_err(|it| it.to_string())?;
+    let caller = Caller::new(&url, COURIER.0, COURIER.1)
+        .await
+        .map_err(|it| it.to_string())?;
     let key = match place % 2 {
         0 => caller.key("pickup").await.map_err(|it| it.to_string())?,
         _ => format!("courier-{place}"),
     };
     let path = format!("/orders/{place}/confirm");
-    let first = caller.call("pickup", &path, Some(&key), "{}").await.map_err(|it| it.to_string())?;
-    let again = caller.call("pickup", &path, Some(&key), "{}").await.map_err(|it| it.to_string())?;
+    let call = || caller.call("pickup", &path, Some(&key), "{}");
+    let first = come_back(call).await.map_err(|it| it.to_string())?;
+    let again = come_back(call).await.map_err(|it| it.to_string())?;
     if first.body != again.body || !first.body.contains(&path) {
         return Err(format!("{}: the repeat got another answer", first.request));
     }
-    Ok(format!("{} pickup {place} at {}: once, repeat answered alike", first.request, first.upstream))
+    Ok(format!(
+        "{} pickup {place} at {}: once, repeat answered alike",
+        first.request, first.upstream
+    ))
 }
--- /dev/null
+++ b/tests/end_to_end/fleet.rs
@@ -0,0 +1,234 @@
+//! Real routers and sidecars around stand-ins that the test holds.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use load::{Caller, Chat};
+use serde_json::{Value, json};
+use standin::{Engine, EngineSettings, Hosts, Plain, Prompt, Store};
+
+use crate::process::{Process, write};
+
+/// Any free port of this host.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// The link key of the tests.
+const LINK_KEY: &str = "a-link-key-for-the-tests";
+
+/// The intents of the examples.
+pub const INTENTS: &str = include_str!("../../examples/intents.json");
+
+/// The model of the intents.
+pub const MODEL: &str = "menu-7b";
+
+/// How many of each there are, and how they are set.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub routers: usize,
+    pub engines: usize,
+    pub services: usize,
+    pub engine: EngineSettings,
+    pub latency: Duration,
+    pub admission: Value,
+    pub router: Value,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            routers: 2,
+            engines: 3,
+            services: 3,
+            engine: EngineSettings {
+                model: MODEL.to_owned(),
+                ..EngineSettings::default()
+            },
+            latency: Duration::from_millis(2),
+            admission: json!({}),
+            router: json!({}),
+        }
+    }
+}
+
+/// A fleet of processes.
+#[derive(Debug)]
+pub struct Fleet {
+    pub layout: Layout,
+    pub hosts: Hosts,
+    pub store: Store,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Plain>,
+    pub sidecars: BTreeMap<String, Process>,
+    pub routers: Vec<Process>,
+    pub intents: PathBuf,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every router has met every upstream.
+    pub async fn start(layout: Layout) -> Self {
+        let lag = Duration::from_millis(50);
+        let mut fleet = Self {
+            hosts: Hosts::start(ANY_PORT, lag).expect("the list starts"),
+            store: Store::start(ANY_PORT).expect("the store starts"),
+            engines: Vec::new(),
+            services: Vec::new(),
+            sidecars: BTreeMap::new(),
+            routers: Vec::new(),
+            intents: write(&serde_json::from_str(INTENTS).expect("the example is JSON")),
+            layout,
+        };
+        for place in 1..=fleet.layout.engines {
+            let engine = Engine::start(ANY_PORT, fleet.layout.engine.clone()).expect("it starts");
+            fleet.engines.push(engine);
+            fleet.start_sidecar(&format!("engine-{place}"));
+        }
+        for place in 1..=fleet.layout.services {
+            let name = format!("pickup-{place}");
+            let plain = Plain::start(ANY_PORT, &name, fleet.layout.latency).expect("it starts");
+            fleet.services.push(plain);
+            fleet.start_sidecar(&name);
+        }
+        for _ in 0..fleet.layout.routers {
+            fleet.start_router();
+        }
+        fleet.wait_until_met().await;
+        fleet
+    }
+
+    /// Starts the sidecar of an upstream, or starts it again.
+    pub fn start_sidecar(&mut self, name: &str) {
+        let (kind, place) = name.split_once('-').expect("a name of this fleet");
+        let place: usize = place.parse::<usize>().expect("a number") - 1;
+        let (url, service, pool) = if kind == "engine" {
+            (
+                self.engines[place].server().url(),
+                "engine",
+                json!({ "model": MODEL }),
+            )
+        } else {
+            (
+                self.services[place].server().url(),
+                "plain",
+                json!({ "service": kind }),
+            )
+        };
+        let process = Process::start(
+            env!("CARGO_BIN_EXE_silverstack-sidecar"),
+            &json!({
+                "name": name,
+                "listen": ANY_PORT,
+                "admin": ANY_PORT,
+                "link_key": LINK_KEY,
+                "upstream_url": url,
+                "service": service,
+                "hosts_url": self.hosts.server().url(),
+                "pool": pool,
+                "hosts_every_ms": 50,
+                "admission": self.layout.admission,
+            }),
+        );
+        self.hosts.put(json!({
+            "name": name,
+            "address": process.address("listen"),
+            "domain": format!("domain-{}", place % 3 + 1),
+            "labels": pool,
+        }));
+        self.sidecars.insert(name.to_owned(), process);
+    }
+
+    /// Starts one more router.
+    pub fn start_router(&mut self) {
+        let mut settings = json!({
+            "name": format!("entry-{}", self.routers.len() + 1),
+            "listen": ANY_PORT,
+            "link_key": LINK_KEY,
+            "hosts_url": self.hosts.server().url(),
+            "store_url": self.store.server().url(),
+            "intents": self.intents,
+            "hosts_every_ms": 50,
+            "drain_notice_ms": 100,
+        });
+        for (name, value) in self.layout.router.as_object().expect("an object") {
+            settings[name] = value.clone();
+        }
+        self.routers.push(Process::start(
+            env!("CARGO_BIN_EXE_silverstack-router"),
+            &settings,
+        ));
+    }
+
+    /// Waits until every router has met every upstream that has a sidecar.
+    pub async fn wait_until_met(&self) {
+        for place in 0..self.routers.len() {
+            let caller = self.mesa(place).await;
+            until(|| async {
+                let status = caller.page("/status").await.unwrap_or_default();
+                let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
+                upstreams.iter().filter(|it| it["up"] == true).count() >= self.sidecars.len()
+            })
+            .await;
+        }
+    }
+
+    /// The URL of a router.
+    pub fn url(&self, router: usize) -> String {
+        format!("http://{}", self.routers[router].address("listen"))
+    }
+
+    /// A caller of the workspace that chats.
+    pub async fn mesa(&self, router: usize) -> Caller {
+        Caller::new(&self.url(router), "mesa", "mesa-laptop-key")
+            .await
+            .expect("a client")
+    }
+
+    /// A caller of the workspace that confirms pickups.
+    pub async fn courier(&self, router: usize) -> Caller {
+        Caller::new(&self.url(router), "courier", "courier-laptop-key")
+            .await
+            .expect("a client")
+    }
+
+    /// How often each idempotency key ran, over all services.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for service in &self.services {
+            for (key, count) in service.runs() {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+}
+
+/// Waits until `holds`, or fails the test.
+pub async fn until<F: Future<Output = bool>>(holds: impl Fn() -> F) {
+    for _ in 0..1_000 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("what the test waits for did not come");
+}
+
+/// The first turn of a chat.
+pub fn chat(name: &str, max_tokens: u64, stream: bool) -> Chat {
+    let words: Vec<_> = (0..40).map(|it| format!("{name}-{it}")).collect();
+    Chat {
+        model: MODEL.to_owned(),
+        chat: name.to_owned(),
+        messages: vec![json!({ "role": "user", "content": words.join(" ") })],
+        max_tokens,
+        stream,
+    }
+}
+
+/// The true answer to a chat.
+pub fn truth(chat: &Chat) -> String {
+    standin::answer(
+        Prompt::new(&chat.model, &chat.messages).seed,
+        chat.max_tokens,
+    )
+}
