--- a/components/admission/src/call.rs
+++ b/components/admission/src/call.rs
@@ -24,7 +24,6 @@
     pub workspace: Arc<str>,
     pub priority: i32,
     pub weight: u64,
-    pub came: Millis,
     pub started: Millis,
     pub deadline: Millis,
     pub key: Option<Arc<str>>,
--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -155,7 +155,6 @@
             workspace: open.workspace.clone(),
             priority: open.priority,
             weight: open.weight,
-            came: now,
             started: now,
             deadline: now + Millis(open.remaining_ms),
             key: open.once.clone(),
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -22,6 +22,7 @@
     pub const ZERO: Self = Self(0);
 
     /// The time left until `later`, zero when it has passed.
+    #[must_use]
     pub fn until(self, later: Self) -> Self {
         Self(later.0.saturating_sub(self.0))
     }
--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -19,7 +19,7 @@
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
 /// How long a whole answer may take.
-const PATIENCE: Duration = Duration::from_secs(120);
+const PATIENCE: Duration = Duration::from_mins(2);
 
 /// One workspace's caller.
 #[derive(Clone, Debug)]
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -206,13 +206,15 @@
     }
     builder.header(REQUEST_ID, &*request);
     builder.header(UPSTREAM, &*upstream);
-    let parts = stream::unfold(Rest::Answer(relay), move |rest| part(rest, events));
+    let parts = stream::unfold(Rest::Answer(Box::new(relay)), move |rest| {
+        part(rest, events)
+    });
     builder.streaming(Box::pin(parts))
 }
 
 /// What is left of an answer's body.
 enum Rest {
-    Answer(Relay),
+    Answer(Box<Relay>),
     /// The connection is broken, so that no reader takes the answer for whole.
     Break,
     Nothing,
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use clock::Millis;
+use errors::{Kind, Outcome};
 
 use crate::{Ask, Once, Passed, Try};
 
@@ -50,6 +51,12 @@
         self.tries.last().map(|it| &it.upstream)
     }
 
+    /// The error of an attempt that may have run, if there was one.
+    pub(crate) fn doubt(&self) -> Option<Kind> {
+        let mut errors = self.tries.iter().filter_map(|it| it.error);
+        errors.find(|kind| kind.row().outcome != Outcome::NotRun)
+    }
+
     pub(crate) fn is_answering(&self) -> bool {
         matches!(self.phase, Phase::Answering { .. })
     }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -186,6 +186,9 @@
     }
 
     /// Ends the request with an error.
+    ///
+    /// An earlier attempt that may have run outweighs a later one that did not:
+    /// the answer is the earlier one's.
     pub(crate) fn fail(
         &mut self,
         id: u64,
@@ -197,6 +200,10 @@
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
+        let kind = match kind.row().outcome {
+            Outcome::NotRun => request.doubt().unwrap_or(kind),
+            Outcome::Unknown | Outcome::Ran => kind,
+        };
         let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms);
         let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
         let first = if request.is_answering() {
--- a/components/sidecar/src/call.rs
+++ b/components/sidecar/src/call.rs
@@ -97,7 +97,7 @@
 
     async fn act(&mut self, effect: Effect) {
         match effect {
-            Effect::Run { open, .. } => self.answer = Answer::start(&self.core, open),
+            Effect::Run { open, .. } => self.answer = Answer::start(&self.core, &open),
             Effect::Abort { .. } => {
                 self.answer = Answer::None;
                 self.ended = self.sink.is_none();
--- a/components/sidecar/src/upstream.rs
+++ b/components/sidecar/src/upstream.rs
@@ -51,7 +51,7 @@
     /// The request is being sent, or its head is waited for.
     Sending(Sending),
     /// The body comes.
-    Body(Body),
+    Body(Box<Body>),
 }
 
 /// A body, and what tells that it is whole.
@@ -64,14 +64,14 @@
 
 impl Answer {
     /// Hands `open` to the upstream.
-    pub(crate) fn start(core: &Core, open: Open) -> Self {
+    pub(crate) fn start(core: &Core, open: &Open) -> Self {
         let url = format!("{}{}", core.settings.upstream_url, open.path);
         let method = Method::from_bytes(open.method.as_bytes()).unwrap_or(Method::POST);
         let mut request = core.client.request(method, url);
         for (name, value) in &open.headers {
             request = request.header(&**name, &**value);
         }
-        request = add_own_headers(request, &open);
+        request = add_own_headers(request, open);
         let body = ntex::util::Bytes::copy_from_slice(&open.body);
         Self::Sending(Box::pin(request.send_body(body)))
     }
@@ -99,11 +99,11 @@
         let events = headers.iter().any(|(name, value)| {
             &**name == "content-type" && value.starts_with("text/event-stream")
         });
-        *self = Self::Body(Body {
+        *self = Self::Body(Box::new(Body {
             response,
             events,
             tail: Vec::new(),
-        });
+        }));
         Part::Head { status, headers }
     }
 }
--- a/components/standin/src/engine.rs
+++ b/components/standin/src/engine.rs
@@ -76,7 +76,6 @@
 /// One request in the engine.
 #[derive(Debug)]
 struct Sequence {
-    seed: u64,
     prompt_blocks: Vec<u64>,
     /// Prompt tokens still to be worked off.
     prefill: usize,
--- a/components/standin/src/engine/http.rs
+++ b/components/standin/src/engine/http.rs
@@ -1,5 +1,6 @@
 //! The engine's HTTP interface.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use futures_util::stream;
@@ -94,7 +95,6 @@
         prompt.seed
     };
     let sequence = Sequence {
-        seed,
         prompt_blocks: prompt.blocks,
         prefill: 0,
         next: resumed.map_or(0, |last| last + 1),
@@ -239,7 +239,7 @@
         let mut newest = last;
         for (sequence, change) in shared.lock().events.iter().filter(|(it, _)| *it > last) {
             let body = json!({ "seq": sequence, "event": change });
-            text.push_str(&format!("id: {sequence}\ndata: {body}\n\n"));
+            let _ = write!(text, "id: {sequence}\ndata: {body}\n\n");
             newest = *sequence;
         }
         if text.is_empty() {
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -88,7 +88,7 @@
     /// # Errors
     ///
     /// An oversized or unreadable frame; the stream is of no use after it.
-    pub fn next(&mut self) -> Result<Option<Frame>, Error> {
+    pub fn frame(&mut self) -> Result<Option<Frame>, Error> {
         if self.buffer.len() < PREFIX {
             return Ok(None);
         }
--- a/src/bin/silverstack-local.rs
+++ b/src/bin/silverstack-local.rs
@@ -12,6 +12,7 @@
 /// Runs routers, sidecars and stand-ins in one process and sends them chats
 /// and calls.
 #[derive(Debug, Options)]
+#[expect(clippy::struct_excessive_bools, reason = "they are flags")]
 struct Arguments {
     /// Print this help.
     help: bool,
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -179,7 +179,7 @@
         let engine = Engine::start(ANY_PORT, settings).context(StandinSnafu)?;
         let pool = BTreeMap::from([("model".into(), MODEL.into())]);
         let name = format!("engine-{}", place + 1);
-        self.add_sidecar(&name, place, &engine.server().url(), Service::Engine, pool)?;
+        self.add_sidecar(&name, place, &engine.server().url(), Service::Engine, &pool)?;
         self.engines.push(engine);
         Ok(())
     }
@@ -188,7 +188,7 @@
         let name = format!("pickup-{}", place + 1);
         let plain = Plain::start(ANY_PORT, &name, PLAIN_LATENCY).context(StandinSnafu)?;
         let pool = BTreeMap::from([("service".into(), "pickup".into())]);
-        self.add_sidecar(&name, place, &plain.server().url(), Service::Plain, pool)?;
+        self.add_sidecar(&name, place, &plain.server().url(), Service::Plain, &pool)?;
         self.services.push(plain);
         Ok(())
     }
@@ -199,7 +199,7 @@
         place: usize,
         upstream_url: &str,
         service: Service,
-        pool: BTreeMap<Arc<str>, Arc<str>>,
+        pool: &BTreeMap<Arc<str>, Arc<str>>,
     ) -> Result<(), Error> {
         let settings = settings::Sidecar {
             name: name.into(),
--- a/src/local/traffic.rs
+++ b/src/local/traffic.rs
@@ -166,7 +166,7 @@
             chat: format!("chat-{place}"),
             messages: messages.clone(),
             max_tokens: ANSWER_TOKENS,
-            stream: (place + turn) % 3 != 0,
+            stream: !(place + turn).is_multiple_of(3),
         };
         let answer = match Caller::new(url, MESA.0, MESA.1).await {
             Ok(caller) => come_back(|| caller.chat(&chat)).await,
