Meet a restarted sidecar again, and fail it in tests with real processes

Cause: a planned stop of each process in turn left the routers without the restarted sidecars ('what the test waits for did not come', 20 s). A router connected in the background only to hosts it had never met, and what the old life had said (leaving) stood until a request happened to reach the new one. Ruled out: the list of hosts (it had the new address) and the link (a request did open it). Change: the router connects to every host whose connection is not known to be good, a new address counts as a new process, and the word of a sidecar carries its life, so that a late frame of an old life can't override the new one.

--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -64,6 +64,7 @@
     /// What the sidecar says of itself.
     pub fn vitals(&self) -> Vitals {
         Vitals {
+            incarnation: self.incarnation,
             load: self.load,
             pool: self.pool(),
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -76,7 +76,9 @@
         Ok(Some(welcome)) => {
             core.apply(Event::Met(welcome));
         }
-        Ok(None) => {}
+        Ok(None) => {
+            core.apply(Event::Alive { upstream });
+        }
         Err(_) => {
             core.apply(Event::Missed { upstream });
         }
--- a/components/router/src/links.rs
+++ b/components/router/src/links.rs
@@ -11,7 +11,14 @@
 use wire::{Frame, Hello, Welcome};
 
 /// One upstream's link; the lock is held while it is being opened.
-type Slot = Rc<Mutex<Option<Connection>>>;
+type Slot = Rc<Mutex<Option<Standing>>>;
+
+/// A connection and where it leads.
+#[derive(Debug)]
+struct Standing {
+    address: Arc<str>,
+    connection: Connection,
+}
 
 /// All links of a router.
 #[derive(Debug)]
@@ -70,15 +77,19 @@
             .or_default()
             .clone();
         let mut slot = slot.lock().await;
-        if let Some(connection) = &*slot
-            && !connection.is_closed()
+        if let Some(standing) = &*slot
+            && *standing.address == *address
+            && !standing.connection.is_closed()
         {
-            return Ok((connection.clone(), None));
+            return Ok((standing.connection.clone(), None));
         }
         *slot = None;
         let (connection, welcome) =
             Connection::open(address, self.hello.clone(), self.patience).await?;
-        *slot = Some(connection.clone());
+        *slot = Some(Standing {
+            address: address.into(),
+            connection: connection.clone(),
+        });
         Ok((connection, Some(welcome)))
     }
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -53,6 +53,11 @@
     Hosts(Vec<Host>),
     /// A connection to an upstream's sidecar stands.
     Met(Welcome),
+    /// The connection to an upstream's sidecar still stands.
+    Alive {
+        /// The upstream.
+        upstream: Arc<str>,
+    },
     /// An upstream's sidecar can't be reached.
     Missed {
         /// The upstream.
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -76,6 +76,7 @@
             Event::Expire { id } => self.expire(id, now),
             Event::Hosts(hosts) => self.hosts(hosts, now),
             Event::Met(welcome) => self.met(&welcome, now),
+            Event::Alive { upstream } => self.alive(&upstream),
             Event::Missed { upstream } => self.missed(&upstream, now),
             Event::Configure(plan) => self.configure(plan),
             Event::Drain => self.drain(),
@@ -105,11 +106,10 @@
             let mut upstream = known
                 .remove(&host.name)
                 .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
-            upstream.host = host;
-            upstream.labels = labels;
+            upstream.list(host, labels);
             self.upstreams.insert(upstream.host.name.clone(), upstream);
         }
-        let missing = self.upstreams.values().filter(|it| it.incarnation == 0);
+        let missing = self.upstreams.values().filter(|it| !it.connected);
         missing
             .filter(|upstream| !upstream.is_suspect(now))
             .map(|upstream| Effect::Connect {
@@ -121,7 +121,14 @@
 
     fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
-            upstream.meet(welcome, now);
+            upstream.hear(welcome.vitals, now);
+        }
+        Vec::new()
+    }
+
+    fn alive(&mut self, upstream: &str) -> Vec<Effect> {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.revive();
         }
         Vec::new()
     }
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use intents::Labels;
-use wire::{Vitals, Welcome};
+use wire::Vitals;
 
 use crate::{Host, Settings};
 
@@ -18,6 +18,8 @@
     pub(crate) host: Host,
     pub(crate) labels: Labels,
     pub(crate) incarnation: u64,
+    /// Whether the last that was heard of the connection is good.
+    pub(crate) connected: bool,
     pub(crate) vitals: Vitals,
     pub(crate) heard: Option<Millis>,
     pub(crate) failures: u32,
@@ -30,6 +32,7 @@
             host,
             labels,
             incarnation: 0,
+            connected: false,
             vitals: Vitals::default(),
             heard: None,
             failures: 0,
@@ -65,20 +68,32 @@
         self.suspect_until > now
     }
 
+    /// Takes what a sidecar says of itself; the word of an earlier life than
+    /// known is ignored.
     pub(crate) fn hear(&mut self, vitals: Vitals, now: Millis) {
+        if vitals.incarnation < self.incarnation {
+            return;
+        }
+        self.incarnation = vitals.incarnation;
         self.vitals = vitals;
         self.heard = Some(now);
+        self.revive();
     }
 
-    /// Takes a greeting; one from an earlier life than known is ignored.
-    pub(crate) fn meet(&mut self, welcome: &Welcome, now: Millis) {
-        if welcome.incarnation < self.incarnation {
-            return;
-        }
-        self.incarnation = welcome.incarnation;
+    /// The connection is good.
+    pub(crate) fn revive(&mut self) {
+        self.connected = true;
         self.failures = 0;
         self.suspect_until = Millis::ZERO;
-        self.hear(welcome.vitals, now);
+    }
+
+    /// Takes a line of the platform's list; a new address is a new process.
+    pub(crate) fn list(&mut self, host: Host, labels: Labels) {
+        if host.address != self.host.address {
+            self.connected = false;
+        }
+        self.host = host;
+        self.labels = labels;
     }
 
     pub(crate) fn miss(&mut self, settings: &Settings, jitter: f64, now: Millis) {
@@ -94,6 +109,7 @@
             reason = "a back-off is a few seconds"
         )]
         let pause = (base as f64 * (0.5 + jitter / 2.0)) as u64;
+        self.connected = false;
         self.failures = self.failures.saturating_add(1);
         self.suspect_until = now + Millis(pause);
     }
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -286,8 +286,8 @@
                 self.lives[upstream] += u64::from(newer);
                 let welcome = Welcome {
                     name: format!("u{upstream}").into(),
-                    incarnation: self.lives[upstream],
                     vitals: Vitals {
+                        incarnation: self.lives[upstream],
                         load,
                         ..Vitals::default()
                     },
@@ -495,7 +495,10 @@
 }
 
 fn reply(id: u64, attempt: u32, act: Act, record: &Record) -> Event {
-    let vitals = Vitals::default();
+    let vitals = Vitals {
+        incarnation: 1,
+        ..Vitals::default()
+    };
     let chunk = |sequence| {
         Reply::Chunk(Chunk {
             attempt,
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -110,7 +110,6 @@
         let state = self.state.lock();
         Welcome {
             name: self.settings.name.clone(),
-            incarnation: state.incarnation(),
             vitals: state.vitals(),
         }
     }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -53,8 +53,6 @@
 pub struct Welcome {
     /// The upstream's name.
     pub name: Arc<str>,
-    /// The life of the sidecar; a restart has a higher one.
-    pub incarnation: u64,
     /// The state of the sidecar.
     pub vitals: Vitals,
 }
@@ -62,6 +60,8 @@
 /// What a sidecar says of itself with every answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vitals {
+    /// The life that says so; a restart has a higher one.
+    pub incarnation: u64,
     /// The load it carries, in tokens.
     pub load: u64,
     /// Its pool, as far as it knows.
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -1,5 +1,6 @@
 //! Tests with the real binaries as separate processes.
 
 mod answers;
+mod failures;
 mod fleet;
 mod process;
