--- a/tests/end_to_end/answers.rs
+++ b/tests/end_to_end/answers.rs
@@ -55,3 +55,19 @@
     assert_eq!(runs.len(), REQUESTS);
     assert!(runs.values().all(|count| *count == 1), "a key ran twice");
 }
+
+#[ntex::test]
+async fn no_process_opens_an_io_uring() {
+    let fleet = Fleet::start(Layout::default()).await;
+    let chat = chat("ring", 5, true);
+    fleet.mesa(0).await.chat(&chat).await.expect("a whole answer");
+    for process in fleet.sidecars.values().chain(&fleet.routers) {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", process.id())).expect("it runs");
+        let names: Vec<_> = open
+            .filter_map(|file| std::fs::read_link(file.ok()?.path()).ok())
+            .map(|name| name.to_string_lossy().into_owned())
+            .collect();
+        assert!(names.iter().any(|name| name.contains("socket")), "{names:?}");
+        assert!(!names.iter().any(|name| name.contains("io_uring")), "{names:?}");
+    }
+}
