--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -92,21 +92,33 @@
         }
     }
 
-    /// A key's calls go to its owner's life or nowhere.
+    /// A key's calls go to its owner's life or nowhere. An owner that is not
+    /// listed, does not fit or lives again may have run the key before, so the
+    /// answer is not that it did not run.
     fn send_to_owner(&mut self, id: u64, owner: &Owner, now: Millis) -> Vec<Effect> {
-        let Some(upstream) = self.upstreams.get(&owner.upstream) else {
-            return self.fail(id, Kind::KeyOwnerGone, 0, &owner.upstream, now);
-        };
-        if upstream.incarnation > owner.incarnation {
+        if !self.may_own(id, owner) {
             return self.fail(id, Kind::KeyOwnerGone, 0, &owner.upstream, now);
         }
-        let Some(request) = self.requests.get_mut(&id) else {
-            return Vec::new();
-        };
-        request.candidates.clear();
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.candidates.clear();
+        }
         self.send(id, &owner.upstream, owner.incarnation, now)
     }
 
+    fn may_own(&self, id: u64, owner: &Owner) -> bool {
+        let (Some(plan), Some(request)) = (&self.plan, self.requests.get(&id)) else {
+            return false;
+        };
+        let ask = &request.ask;
+        let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
+            return false;
+        };
+        self.upstreams.get(&owner.upstream).is_some_and(|it| {
+            it.incarnation <= owner.incarnation
+                && target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref())
+        })
+    }
+
     /// Sends to the next candidate, or gives up.
     pub(crate) fn attempt(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(upstream) = self.next_candidate(id) else {
--- /dev/null
+++ b/components/wire/tests/codec.rs
@@ -0,0 +1,92 @@
+//! Frames survive the codec, however the bytes are cut; garbage does no harm.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use wire::{Chunk, End, Error, Frame, MAX_FRAME, Open, Reader, Report, Vitals, encode};
+
+/// The seed of the cases, so that every run is the same.
+const SEED: u64 = 20_261_202;
+
+fn config() -> Config {
+    Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() }
+}
+
+fn open(body: Vec<u8>, key: Option<String>) -> Frame {
+    Frame::Open(Open {
+        request: "entry-1-0-1".into(),
+        attempt: 2,
+        workspace: "mesa".into(),
+        priority: -3,
+        remaining_ms: 4_000,
+        weight: 77,
+        incarnation: 9,
+        once: key.map(Into::into),
+        generation: 3,
+        traceparent: None,
+        method: "POST".into(),
+        path: "/a?b=c".into(),
+        headers: vec![("accept".into(), "*/*".into())],
+        body: body.into(),
+    })
+}
+
+fn frames() -> impl Strategy<Value = Frame> {
+    let bytes = || prop::collection::vec(any::<u8>(), 0..300);
+    prop_oneof![
+        (bytes(), any::<Option<String>>()).prop_map(|(body, key)| open(body, key)),
+        (any::<u32>(), any::<u64>(), bytes()).prop_map(|(attempt, sequence, bytes)| {
+            Frame::Chunk(Chunk { attempt, sequence, bytes: Bytes::from(bytes) })
+        }),
+        (any::<u32>(), any::<u64>(), any::<u64>()).prop_map(|(attempt, chunks, bytes)| {
+            Frame::End(End { attempt, chunks, bytes, vitals: Vitals::default() })
+        }),
+        (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
+            Frame::Report(Report { name: name.into(), incarnation: 1, load })
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn frames_come_out_as_they_went_in(
+        frames in prop::collection::vec(frames(), 1..8),
+        cut in 1..64_usize,
+    ) {
+        let mut bytes = Vec::new();
+        for frame in &frames {
+            bytes.extend_from_slice(&encode(frame).expect("it fits"));
+        }
+        let mut reader = Reader::default();
+        let mut read = Vec::new();
+        for part in bytes.chunks(cut) {
+            reader.push(part);
+            while let Some(frame) = reader.frame().expect("it is a frame") {
+                read.push(frame);
+            }
+        }
+        prop_assert_eq!(read, frames);
+        prop_assert!(!reader.is_partial());
+    }
+
+    #[test]
+    fn garbage_is_refused_or_waited_for(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut reader = Reader::default();
+        reader.push(&bytes);
+        while let Ok(Some(_)) = reader.frame() {}
+    }
+}
+
+#[test]
+fn an_oversized_length_is_refused_before_its_bytes_come() {
+    let mut reader = Reader::default();
+    reader.push(&u32::MAX.to_be_bytes());
+    assert!(matches!(reader.frame(), Err(Error::TooLong { .. })));
+}
+
+#[test]
+fn an_oversized_frame_is_not_written() {
+    assert!(encode(&open(vec![0; MAX_FRAME + 1], None)).is_err());
+}
--- a/tests/end_to_end/fleet.rs
+++ b/tests/end_to_end/fleet.rs
@@ -14,7 +14,7 @@
 const ANY_PORT: &str = "127.0.0.1:0";
 
 /// The link key of the tests.
-const LINK_KEY: &str = "a-link-key-for-the-tests";
+pub const LINK_KEY: &str = "a-link-key-for-the-tests";
 
 /// The intents of the examples.
 pub const INTENTS: &str = include_str!("../../examples/intents.json");
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -1,6 +1,7 @@
 //! Tests with the real binaries as separate processes.
 
 mod answers;
+mod bad_input;
 mod failures;
 mod fleet;
 mod process;
