Count, log and trace requests

Metrics by opentelemetry as Prometheus text, JSON-lines logs with request and trace id, a span for each hop over OTLP/HTTP where settings name a collector. The list of hosts is read with its ETag: an unchanged list costs no body.

--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -1,10 +1,12 @@
 //! One row a kind.
 
 use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
 
 /// What is known about the run of a request that got an error.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub enum Outcome {
     /// The request did not run and never will; it can be sent again safely.
     NotRun,
@@ -32,8 +34,11 @@
 macro_rules! kinds {
     ($($(#[$doc:meta])* $kind:ident: $status:literal $outcome:ident $elsewhere:literal $after:literal $message:literal;)*) => {
         /// Every kind of error that the fleet answers with.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, IntoStaticStr,
+        )]
         #[serde(rename_all = "snake_case")]
+        #[strum(serialize_all = "snake_case")]
         pub enum Kind { $($(#[$doc])* $kind,)* }
 
         impl Kind {
--- a/components/intents/src/plan.rs
+++ b/components/intents/src/plan.rs
@@ -195,7 +195,7 @@
         rule(
             whole,
             &format!("workspaces[{place}].key_sha256"),
-            key,
+            &"(not shown)",
             "64 lower-case hexadecimal digits",
         )?;
     }
--- a/components/platform/src/hosts.rs
+++ b/components/platform/src/hosts.rs
@@ -42,6 +42,17 @@
 pub struct Hosts {
     client: Client,
     url: Arc<str>,
+    /// The tag of the list that was read last.
+    tag: Option<String>,
+}
+
+/// What one look at the list brought.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// The list, if it has changed.
+    pub entries: Option<Vec<Entry>>,
+    /// The bytes of the list that came.
+    pub bytes: usize,
 }
 
 impl Hosts {
@@ -52,23 +63,31 @@
     /// The runtime can't make a client.
     pub async fn new(base: &str) -> Result<Self, Error> {
         let client = process::client(KEEP_ALIVE).await.map_err(silent)?;
-        Ok(Self { client, url: format!("{base}/v1/hosts").into() })
+        Ok(Self { client, url: format!("{base}/v1/hosts").into(), tag: None })
     }
 
-    /// The list as it is now; it lags behind the truth.
+    /// The list as it is now, if it has changed since it was read last; it lags
+    /// behind the truth.
     ///
     /// # Errors
     ///
     /// The service did not answer, or not with a list.
-    pub async fn read(&self) -> Result<Vec<Entry>, Error> {
-        let request = self.client.get(&*self.url).timeout(PATIENCE).send();
-        let response = request.await.map_err(silent)?;
-        let status = response.status().as_u16();
-        if status != 200 {
-            return Err(Error::Status { status });
+    pub async fn read(&mut self) -> Result<Reading, Error> {
+        let mut request = self.client.get(&*self.url).timeout(PATIENCE);
+        if let Some(tag) = &self.tag {
+            request = request.header("if-none-match", tag);
+        }
+        let response = request.send().await.map_err(silent)?;
+        match response.status().as_u16() {
+            200 => {}
+            304 => return Ok(Reading { entries: None, bytes: 0 }),
+            status => return Err(Error::Status { status }),
         }
+        let tag = response.header("etag").and_then(|it| it.to_str().ok()).map(str::to_owned);
         let body = response.body().limit(MAX_LIST).await.map_err(silent)?;
-        serde_json::from_slice(&body).context(ShapeSnafu)
+        let entries = serde_json::from_slice(&body).context(ShapeSnafu)?;
+        self.tag = tag;
+        Ok(Reading { entries: Some(entries), bytes: body.len() })
     }
 }
 
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -8,5 +8,5 @@
 mod store;
 
 pub use error::Error;
-pub use hosts::{Entry, Hosts};
+pub use hosts::{Entry, Hosts, Reading};
 pub use store::Store;
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -6,8 +6,10 @@
 use std::time::{Duration, SystemTime};
 
 use intents::{Document, Plan};
+use platform::Reading;
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
+use spdlog::{error, info};
 use tokio::task::JoinSet;
 
 use crate::core::Core;
@@ -41,17 +43,19 @@
 
 async fn follow_hosts(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
-    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else {
-        return;
-    };
+    let Ok(mut hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
     let mut connecting = JoinSet::new();
     loop {
-        if let Ok(list) = hosts.read().await {
-            let list = list.into_iter().map(host).collect();
-            for effect in core.apply(Event::Hosts(list)) {
-                if let Effect::Connect { upstream, address } = effect {
-                    connecting.spawn_local(connect(core.clone(), upstream, address));
-                }
+        let event = match hosts.read().await {
+            Ok(Reading { entries: Some(entries), bytes }) => {
+                core.metrics.control("hosts", bytes);
+                Event::Hosts(entries.into_iter().map(host).collect())
+            }
+            Ok(Reading { entries: None, .. }) | Err(_) => Event::Tick,
+        };
+        for effect in core.apply(event) {
+            if let Effect::Connect { upstream, address } = effect {
+                connecting.spawn_local(connect(core.clone(), upstream, address));
             }
         }
         while connecting.try_join_next().is_some() {}
@@ -96,9 +100,10 @@
         seen = now;
         match read_plan(&path) {
             Ok(plan) => {
+                info!("new intents read", kv: { generation = plan.generation() });
                 core.apply(Event::Configure(plan));
             }
-            Err(fault) => spdlog::error!("new intents refused: {}", fault),
+            Err(fault) => error!("new intents refused", kv: { fault = fault.to_string() }),
         }
     }
 }
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -5,13 +5,19 @@
 use std::sync::Arc;
 
 use clock::{Clock, Millis};
+use errors::Kind;
 use intents::Plan;
-use routing::{Effect, Event, Owner, State};
+use routing::{Decision, Effect, Event, Owner, State};
+use spdlog::info;
+use telemetry::{Metrics, Tracer};
 
 use crate::background;
 use crate::decisions::Decisions;
 use crate::links::Links;
 
+/// The name of this kind of process in metrics and traces.
+const SERVICE: &str = "silverstack-router";
+
 /// The state of a router and its edges.
 pub(crate) struct Core {
     pub settings: Arc<settings::Router>,
@@ -20,6 +26,8 @@
     pub stop: process::Stop,
     pub store: Option<platform::Store>,
     pub decisions: RefCell<Decisions>,
+    pub metrics: Metrics,
+    pub tracer: Tracer,
     state: RefCell<State>,
     started: Millis,
     requests: Cell<u64>,
@@ -41,6 +49,11 @@
             None => None,
         };
         let links = Links::new(&settings);
+        let metrics = Metrics::new(SERVICE);
+        let tracer = match &settings.traces_url {
+            Some(url) => Tracer::new(SERVICE, &settings.name, url),
+            None => Tracer::off(),
+        };
         let decisions = RefCell::new(Decisions::new(settings.routing.decisions));
         let core = Rc::new(Self {
             settings,
@@ -49,6 +62,8 @@
             stop,
             store,
             decisions,
+            metrics,
+            tracer,
             state: RefCell::new(state),
             started,
             requests: Cell::new(0),
@@ -57,15 +72,11 @@
         core
     }
 
-    /// Takes an event to the reducer; carries out what concerns the whole
-    /// router and returns the rest.
+    /// Takes an event to the reducer and returns the effects that concern one
+    /// request; the end of a drain is carried out here.
     pub(crate) fn apply(&self, event: Event) -> Vec<Effect> {
         let mut effects = self.state.borrow_mut().apply(event, self.clock.now());
         effects.retain(|effect| match effect {
-            Effect::Record(decision) => {
-                self.decisions.borrow_mut().keep(decision.clone());
-                false
-            }
             Effect::Drained => {
                 self.stop.finish();
                 false
@@ -75,6 +86,34 @@
         effects
     }
 
+    /// Counts, logs and keeps the decision on a request that has ended.
+    pub(crate) fn record(&self, decision: &Arc<Decision>, trace: &str) {
+        let error: Option<&'static str> = decision.error.map(Into::into);
+        let outcome: &'static str = decision.outcome.into();
+        self.metrics.request(outcome, error);
+        self.metrics.attempts(decision.tries.len());
+        let upstream = decision.tries.last().map_or("", |it| &it.upstream);
+        info!("request ended", kv: {
+            request = &*decision.request,
+            trace,
+            workspace = &*decision.workspace,
+            kind = &*decision.kind,
+            upstream,
+            outcome,
+            error = error.unwrap_or(""),
+            attempts = decision.tries.len(),
+            ms = decision.came.until(decision.ended).0,
+        });
+        self.decisions.borrow_mut().keep(decision.clone());
+    }
+
+    /// Counts and logs a request that was refused before it was decided on.
+    pub(crate) fn reject(&self, request: &str, kind: Kind) {
+        let error: &'static str = kind.into();
+        self.metrics.request(kind.row().outcome.into(), Some(error));
+        info!("request refused", kv: { request, error });
+    }
+
     /// A number for a new request, and the id that others see: the router, its
     /// start and the number.
     pub(crate) fn number(&self) -> (u64, Arc<str>) {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -42,6 +42,7 @@
         .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
         .route("/readyz", web::get().to(ready))
         .route("/status", web::get().to(status))
+        .route("/metrics", web::get().to(metrics))
         .route("/{path}*", web::route().to(nothing));
 }
 
@@ -56,7 +57,7 @@
     /// Checks the workspace key: `Authorization: Bearer WORKSPACE:KEY`.
     fn check(core: &Core, request: &HttpRequest) -> Result<Self, HttpResponse> {
         let (id, name) = core.number();
-        let refuse = |kind| Err(refusal(kind, &name, ""));
+        let refuse = |kind| Err(refusal(core, kind, &name, ""));
         let Some(plan) = core.plan() else {
             return refuse(Kind::NoConfiguration);
         };
@@ -70,12 +71,13 @@
         Ok(Self { workspace: workspace.into(), id, request: name })
     }
 
-    fn refuse(&self, kind: Kind, detail: &str) -> HttpResponse {
-        refusal(kind, &self.request, detail)
+    fn refuse(&self, core: &Core, kind: Kind, detail: &str) -> HttpResponse {
+        refusal(core, kind, &self.request, detail)
     }
 }
 
-fn refusal(kind: Kind, request: &str, detail: &str) -> HttpResponse {
+fn refusal(core: &Core, kind: Kind, request: &str, detail: &str) -> HttpResponse {
+    core.reject(request, kind);
     answer::response(&Answer::new(kind, request, 0, detail))
 }
 
@@ -113,11 +115,11 @@
     };
     let body = match body::read(payload, declared(&request), &core.settings).await {
         Ok(body) => body,
-        Err(kind) => return caller.refuse(kind, ""),
+        Err(kind) => return caller.refuse(&core, kind, ""),
     };
     let prompt = match Prompt::parse(&body) {
         Ok(prompt) => prompt,
-        Err(fault) => return caller.refuse(Kind::Malformed, &fault),
+        Err(fault) => return caller.refuse(&core, Kind::Malformed, &fault),
     };
     let kind = header(&request, "x-request-kind").unwrap_or(DEFAULT_KIND);
     let ask = Ask {
@@ -142,11 +144,11 @@
     };
     let body = match body::read(payload, declared(&request), &core.settings).await {
         Ok(body) => body,
-        Err(kind) => return caller.refuse(kind, ""),
+        Err(kind) => return caller.refuse(&core, kind, ""),
     };
     let key = header(&request, "idempotency-key");
     if key.is_some_and(|key| key.is_empty() || key.len() > key::MAX_KEY) {
-        return caller.refuse(Kind::Malformed, "Idempotency-Key: 1 to 200 bytes");
+        return caller.refuse(&core, Kind::Malformed, "Idempotency-Key: 1 to 200 bytes");
     }
     let kind = request.match_info().get("kind").unwrap_or("").to_owned();
     let once = key.map(|key| key::read(&caller.workspace, key));
@@ -180,7 +182,7 @@
     let (head, upstream) = match relay.next().await {
         Step::Head(head, upstream) => (head, upstream),
         Step::Failed(answer) | Step::Cut(answer) => return answer::response(&answer),
-        Step::Bytes(_) | Step::Finished => return refusal(Kind::Crossed, &request, ""),
+        Step::Bytes(_) | Step::Finished => return refusal(core, Kind::Crossed, &request, ""),
     };
     let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
@@ -191,6 +193,9 @@
     }
     builder.header(REQUEST_ID, &*request);
     builder.header(UPSTREAM, &*upstream);
+    if let Some(traceparent) = relay.traceparent() {
+        builder.header("traceparent", traceparent);
+    }
     let parts = stream::unfold(Rest::Answer(Box::new(relay)), move |rest| part(rest, events));
     builder.streaming(Box::pin(parts))
 }
@@ -234,7 +239,7 @@
     };
     match core.owner(&caller.workspace, &kind, &caller.request) {
         Some(owner) => HttpResponse::Ok().json(&json!({ "key": key::mint(&owner) })),
-        None => caller.refuse(Kind::NoUpstream, ""),
+        None => caller.refuse(&core, Kind::NoUpstream, ""),
     }
 }
 
@@ -246,7 +251,7 @@
     let decision = core.decisions.borrow().find(&id);
     match decision.filter(|it| it.workspace == caller.workspace) {
         Some(decision) => HttpResponse::Ok().json(&*decision),
-        None => caller.refuse(Kind::NotFound, &id),
+        None => caller.refuse(&core, Kind::NotFound, &id),
     }
 }
 
@@ -261,7 +266,11 @@
     HttpResponse::Ok().json(&core.status())
 }
 
+async fn metrics(core: Shared) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(core.metrics.render())
+}
+
 async fn nothing(core: Shared) -> HttpResponse {
     let (_, request) = core.number();
-    refusal(Kind::NotFound, &request, "")
+    refusal(&core, Kind::NotFound, &request, "")
 }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use clock::Millis;
 use errors::Answer;
 use link::Call;
-use routing::{Ask, Attempt, Effect, Event, Owner};
+use routing::{Ask, Attempt, Decision, Effect, Event, Owner};
+use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 use wire::{Frame, Head, Open};
 
@@ -36,6 +38,7 @@
     pub path: Arc<str>,
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     pub body: Bytes,
+    /// The trace context that came with the request.
     pub traceparent: Option<Arc<str>>,
 }
 
@@ -48,6 +51,10 @@
     workspace: Arc<str>,
     once: Option<Arc<str>>,
     template: Template,
+    span: Span,
+    /// The trace context for the next hop.
+    traceparent: Option<Arc<str>>,
+    came: Millis,
     effects: VecDeque<Effect>,
     call: Option<Call>,
     attempt: u32,
@@ -59,12 +66,18 @@
 impl Relay {
     /// Takes a request to the reducer.
     pub(crate) fn start(core: Rc<Core>, ask: Ask, template: Template) -> Self {
+        let came = template.traceparent.as_deref();
+        let span = core.tracer.span("router", came, &ask.request);
+        let traceparent = span.traceparent(came).map(Into::into);
         let mut relay = Self {
             id: ask.id,
             request: ask.request.clone(),
             workspace: ask.workspace.clone(),
             once: ask.once.as_ref().map(|it| it.key.clone()),
             template,
+            span,
+            traceparent,
+            came: core.clock.now(),
             effects: VecDeque::new(),
             call: None,
             attempt: 0,
@@ -89,14 +102,35 @@
         }
     }
 
+    /// The trace context for whoever sees the answer.
+    pub(crate) fn traceparent(&self) -> Option<&str> {
+        self.traceparent.as_deref()
+    }
+
     fn apply(&mut self, event: Event) {
-        let effects = self.core.apply(event);
-        self.effects.extend(effects);
+        for effect in self.core.apply(event) {
+            match effect {
+                Effect::Record(decision) => self.record(&decision),
+                effect => self.effects.push_back(effect),
+            }
+        }
+    }
+
+    fn record(&self, decision: &Arc<Decision>) {
+        self.span.set("outcome", <&str>::from(decision.outcome));
+        if let Some(kind) = decision.error {
+            self.span.set("error", <&str>::from(kind));
+        }
+        let trace = self.traceparent().and_then(|it| it.split('-').nth(1));
+        self.core.record(decision, trace.unwrap_or(""));
     }
 
     async fn act(&mut self, effect: Effect) -> Option<Step> {
         match effect {
-            Effect::Head(head) => return Some(Step::Head(head, self.upstream.clone())),
+            Effect::Head(head) => {
+                self.core.metrics.first_token(self.came.until(self.core.clock.now()).0);
+                return Some(Step::Head(head, self.upstream.clone()));
+            }
             Effect::Relay(bytes) => return Some(Step::Bytes(bytes)),
             Effect::Finish => return Some(self.end(Step::Finished)),
             Effect::Fail(answer) => return Some(self.end(Step::Failed(answer))),
@@ -159,7 +193,7 @@
             incarnation: attempt.incarnation,
             once: self.once.clone(),
             generation: attempt.generation,
-            traceparent: self.template.traceparent.clone(),
+            traceparent: self.traceparent.clone(),
             method: self.template.method.clone(),
             path: self.template.path.clone(),
             headers: self.template.headers.clone(),
@@ -186,7 +220,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.over {
-            self.core.apply(Event::Quit { id: self.id });
+            self.apply(Event::Quit { id: self.id });
         }
     }
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -51,6 +51,8 @@
     },
     /// The platform's list of hosts came.
     Hosts(Vec<Host>),
+    /// Time passed: missing connections are opened.
+    Tick,
     /// A connection to an upstream's sidecar stands.
     Met(Welcome),
     /// The connection to an upstream's sidecar still stands.
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -22,6 +22,8 @@
     pub suspect_ms: u64,
     /// The longest an upstream is left alone, in milliseconds.
     pub suspect_max_ms: u64,
+    /// The most connections that are opened at a time in the background.
+    pub connects: usize,
     /// How many decisions are kept for explaining.
     pub decisions: usize,
     /// When a refused caller is told to come back at the earliest, in
@@ -39,6 +41,7 @@
             retry_burst: 20.0,
             suspect_ms: 250,
             suspect_max_ms: 10_000,
+            connects: 64,
             decisions: 4_096,
             retry_after_ms: 250,
         }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -75,6 +75,7 @@
             Event::Quit { id } => self.quit(id, now),
             Event::Expire { id } => self.expire(id, now),
             Event::Hosts(hosts) => self.hosts(hosts, now),
+            Event::Tick => self.connects(now),
             Event::Met(welcome) => self.met(&welcome, now),
             Event::Alive { upstream } => self.alive(&upstream),
             Event::Missed { upstream } => self.missed(&upstream, now),
@@ -109,9 +110,16 @@
             upstream.list(host, labels);
             self.upstreams.insert(upstream.host.name.clone(), upstream);
         }
-        let missing = self.upstreams.values().filter(|it| !it.connected);
-        missing
-            .filter(|upstream| !upstream.is_suspect(now))
+        self.connects(now)
+    }
+
+    /// The connections to open next, a few at a time, so that a region that
+    /// comes back is not met by all at once.
+    fn connects(&self, now: Millis) -> Vec<Effect> {
+        self.upstreams
+            .values()
+            .filter(|upstream| !upstream.connected && !upstream.is_suspect(now))
+            .take(self.settings.connects)
             .map(|upstream| Effect::Connect {
                 upstream: upstream.host.name.clone(),
                 address: upstream.host.address.clone(),
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 
+use placement::Bound;
 use snafu::ensure;
 
 use crate::Error;
@@ -51,8 +52,11 @@
     rule(value.len() >= SHORTEST_KEY, path, "the key", "at least 16 bytes")
 }
 
-pub(crate) fn bound(path: &'static str, value: f64) -> Result<(), Error> {
-    rule((1.0..=10.0).contains(&value), path, value, "1 to 10")
+pub(crate) fn bound(path: &'static str, value: &Bound) -> Result<(), Error> {
+    let multiple = (1.0..=10.0).contains(&value.multiple);
+    rule(multiple, path, value.multiple, "a multiple of 1 to 10")?;
+    let margin = (0.0..1.0).contains(&value.margin);
+    rule(margin, path, value.margin, "a margin of 0 to below 1")
 }
 
 pub(crate) fn positive(path: &'static str, value: u64) -> Result<(), Error> {
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -44,6 +44,10 @@
     /// in milliseconds.
     #[serde(default = "defaults::drain_notice_ms")]
     pub drain_notice_ms: u64,
+    /// The collector of traces, such as `http://127.0.0.1:4318`; no spans are
+    /// made without one.
+    #[serde(default)]
+    pub traces_url: Option<Arc<str>>,
     /// The decisions' settings.
     #[serde(default)]
     pub routing: routing::Settings,
@@ -87,13 +91,16 @@
         if let Some(url) = &self.store_url {
             base("store_url", url)?;
         }
+        if let Some(url) = &self.traces_url {
+            base("traces_url", url)?;
+        }
         positive("hosts_every_ms", self.hosts_every_ms)?;
         positive("body_bytes", self.body_bytes as u64)?;
         let fits = self.body_bytes <= MAX_BODY;
         crate::check::rule(fits, "body_bytes", self.body_bytes, "at most 1048576")?;
         positive("body_ms", self.body_ms)?;
         positive("connect_ms", self.connect_ms)?;
-        bound("routing.bound.multiple", self.routing.bound.multiple)?;
+        bound("routing.bound", &self.routing.bound)?;
         positive("routing.max_attempts", u64::from(self.routing.max_attempts))
     }
 }
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -35,6 +35,10 @@
     /// How long a planned stop waits for requests in flight, in milliseconds.
     #[serde(default = "defaults::drain_ms")]
     pub drain_ms: u64,
+    /// The collector of traces, such as `http://127.0.0.1:4318`; no spans are
+    /// made without one.
+    #[serde(default)]
+    pub traces_url: Option<Arc<str>>,
     /// The decisions' settings.
     #[serde(default)]
     pub admission: admission::Settings,
@@ -68,8 +72,11 @@
         key("link_key", &self.link_key)?;
         base("upstream_url", &self.upstream_url)?;
         base("hosts_url", &self.hosts_url)?;
+        if let Some(url) = &self.traces_url {
+            base("traces_url", url)?;
+        }
         positive("hosts_every_ms", self.hosts_every_ms)?;
-        bound("admission.bound.multiple", self.admission.bound.multiple)?;
+        bound("admission.bound", &self.admission.bound)?;
         positive("admission.slots", self.admission.slots as u64)
     }
 }
--- a/components/sidecar/src/admin.rs
+++ b/components/sidecar/src/admin.rs
@@ -7,6 +7,7 @@
 use ntex::web::{self, HttpResponse};
 use serde_json::json;
 use snafu::ResultExt;
+use telemetry::Metrics;
 
 use crate::core::Shared;
 use crate::error::{BindSnafu, Error, SocketSnafu};
@@ -23,28 +24,25 @@
     }
 }
 
+/// What the pages show.
 #[derive(Clone)]
-struct Pages {
-    name: Arc<str>,
-    state: Shared,
-    stop: process::Stop,
+pub(crate) struct Pages {
+    pub name: Arc<str>,
+    pub state: Shared,
+    pub stop: process::Stop,
+    pub metrics: Arc<Metrics>,
 }
 
 impl Page {
-    pub(crate) fn start(
-        address: &str,
-        name: &Arc<str>,
-        state: &Shared,
-        stop: &process::Stop,
-    ) -> Result<Self, Error> {
+    pub(crate) fn start(address: &str, pages: Pages) -> Result<Self, Error> {
         let (listener, address) = process::bind(address).context(BindSnafu)?;
-        let pages = Pages { name: name.clone(), state: state.clone(), stop: stop.clone() };
         let factory = async move || {
             web::App::new()
                 .state(pages.clone())
                 .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
                 .route("/readyz", web::get().to(ready))
                 .route("/status", web::get().to(status))
+                .route("/metrics", web::get().to(metrics))
                 .route("/drain", web::post().to(drain))
         };
         let server = web::HttpServer::new(factory)
@@ -86,6 +84,10 @@
     }))
 }
 
+async fn metrics(pages: web::types::State<Pages>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(pages.metrics.render())
+}
+
 async fn drain(pages: web::types::State<Pages>) -> HttpResponse {
     pages.stop.ask();
     HttpResponse::Accepted().body("leaving\n")
--- a/components/sidecar/src/call.rs
+++ b/components/sidecar/src/call.rs
@@ -1,13 +1,16 @@
 //! One call: frames out to the router, the request in to the upstream.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use admission::{CallId, Effect, Event};
+use errors::Outcome;
 use link::Sink;
+use telemetry::Span;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, timeout_at};
-use wire::{Open, Report};
+use wire::{Frame, Open, Report};
 
 use crate::core::Core;
 use crate::upstream::{Answer, Part};
@@ -25,7 +28,11 @@
     /// Gone once the router is.
     sink: Option<Sink>,
     answer: Answer,
+    came: Instant,
     latest: Instant,
+    span: Span,
+    /// The trace context for the upstream.
+    traceparent: Option<Arc<str>>,
     ended: bool,
 }
 
@@ -38,17 +45,22 @@
 
 /// Serves a request until its last frame is written.
 pub(crate) async fn serve(core: Rc<Core>, open: Open, sink: Sink) {
-    let latest = Instant::now() + Duration::from_millis(open.remaining_ms) + GRACE;
+    let came = Instant::now();
+    let traceparent = open.traceparent.as_deref();
+    let span = core.tracer.span("sidecar", traceparent, &open.request);
     let (id, mailbox) = core.register();
-    core.apply(Event::Open { call: id, open });
     let task = Task {
         core: core.clone(),
         id,
         sink: Some(sink),
         answer: Answer::None,
-        latest,
+        came,
+        latest: came + Duration::from_millis(open.remaining_ms) + GRACE,
+        traceparent: span.traceparent(traceparent).map(Into::into),
+        span,
         ended: false,
     };
+    core.apply(Event::Open { call: id, open });
     task.run(mailbox).await;
     core.forget(id);
 }
@@ -97,13 +109,19 @@
 
     async fn act(&mut self, effect: Effect) {
         match effect {
-            Effect::Run { open, .. } => self.answer = Answer::start(&self.core, &open),
+            Effect::Run { mut open, .. } => {
+                let waited = self.came.elapsed().as_millis();
+                self.core.metrics.queue(u64::try_from(waited).unwrap_or(u64::MAX));
+                open.traceparent.clone_from(&self.traceparent);
+                self.answer = Answer::start(&self.core, &open);
+            }
             Effect::Abort { .. } => {
                 self.answer = Answer::None;
                 self.ended = self.sink.is_none();
             }
             Effect::Send { frame, .. } => self.write(&frame, false).await,
             Effect::Finish { frame, .. } => {
+                self.count(&frame);
                 self.write(&frame, true).await;
                 self.ended = true;
             }
@@ -111,7 +129,19 @@
         }
     }
 
-    async fn write(&mut self, frame: &wire::Frame, last: bool) {
+    /// Counts how the call ended.
+    fn count(&self, frame: &Frame) {
+        let error = match frame {
+            Frame::Refused(refused) => Some(refused.kind),
+            Frame::Broken(broken) => Some(broken.kind),
+            _ => None,
+        };
+        let outcome = error.map_or(Outcome::Ran, |kind| kind.row().outcome).into();
+        self.core.metrics.request(outcome, error.map(Into::into));
+        self.span.set("outcome", outcome);
+    }
+
+    async fn write(&mut self, frame: &Frame, last: bool) {
         let Some(sink) = &mut self.sink else { return };
         let written = if last {
             timeout_at(self.latest, sink.finish(frame)).await
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -14,6 +14,7 @@
 use ntex::time::Seconds;
 use settings::Service;
 use snafu::ResultExt;
+use telemetry::{Metrics, Tracer};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::JoinSet;
@@ -22,6 +23,9 @@
 use crate::error::{BindSnafu, Error, SocketSnafu};
 use crate::{admin, call, peers};
 
+/// The name of this kind of process in metrics and traces.
+const SERVICE: &str = "silverstack-sidecar";
+
 /// How often the reducer is told that time passed.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -37,6 +41,7 @@
     address: SocketAddr,
     admin: admin::Page,
     stop: process::Stop,
+    metrics: Arc<Metrics>,
 }
 
 /// The reducer's state as the HTTP pages see it.
@@ -55,6 +60,8 @@
     pub clock: Clock,
     pub client: Client,
     pub stop: process::Stop,
+    pub metrics: Arc<Metrics>,
+    pub tracer: Tracer,
     state: Shared,
     mailboxes: RefCell<HashMap<CallId, UnboundedSender<Effect>>>,
     next: RefCell<CallId>,
@@ -127,8 +134,15 @@
         let state = State::new(settings.admission.clone(), own, incarnation);
         let state = Shared(Arc::new(Mutex::new(state)));
         let stop = process::Stop::new();
-        let admin = admin::Page::start(&settings.admin, &settings.name, &state, &stop)?;
-        Ok(Self { settings, state, listener, address, admin, stop })
+        let metrics = Arc::new(Metrics::new(SERVICE));
+        let pages = admin::Pages {
+            name: settings.name.clone(),
+            state: state.clone(),
+            stop: stop.clone(),
+            metrics: metrics.clone(),
+        };
+        let admin = admin::Page::start(&settings.admin, pages)?;
+        Ok(Self { settings, state, listener, address, admin, stop, metrics })
     }
 
     /// Where routers connect.
@@ -160,12 +174,18 @@
         let client = process::client(keep_alive)
             .await
             .map_err(|fault| Error::Client { reason: fault.to_string() })?;
+        let tracer = match &self.settings.traces_url {
+            Some(url) => Tracer::new(SERVICE, &self.settings.name, url),
+            None => Tracer::off(),
+        };
         let (reports, outbox) = unbounded_channel();
         let core = Rc::new(Core {
             settings: self.settings,
             clock: Clock::new(),
             client,
             stop: self.stop.clone(),
+            metrics: self.metrics,
+            tracer,
             state: self.state,
             mailboxes: RefCell::default(),
             next: RefCell::default(),
--- a/components/sidecar/src/peers.rs
+++ b/components/sidecar/src/peers.rs
@@ -7,6 +7,7 @@
 
 use admission::{Event, Peer};
 use link::Connection;
+use platform::{Entry, Reading};
 use tokio::sync::mpsc::UnboundedReceiver;
 use wire::{Frame, Hello, Report};
 
@@ -18,24 +19,27 @@
 /// Reads the platform's list of hosts again and again.
 pub(crate) async fn follow(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
-    let Ok(hosts) = platform::Hosts::new(&core.settings.hosts_url).await else {
-        return;
-    };
+    let Ok(mut hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
     loop {
-        if let Ok(list) = hosts.read().await {
-            let own = list.iter().find(|it| it.name == core.settings.name);
-            if own.is_some_and(|it| it.leaving) {
-                core.apply(Event::Leave);
-            }
-            let peers = list.into_iter().filter(|it| !it.leaving && is_member(&core, it));
-            let peers = peers.map(|it| Peer { name: it.name, address: it.address }).collect();
-            core.apply(Event::Peers(peers));
+        if let Ok(Reading { entries: Some(entries), bytes }) = hosts.read().await {
+            core.metrics.control("hosts", bytes);
+            take(&core, entries);
         }
         tokio::time::sleep(every).await;
     }
 }
 
-fn is_member(core: &Core, entry: &platform::Entry) -> bool {
+fn take(core: &Core, list: Vec<Entry>) {
+    let own = list.iter().find(|it| it.name == core.settings.name);
+    if own.is_some_and(|it| it.leaving) {
+        core.apply(Event::Leave);
+    }
+    let peers = list.into_iter().filter(|it| !it.leaving && is_member(core, it));
+    let peers = peers.map(|it| Peer { name: it.name, address: it.address }).collect();
+    core.apply(Event::Peers(peers));
+}
+
+fn is_member(core: &Core, entry: &Entry) -> bool {
     let pool = &core.settings.pool;
     pool.iter().all(|(label, value)| entry.labels.get(label) == Some(value))
 }
@@ -66,9 +70,18 @@
         links.insert(to.name.clone(), connection);
     }
     let connection = links.get(&to.name)?;
-    let mut call = connection.call(&Frame::Report(report)).await.ok()?;
+    let frame = Frame::Report(report);
+    let mut call = connection.call(&frame).await.ok()?;
     match call.next().await {
-        Ok(Some(Frame::Pool(pool))) => Some(pool),
+        Ok(Some(answer @ Frame::Pool(pool))) => {
+            core.metrics.control("report", size(&frame) + size(&answer));
+            Some(pool)
+        }
         _ => None,
     }
 }
+
+/// A frame's bytes, without those of the connection around it.
+fn size(frame: &Frame) -> usize {
+    wire::encode(frame).map_or(0, |it| it.len())
+}
--- a/components/standin/src/hosts.rs
+++ b/components/standin/src/hosts.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use ntex::web::{self, HttpResponse};
+use ntex::web::{self, HttpRequest, HttpResponse};
 use serde_json::Value;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Server;
 
@@ -98,8 +99,15 @@
     lists.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn show(lists: web::types::State<Shared>) -> HttpResponse {
-    HttpResponse::Ok().json(&lock(&lists).shown())
+/// The list, or 304 if the reader has it already.
+async fn show(request: HttpRequest, lists: web::types::State<Shared>) -> HttpResponse {
+    let body = serde_json::json!(lock(&lists).shown()).to_string();
+    let tag = format!("\"{:x}\"", xxh3_64(body.as_bytes()));
+    let known = request.headers().get("if-none-match").and_then(|it| it.to_str().ok());
+    if known == Some(&tag) {
+        return HttpResponse::NotModified().finish();
+    }
+    HttpResponse::Ok().header("etag", tag).content_type("application/json").body(body)
 }
 
 async fn put(host: web::types::Json<Value>, lists: web::types::State<Shared>) -> HttpResponse {
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -209,6 +209,7 @@
             pool: pool.clone(),
             hosts_every_ms: 200,
             drain_ms: 5_000,
+            traces_url: None,
             admission: admission::Settings::default(),
         };
         let sidecar = Sidecar::bind(settings).context(SidecarSnafu)?;
