Give no work to a host that answers in another's place

Cause: an address on the platform's lagging list can already belong to another host. A router took whoever answered there for the host it was looking for: the new test found answers of engine-1 told as engine-9's. Change: a greeting by another name ends the link, and nothing was sent.

--- a/components/link/src/error.rs
+++ b/components/link/src/error.rs
@@ -41,6 +41,14 @@
     /// The link key is wrong.
     #[snafu(display("the link key was refused"))]
     Key,
+    /// The process at the address is not the one that was looked for.
+    #[snafu(display("{found} answered in place of {wanted}"))]
+    Stranger {
+        /// Whom the list names.
+        wanted: String,
+        /// Who answered.
+        found: String,
+    },
     /// A frame can't be read or written.
     #[snafu(display("a bad frame"))]
     Frame {
@@ -52,6 +60,13 @@
 impl Error {
     /// Whether no byte of a request can have reached the other side.
     pub fn nothing_sent(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::Slow { .. } | Self::Unopened { .. } | Self::Key)
+        matches!(
+            self,
+            Self::Connect { .. }
+                | Self::Slow { .. }
+                | Self::Unopened { .. }
+                | Self::Key
+                | Self::Stranger { .. }
+        )
     }
 }
--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -146,6 +146,17 @@
         response.json().limit(MAX_ANSWER).await.map_err(broken)
     }
 
+    /// Reads a page as text.
+    ///
+    /// # Errors
+    ///
+    /// There is no such page.
+    pub async fn text(&self, path: &str) -> Result<String, Error> {
+        let response = accepted(self.request("GET", path).send().await.map_err(broken)?).await?;
+        let body = response.body().limit(MAX_ANSWER).await.map_err(broken)?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// The status of a page.
     ///
     /// # Errors
--- a/components/router/src/links.rs
+++ b/components/router/src/links.rs
@@ -76,6 +76,11 @@
         *slot = None;
         let (connection, welcome) =
             Connection::open(address, self.hello.clone(), self.patience).await?;
+        if welcome.name != *upstream {
+            // An address can be given to another host before the list shows it.
+            let (wanted, found) = (upstream.to_string(), welcome.name.to_string());
+            return Err(link::Error::Stranger { wanted, found });
+        }
         *slot = Some(Standing { address: address.into(), connection: connection.clone() });
         Ok((connection, Some(welcome)))
     }
--- a/tests/end_to_end/bad_input.rs
+++ b/tests/end_to_end/bad_input.rs
@@ -1,5 +1,6 @@
 //! Bad input gets a clear error, and the process stays up.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use load::{Caller, Chat};
@@ -93,7 +94,7 @@
     let fleet = small().await;
     let mut head = head(2).trim_end().to_owned();
     for place in 0..200 {
-        head.push_str(&format!("\r\nx-{place}: y"));
+        let _ = write!(head, "\r\nx-{place}: y");
     }
     head.push_str("\r\n\r\n");
     let (status, _) = raw(&fleet, &head, b"{}").await;
--- a/tests/end_to_end/failures.rs
+++ b/tests/end_to_end/failures.rs
@@ -255,3 +255,26 @@
     write(6);
     until(|| async { generation().await == 6 }).await;
 }
+
+#[ntex::test]
+async fn an_address_that_another_host_has_now_gets_no_work_for_the_old_one() {
+    let fleet = Fleet::start(Layout { engines: 1, services: 0, ..Layout::default() }).await;
+    fleet.hosts.put(json!({
+        "name": "engine-9",
+        "address": fleet.sidecars["engine-1"].address("listen"),
+        "domain": "domain-1",
+        "labels": { "model": MODEL },
+    }));
+    let caller = fleet.mesa(0).await;
+    let listed = || async {
+        let status = caller.page("/status").await.expect("a page");
+        status["upstreams"].as_array().cloned().unwrap_or_default()
+    };
+    until(|| async { listed().await.len() == 2 }).await;
+    for place in 0..20 {
+        let answer = caller.chat(&chat(&format!("moved{place}"), 2, true)).await.expect("whole");
+        assert_eq!(answer.upstream, "engine-1");
+    }
+    let stranger = listed().await.into_iter().find(|it| it["name"] == "engine-9");
+    assert_eq!(stranger.expect("it is listed")["up"], false);
+}
--- a/tests/end_to_end/fleet.rs
+++ b/tests/end_to_end/fleet.rs
@@ -32,6 +32,7 @@
     pub latency: Duration,
     pub admission: Value,
     pub router: Value,
+    pub traces_url: Option<String>,
 }
 
 impl Default for Layout {
@@ -44,6 +45,7 @@
             latency: Duration::from_millis(2),
             admission: json!({}),
             router: json!({}),
+            traces_url: None,
         }
     }
 }
@@ -114,6 +116,7 @@
                 "hosts_url": self.hosts.server().url(),
                 "pool": pool,
                 "hosts_every_ms": 50,
+                "traces_url": self.layout.traces_url,
                 "admission": self.layout.admission,
             }),
         );
@@ -137,6 +140,7 @@
             "intents": self.intents,
             "hosts_every_ms": 50,
             "drain_notice_ms": 100,
+            "traces_url": self.layout.traces_url,
         });
         for (name, value) in self.layout.router.as_object().expect("an object") {
             settings[name] = value.clone();
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -4,4 +4,5 @@
 mod bad_input;
 mod failures;
 mod fleet;
+mod observe;
 mod process;
--- /dev/null
+++ b/tests/end_to_end/observe.rs
@@ -0,0 +1,115 @@
+//! What operators see: metrics, logs, traces and decisions.
+
+use std::sync::{Arc, Mutex};
+
+use load::Caller;
+use nix::sys::signal::Signal;
+use ntex::web::{self, HttpResponse};
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, Layout, chat, until};
+
+/// The spans that came.
+type Spans = Arc<Mutex<Vec<Value>>>;
+
+/// A collector of traces: OTLP over HTTP, as JSON.
+fn collector() -> (String, Spans) {
+    let spans = Spans::default();
+    let shared = spans.clone();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let factory = async move || {
+        web::App::new().state(shared.clone()).route(
+            "/v1/traces",
+            web::post().to(
+                async |body: web::types::Json<Value>, spans: web::types::State<Spans>| {
+                    for resource in body["resourceSpans"].as_array().cloned().unwrap_or_default() {
+                        for scope in resource["scopeSpans"].as_array().cloned().unwrap_or_default()
+                        {
+                            let list = scope["spans"].as_array().cloned().unwrap_or_default();
+                            spans.lock().expect("no panic").extend(list);
+                        }
+                    }
+                    HttpResponse::Ok().json(&json!({}))
+                },
+            ),
+        )
+    };
+    let server = web::HttpServer::new(factory).workers(1).disable_signals();
+    let _ = server.listen(listener).expect("it listens").run();
+    (format!("http://{address}"), spans)
+}
+
+#[ntex::test]
+async fn a_request_is_one_trace_with_a_span_for_each_hop() {
+    let (url, spans) = collector();
+    let layout =
+        Layout { routers: 1, engines: 1, services: 0, traces_url: Some(url), ..Layout::default() };
+    let fleet = Fleet::start(layout).await;
+    let answer = fleet.mesa(0).await.chat(&chat("traced", 3, true)).await.expect("whole");
+    let named = |name: &str| {
+        let spans = spans.lock().expect("no panic");
+        spans.iter().find(|it| it["name"] == name).cloned()
+    };
+    until(|| async { named("router").is_some() && named("sidecar").is_some() }).await;
+    let (router, sidecar) = (named("router").expect("it came"), named("sidecar").expect("it came"));
+    assert_eq!(router["traceId"], sidecar["traceId"]);
+    assert_eq!(router["spanId"], sidecar["parentSpanId"]);
+    let logged = fleet.routers[0].log();
+    let line = logged.iter().find(|it| it["kv"]["request"] == *answer.request);
+    assert_eq!(line.expect("the request is logged")["kv"]["trace"], router["traceId"]);
+}
+
+#[ntex::test]
+async fn metrics_and_decisions_tell_what_happened() {
+    let fleet = Fleet::start(Layout { routers: 1, ..Layout::default() }).await;
+    let caller = fleet.mesa(0).await;
+    let answer = caller.chat(&chat("seen", 3, true)).await.expect("whole");
+    let wrong = Caller::new(&fleet.url(0), "mesa", "wrong").await.expect("a client");
+    wrong.chat(&chat("unseen", 3, true)).await.expect_err("it is refused");
+
+    let text = caller.text("/metrics").await.expect("a page");
+    for line in [
+        "silverstack_requests_total{outcome=\"ran\"} 1",
+        "silverstack_requests_total{outcome=\"not_run\"} 1",
+        "silverstack_refusals_total{kind=\"unauthorized\"} 1",
+        "silverstack_attempts_total 1",
+        "silverstack_first_token_seconds_count 1",
+        "silverstack_control_bytes_total{kind=\"hosts\"}",
+    ] {
+        assert!(text.contains(line), "{line} is not in:\n{text}");
+    }
+    let decision = caller.page(&format!("/v1/explain/{}", answer.request)).await.expect("a page");
+    assert_eq!(decision["intent"], "menus");
+    assert_eq!(decision["outcome"], "ran");
+    assert_eq!(decision["generation"], 1);
+    assert_eq!(decision["tries"][0]["upstream"], *answer.upstream);
+
+    let sidecar = format!("http://{}", fleet.sidecars[&answer.upstream].address("admin"));
+    let text = caller.at(&sidecar).text("/metrics").await.expect("a page");
+    assert!(text.contains("silverstack_requests_total{outcome=\"ran\"} 1"), "{text}");
+    assert!(text.contains("silverstack_queue_seconds_count 1"), "{text}");
+}
+
+#[ntex::test]
+async fn a_router_is_ready_only_with_an_upstream_and_until_it_drains() {
+    let router = json!({ "drain_notice_ms": 2_000 });
+    let layout = Layout { routers: 0, engines: 0, services: 0, router, ..Layout::default() };
+    let mut fleet = Fleet::start(layout).await;
+    fleet.start_router();
+    let caller = fleet.mesa(0).await;
+    assert_eq!(caller.status("/healthz").await.expect("it answers"), 200);
+    assert_eq!(caller.status("/readyz").await.expect("it answers"), 503);
+    fleet.layout.services = 1;
+    let latency = fleet.layout.latency;
+    let plain = standin::Plain::start("127.0.0.1:0", "pickup-1", latency).expect("it starts");
+    fleet.services.push(plain);
+    fleet.start_sidecar("pickup-1");
+    until(|| async { caller.status("/readyz").await.ok() == Some(200) }).await;
+    fleet.routers[0].signal(Signal::SIGTERM);
+    until(|| async { caller.status("/readyz").await.ok() == Some(503) }).await;
+    let courier = fleet.courier(0).await;
+    let late = courier.call("pickup", "/late", Some("late"), "{}").await;
+    late.expect("requests are taken until the balancer has had time to look");
+    assert_eq!(fleet.routers[0].ended().await.code(), Some(0));
+}
--- a/tests/end_to_end/process.rs
+++ b/tests/end_to_end/process.rs
@@ -18,23 +18,33 @@
 pub struct Process {
     child: Child,
     ready: Value,
+    log: PathBuf,
 }
 
 impl Process {
     /// Starts `binary` with `settings` and waits until it listens.
     pub fn start(binary: &str, settings: &Value) -> Self {
         let path = write(settings);
+        let log = path.with_extension("log");
+        let errors = std::fs::File::create(&log).expect("the test can write");
         let mut child = Command::new(binary)
-            .args(["--log", "error", "--settings"])
+            .args(["--log", "info", "--settings"])
             .arg(&path)
             .stdout(Stdio::piped())
+            .stderr(errors)
             .spawn()
             .expect("the binary starts");
         let mut line = String::new();
         let out = child.stdout.take().expect("standard output is a pipe");
         BufReader::new(out).read_line(&mut line).expect("the process says where it listens");
         let ready: Value = serde_json::from_str(&line).expect("one JSON line");
-        Self { child, ready: ready["ready"].clone() }
+        Self { child, ready: ready["ready"].clone(), log }
+    }
+
+    /// Every line that it has logged, each a JSON document.
+    pub fn log(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).expect("the log can be read");
+        text.lines().map(|line| serde_json::from_str(line).expect("a JSON line")).collect()
     }
 
     /// Where it listens: `listen` or `admin`.
