Sum large pools by a tree of leaders

One aggregator of a pool of 142 would take est. 196 KB/s of reports, eleven times a daemon's budget. Above 16 members the first square-root-many in rendezvous order lead a group each and report its sum to the first. Links are kept by one component for routers and sidecars; a silent receiver of reports holds up no other.

--- a/components/admission/src/event.rs
+++ b/components/admission/src/event.rs
@@ -53,8 +53,13 @@
         /// What went wrong.
         kind: Kind,
     },
-    /// The sum over the pool came from its aggregator.
-    Pool(Pool),
+    /// The pool came in answer to a report.
+    Pool {
+        /// The pool.
+        pool: Pool,
+        /// Whether the report was a sum.
+        sum: bool,
+    },
     /// A member of the pool reported its load to this sidecar.
     Report {
         /// The call to answer.
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -14,6 +14,5 @@
 mod state;
 
 pub use event::{CallId, Effect, Event, Peer};
-pub use pool::Aggregate;
 pub use settings::Settings;
 pub use state::State;
--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -10,7 +10,7 @@
 
 use crate::call::{Answer, Call, Stage};
 use crate::keys::{Keys, Verdict, digest};
-use crate::pool::{Aggregate, aggregator};
+use crate::pool::Tree;
 use crate::queue::Queue;
 use crate::{CallId, Effect, Event, Peer, Settings};
 
@@ -18,32 +18,19 @@
 /// many.
 const RUN_SMOOTHING: u64 = 8;
 
-/// A change of load is large above this part of the load last reported.
-const LARGE_CHANGE: u64 = 16;
-
-/// The reports that a sidecar sends without a change in the time that one
-/// counts, so that a single loss does not make it silent.
-const HEARTBEATS: u64 = 3;
-
 /// Everything that a sidecar knows.
 #[derive(Debug)]
 pub struct State {
     settings: Settings,
     /// The time of the latest event.
     now: Millis,
-    own: Peer,
     incarnation: u64,
     calls: HashMap<CallId, Call>,
     queue: Queue,
     running: usize,
     load: u64,
     keys: Keys,
-    /// The other members on the platform's list; `None` before the first list.
-    peers: Option<Vec<Peer>>,
-    aggregate: Aggregate,
-    pool: Pool,
-    pool_at: Option<Millis>,
-    reported: Option<(u64, Millis)>,
+    tree: Tree,
     run_ms: u64,
     leaving: bool,
 }
@@ -52,21 +39,17 @@
     /// A sidecar in a new life; `incarnation` is above that of every earlier
     /// one of the same name.
     pub fn new(settings: Settings, own: Peer, incarnation: u64) -> Self {
+        let tree = Tree::new(own, incarnation, &settings);
         Self {
             settings,
             now: Millis::ZERO,
-            own,
             incarnation,
             calls: HashMap::new(),
             queue: Queue::default(),
             running: 0,
             load: 0,
             keys: Keys::default(),
-            peers: None,
-            aggregate: Aggregate::default(),
-            pool: Pool::default(),
-            pool_at: None,
-            reported: None,
+            tree,
             run_ms: 0,
             leaving: false,
         }
@@ -118,7 +101,7 @@
             Event::Chunk { call, bytes } => self.chunk(call, bytes),
             Event::Ended { call } => self.ended(call, now),
             Event::Failed { call, kind } => self.failed(call, kind),
-            Event::Pool(pool) => self.hear_pool(pool, now),
+            Event::Pool { pool, sum } => self.hear_pool(pool, sum, now),
             Event::Report { call, report } => self.report(call, &report, now),
             Event::Peers(peers) => self.peers(peers, now),
             Event::Tick => self.tick(now),
@@ -131,20 +114,8 @@
         effects
     }
 
-    /// The pool with this sidecar's own load as it is now. Before anything is
-    /// known of the others they count as idle; before their list is known, as
-    /// so many that only the bound's floor is left.
     fn pool(&self) -> Pool {
-        let Some(peers) = &self.peers else {
-            return Pool { load: self.load, members: u32::MAX };
-        };
-        if self.pool_at.is_none() {
-            let members = u32::try_from(peers.len() + 1).unwrap_or(u32::MAX);
-            return Pool { load: self.load, members };
-        }
-        let own = self.reported.map_or(0, |(load, _)| load);
-        let others = self.pool.load.saturating_sub(own);
-        Pool { load: others + self.load, members: self.pool.members.max(1) }
+        self.tree.pool(self.load, self.now)
     }
 
     fn open(&mut self, id: CallId, open: Open, now: Millis) -> Vec<Effect> {
@@ -365,10 +336,8 @@
         for id in late {
             effects.extend(self.expire(id));
         }
-        let peers = self.peers.as_deref().unwrap_or_default();
-        let listed = |name: &str| peers.iter().any(|peer| &*peer.name == name);
-        self.aggregate.forget(Millis(self.settings.report_keep_ms), now, listed);
-        effects.extend(self.report_load(now));
+        let reports = self.tree.reports(self.load, &self.settings, now);
+        effects.extend(reports.into_iter().map(|(to, report)| Effect::Report { to, report }));
         effects
     }
 
@@ -389,71 +358,21 @@
         effects
     }
 
-    fn hear_pool(&mut self, pool: Pool, now: Millis) -> Vec<Effect> {
-        self.pool = pool;
-        self.pool_at = Some(now);
+    fn hear_pool(&mut self, pool: Pool, sum: bool, now: Millis) -> Vec<Effect> {
+        self.tree.hear(pool, sum, now);
         Vec::new()
     }
 
     fn report(&mut self, call: CallId, report: &Report, now: Millis) -> Vec<Effect> {
-        self.aggregate.take(report, now);
-        let frame = Frame::Pool(self.aggregate.pool(self.report_keep(), now));
+        let frame = Frame::Pool(self.tree.take(report, now));
         vec![Effect::Finish { call, frame }]
     }
 
-    fn peers(&mut self, mut peers: Vec<Peer>, now: Millis) -> Vec<Effect> {
-        peers.retain(|peer| peer.name != self.own.name);
-        self.aggregate.list(peers.iter().map(|peer| &peer.name), now);
-        self.peers = Some(peers);
+    fn peers(&mut self, peers: Vec<Peer>, now: Millis) -> Vec<Effect> {
+        self.tree.list(peers, now);
         Vec::new()
     }
 
-    fn report_keep(&self) -> Millis {
-        Millis(self.settings.report_keep_ms)
-    }
-
-    /// Reports the load: to itself when it is the aggregator, else over the
-    /// link.
-    fn report_load(&mut self, now: Millis) -> Vec<Effect> {
-        if !self.report_is_due(now) {
-            return Vec::new();
-        }
-        self.reported = Some((self.load, now));
-        let report =
-            Report { name: self.own.name.clone(), incarnation: self.incarnation, load: self.load };
-        let peers = self.peers.as_deref().unwrap_or_default();
-        let to = aggregator(peers, &self.own, self.silent_aggregators(now)).clone();
-        if to.name != self.own.name {
-            return vec![Effect::Report { to, report }];
-        }
-        self.aggregate.take(&report, now);
-        self.hear_pool(self.aggregate.pool(self.report_keep(), now), now)
-    }
-
-    /// A report is due soon after a large change, later after a small one, and
-    /// now and then without any, as a heartbeat.
-    fn report_is_due(&self, now: Millis) -> bool {
-        let Some((reported, at)) = self.reported else {
-            return true;
-        };
-        let change = self.load.abs_diff(reported);
-        let after = if change > reported / LARGE_CHANGE {
-            self.settings.report_soon_ms
-        } else if change > 0 {
-            self.settings.report_every_ms
-        } else {
-            self.settings.report_keep_ms / HEARTBEATS
-        };
-        at.until(now).0 >= after
-    }
-
-    /// How many aggregators in turn have not answered in time.
-    fn silent_aggregators(&self, now: Millis) -> usize {
-        let silent = self.pool_at.map_or(Millis::ZERO, |at| at.until(now));
-        let turns = silent.0 / self.settings.report_keep_ms.max(1);
-        usize::try_from(turns).unwrap_or(usize::MAX)
-    }
-
     fn leave(&mut self) -> Vec<Effect> {
         self.leaving = true;
         Vec::new()
--- a/components/admission/tests/stateful.rs
+++ b/components/admission/tests/stateful.rs
@@ -193,7 +193,9 @@
                 self.now = self.now + Millis(passed);
                 self.apply(Event::Tick);
             }
-            Step::Pool { load, members } => self.apply(Event::Pool(Pool { load, members })),
+            Step::Pool { load, members } => {
+                self.apply(Event::Pool { pool: Pool { load, members }, sum: false });
+            }
             Step::Leave => {
                 self.leaving = true;
                 self.apply(Event::Leave);
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -144,6 +144,8 @@
             name: format!("engine-{place}").into(),
             incarnation: 1,
             load: place as u64,
+            members: 1,
+            sum: false,
         })
         .collect();
     let started = Instant::now();
@@ -161,8 +163,13 @@
 /// Never: the frames can be encoded.
 pub fn frames() -> Vec<(&'static str, usize)> {
     let vitals = Vitals { incarnation: 1_796_215_359_116, load: 40_000, ..Vitals::default() };
-    let report =
-        Report { name: "engine-4711".into(), incarnation: 1_796_215_359_116, load: 40_000 };
+    let report = Report {
+        name: "engine-4711".into(),
+        incarnation: 1_796_215_359_116,
+        load: 40_000,
+        members: 1,
+        sum: false,
+    };
     let pool = placement::Pool { load: 5_000_000, members: 140 };
     let refused = wire::Refused { kind: errors::Kind::OverBound, retry_after_ms: 250, vitals };
     let frames = [
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -89,7 +89,7 @@
     ToRouter { router: usize, id: u64, attempt: u32, frame: Frame },
     Ended { sidecar: usize, call: u64 },
     Report { sidecar: usize, from: usize, report: wire::Report },
-    Pool { sidecar: usize, pool: Pool },
+    Pool { sidecar: usize, pool: Pool, sum: bool },
 }
 
 /// Where a call's frames go.
@@ -234,12 +234,13 @@
             Event::Report { sidecar, from, report } => {
                 self.next_call += 1;
                 let call = self.next_call;
-                let origin = Origin { router: usize::MAX, id: from as u64, attempt: 0 };
+                let attempt = u32::from(report.sum);
+                let origin = Origin { router: usize::MAX, id: from as u64, attempt };
                 self.origins.insert((sidecar, call), origin);
                 self.apply_sidecar(sidecar, admission::Event::Report { call, report });
             }
-            Event::Pool { sidecar, pool } => {
-                self.apply_sidecar(sidecar, admission::Event::Pool(pool));
+            Event::Pool { sidecar, pool, sum } => {
+                self.apply_sidecar(sidecar, admission::Event::Pool { pool, sum });
             }
         }
     }
@@ -331,7 +332,8 @@
         if let Frame::Pool(pool) = frame {
             self.count_report(&frame);
             let sidecar = usize::try_from(id).unwrap_or(0);
-            self.queue.add(self.later(), Event::Pool { sidecar, pool });
+            let sum = attempt == 1;
+            self.queue.add(self.later(), Event::Pool { sidecar, pool, sum });
             return;
         }
         self.queue.add(self.later(), Event::ToRouter { router, id, attempt, frame });
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod client;
 mod error;
+mod links;
 mod listener;
 mod stream;
 
 pub use client::{Call, Connection};
 pub use error::Error;
+pub use links::Links;
 pub use listener::{Exchange, Identity, accept};
 pub use stream::{Sink, Source};
 
--- a/components/router/src/links.rs
+++ b/components/link/src/links.rs
@@ -1,4 +1,5 @@
-//! The links to the sidecars, one an upstream, opened when first needed.
+//! The links of a process to the sidecars, one an upstream, opened when first
+//! needed.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -6,10 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use link::{Call, Connection};
 use tokio::sync::Mutex;
 use wire::{Frame, Hello, Welcome};
 
+use crate::{Call, Connection, Error};
+
 /// One upstream's link; the lock is held while it is being opened.
 type Slot = Rc<Mutex<Option<Standing>>>;
 
@@ -20,41 +22,46 @@
     connection: Connection,
 }
 
-/// All links of a router.
+/// All links of a process.
 #[derive(Debug)]
-pub(crate) struct Links {
+pub struct Links {
     hello: Hello,
     patience: Duration,
     slots: RefCell<HashMap<Arc<str>, Slot>>,
 }
 
 impl Links {
-    pub(crate) fn new(settings: &settings::Router) -> Self {
-        Self {
-            hello: Hello { key: settings.link_key.clone(), name: settings.name.clone() },
-            patience: Duration::from_millis(settings.connect_ms),
-            slots: RefCell::default(),
-        }
+    /// A process that shows `hello` and waits `patience` for a link to stand.
+    pub fn new(hello: Hello, patience: Duration) -> Self {
+        Self { hello, patience, slots: RefCell::default() }
     }
 
     /// Makes sure that a link to `upstream` stands. Returns the greeting if it
     /// was opened now.
-    pub(crate) async fn connect(
+    ///
+    /// # Errors
+    ///
+    /// There is no link; no request was sent.
+    pub async fn connect(
         &self,
         upstream: &Arc<str>,
         address: &str,
-    ) -> Result<Option<Welcome>, link::Error> {
+    ) -> Result<Option<Welcome>, Error> {
         self.open(upstream, address).await.map(|(_, welcome)| welcome)
     }
 
     /// Sends the only frame of a request. The greeting comes with it if the
     /// link was opened now.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// [`Error::nothing_sent`] tells whether the request may have arrived.
+    pub async fn call(
         &self,
         upstream: &Arc<str>,
         address: &str,
         frame: &Frame,
-    ) -> Result<(Call, Option<Welcome>), link::Error> {
+    ) -> Result<(Call, Option<Welcome>), Error> {
         let (connection, welcome) = self.open(upstream, address).await?;
         let call = connection.call(frame).await?;
         Ok((call, welcome))
@@ -64,7 +71,7 @@
         &self,
         upstream: &Arc<str>,
         address: &str,
-    ) -> Result<(Connection, Option<Welcome>), link::Error> {
+    ) -> Result<(Connection, Option<Welcome>), Error> {
         let slot = self.slots.borrow_mut().entry(upstream.clone()).or_default().clone();
         let mut slot = slot.lock().await;
         if let Some(standing) = &*slot
@@ -79,7 +86,7 @@
         if welcome.name != *upstream {
             // An address can be given to another host before the list shows it.
             let (wanted, found) = (upstream.to_string(), welcome.name.to_string());
-            return Err(link::Error::Stranger { wanted, found });
+            return Err(Error::Stranger { wanted, found });
         }
         *slot = Some(Standing { address: address.into(), connection: connection.clone() });
         Ok((connection, Some(welcome)))
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -3,17 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clock::{Clock, Millis};
 use errors::Kind;
 use intents::Plan;
+use link::Links;
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
+use wire::Hello;
 
 use crate::background;
 use crate::decisions::Decisions;
-use crate::links::Links;
 
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -48,7 +50,8 @@
             Some(url) => platform::Store::new(url).await.ok(),
             None => None,
         };
-        let links = Links::new(&settings);
+        let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
+        let links = Links::new(hello, Duration::from_millis(settings.connect_ms));
         let metrics = Metrics::new(SERVICE);
         let tracer = match &settings.traces_url {
             Some(url) => Tracer::new(SERVICE, &settings.name, url),
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -11,7 +11,6 @@
 mod error;
 mod http;
 mod key;
-mod links;
 mod prompt;
 mod relay;
 mod server;
--- a/components/sidecar/src/peers.rs
+++ b/components/sidecar/src/peers.rs
@@ -1,14 +1,13 @@
 //! The other members of the pool: who they are, and the load reports to them.
 
-use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use admission::{Event, Peer};
-use link::Connection;
+use link::Links;
 use platform::{Entry, Reading};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::JoinSet;
 use wire::{Frame, Hello, Report};
 
 use crate::core::Core;
@@ -44,34 +43,27 @@
     pool.iter().all(|(label, value)| entry.labels.get(label) == Some(value))
 }
 
-/// Sends the load reports, each over a link that is kept.
+/// Sends the load reports; a silent receiver holds up none but its own.
 pub(crate) async fn report(core: Rc<Core>, mut outbox: UnboundedReceiver<(Peer, Report)>) {
-    let mut links: HashMap<Arc<str>, Connection> = HashMap::new();
+    let hello = Hello { key: core.settings.link_key.clone(), name: core.settings.name.clone() };
+    let links = Rc::new(Links::new(hello, PATIENCE));
+    let mut asking = JoinSet::new();
     while let Some((to, report)) = outbox.recv().await {
-        let asked = tokio::time::timeout(PATIENCE, ask(&core, &mut links, &to, report)).await;
-        match asked {
-            Ok(Some(pool)) => core.apply(Event::Pool(pool)),
-            Ok(None) | Err(_) => {
-                links.remove(&to.name);
+        while asking.try_join_next().is_some() {}
+        let (core, links) = (core.clone(), links.clone());
+        asking.spawn_local(async move {
+            let sum = report.sum;
+            let asked = tokio::time::timeout(PATIENCE, ask(&core, &links, &to, report)).await;
+            if let Ok(Some(pool)) = asked {
+                core.apply(Event::Pool { pool, sum });
             }
-        }
+        });
     }
 }
 
-async fn ask(
-    core: &Core,
-    links: &mut HashMap<Arc<str>, Connection>,
-    to: &Peer,
-    report: Report,
-) -> Option<placement::Pool> {
-    if links.get(&to.name).is_none_or(Connection::is_closed) {
-        let hello = Hello { key: core.settings.link_key.clone(), name: core.settings.name.clone() };
-        let (connection, _) = Connection::open(&to.address, hello, PATIENCE).await.ok()?;
-        links.insert(to.name.clone(), connection);
-    }
-    let connection = links.get(&to.name)?;
+async fn ask(core: &Core, links: &Links, to: &Peer, report: Report) -> Option<placement::Pool> {
     let frame = Frame::Report(report);
-    let mut call = connection.call(&frame).await.ok()?;
+    let (mut call, _) = links.call(&to.name, &to.address, &frame).await.ok()?;
     match call.next().await {
         Ok(Some(answer @ Frame::Pool(pool))) => {
             core.metrics.control("report", size(&frame) + size(&answer));
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -33,7 +33,7 @@
     End(End),
     /// The answer will never be whole.
     Broken(Broken),
-    /// A sidecar's load, sent to the aggregator of its pool.
+    /// A sidecar's load or its group's, sent to who sums the pool.
     Report(Report),
     /// The sum over the pool, in answer to `Report`.
     Pool(Pool),
@@ -174,6 +174,10 @@
     pub name: Arc<str>,
     /// The sidecar's life.
     pub incarnation: u64,
-    /// Its load, in tokens.
+    /// Its load, or the sum of its group, in tokens.
     pub load: u64,
+    /// How many members the load is of.
+    pub members: u32,
+    /// Whether it is a sum that a leader of the pool reports.
+    pub sum: bool,
 }
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -42,7 +42,13 @@
             Frame::End(End { attempt, chunks, bytes, vitals: Vitals::default() })
         }),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
-            Frame::Report(Report { name: name.into(), incarnation: 1, load })
+            Frame::Report(Report {
+                name: name.into(),
+                incarnation: 1,
+                load,
+                members: 1,
+                sum: false,
+            })
         }),
     ]
 }
