--- a/components/experiment/src/lib.rs
+++ b/components/experiment/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use document::{document, hosts};
 pub use queue::Queue;
-pub use world::{Load, Outcome, Setup, World};
+pub use world::{Load, Loss, Outcome, Setup, World};
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -32,12 +32,25 @@
     pub delay_ms: u64,
     /// The tokens that an engine makes a second for one request.
     pub tokens_per_second: u64,
+    /// What is lost on the way, if anything.
+    pub loss: Option<Loss>,
     /// The routers' settings.
     pub routing: routing::Settings,
     /// The sidecars' settings.
     pub admission: admission::Settings,
 }
 
+/// Sidecars that vanish at one moment, with their engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Loss {
+    /// When, in milliseconds.
+    pub at_ms: u64,
+    /// Every so manyth sidecar vanishes.
+    pub every: usize,
+    /// When the platform's list shows it, in milliseconds after.
+    pub list_lag_ms: u64,
+}
+
 /// The requests of one workspace.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -78,6 +91,8 @@
     pub worst_skew: f64,
     /// Bytes of load reports and their answers.
     pub report_bytes: u64,
+    /// Load reports that the busiest sidecar took.
+    pub busiest_reports: u64,
     /// Simulated seconds.
     pub seconds: f64,
 }
@@ -90,6 +105,9 @@
     Ended { sidecar: usize, call: u64 },
     Report { sidecar: usize, from: usize, report: wire::Report },
     Pool { sidecar: usize, pool: Pool, sum: bool },
+    Lost { router: usize, id: u64, attempt: u32, sent: bool },
+    Vanish,
+    List,
 }
 
 /// Where a call's frames go.
@@ -115,6 +133,8 @@
     next_call: u64,
     outcome: Outcome,
     over_rule: Vec<f64>,
+    gone: Vec<bool>,
+    reports: Vec<u64>,
 }
 
 impl std::fmt::Debug for World {
@@ -158,6 +178,7 @@
         let by_name =
             peers.iter().enumerate().map(|(place, it)| (it.name.clone(), place)).collect();
         let random = ChaCha8Rng::seed_from_u64(setup.seed);
+        let setup_sidecars = setup.sidecars;
         let mut world = Self {
             setup,
             loads,
@@ -172,6 +193,8 @@
             next_call: 0,
             outcome: Outcome::default(),
             over_rule: Vec::new(),
+            gone: vec![false; setup_sidecars],
+            reports: vec![0; setup_sidecars],
         };
         world.begin();
         world
@@ -182,6 +205,10 @@
             let at = self.random.random_range(0..TICK_MS);
             self.queue.add(Millis(at), Event::Tick(place));
         }
+        if let Some(loss) = self.setup.loss {
+            self.queue.add(Millis(loss.at_ms), Event::Vanish);
+            self.queue.add(Millis(loss.at_ms + loss.list_lag_ms), Event::List);
+        }
         for place in 0..self.loads.len() {
             self.queue.add(Millis(self.loads[place].from_ms), Event::Arrive(place));
         }
@@ -200,10 +227,14 @@
         let place = self.over_rule.len() * 999 / 1000;
         self.outcome.p999_over_rule = self.over_rule.get(place).copied().unwrap_or(0.0);
         self.outcome.seconds = seconds(end_ms);
+        self.outcome.busiest_reports = self.reports.iter().copied().max().unwrap_or(0);
         self.outcome
     }
 
     fn handle(&mut self, event: Event) {
+        if self.is_for_gone(&event) {
+            return;
+        }
         match event {
             Event::Arrive(load) => self.arrive(load),
             Event::Tick(sidecar) => {
@@ -237,14 +268,78 @@
                 let attempt = u32::from(report.sum);
                 let origin = Origin { router: usize::MAX, id: from as u64, attempt };
                 self.origins.insert((sidecar, call), origin);
+                self.reports[sidecar] += 1;
                 self.apply_sidecar(sidecar, admission::Event::Report { call, report });
             }
+            Event::Lost { router, id, attempt, sent } => {
+                self.apply_router(router, id, routing::Event::Lost { id, attempt, sent });
+            }
+            Event::Vanish => self.vanish(),
+            Event::List => self.list(),
             Event::Pool { sidecar, pool, sum } => {
                 self.apply_sidecar(sidecar, admission::Event::Pool { pool, sum });
             }
         }
     }
 
+    /// Whether the event is for a sidecar that has vanished; a router hears of
+    /// what it sent there.
+    fn is_for_gone(&mut self, event: &Event) -> bool {
+        let sidecar = match event {
+            Event::ToSidecar { sidecar, .. }
+            | Event::Ended { sidecar, .. }
+            | Event::Report { sidecar, .. }
+            | Event::Pool { sidecar, .. }
+            | Event::Tick(sidecar) => *sidecar,
+            _ => return false,
+        };
+        let gone = self.gone[sidecar];
+        if let (true, Event::ToSidecar { router, id, attempt, .. }) = (gone, event) {
+            let (router, id, attempt) = (*router, *id, *attempt);
+            let event = Event::Lost { router, id, attempt, sent: false };
+            self.queue.add(self.later(), event);
+        }
+        gone
+    }
+
+    fn vanish(&mut self) {
+        let Some(loss) = self.setup.loss else { return };
+        for place in (0..self.gone.len()).step_by(loss.every) {
+            self.gone[place] = true;
+        }
+        let mut origins: Vec<_> =
+            self.origins.extract_if(|(place, _), _| self.gone[*place]).collect();
+        origins.sort_unstable_by_key(|((place, call), _)| (*place, *call));
+        for (_, Origin { router, id, attempt }) in origins {
+            if router != usize::MAX {
+                let event = Event::Lost { router, id, attempt, sent: true };
+                self.queue.add(self.now + Millis(self.setup.delay_ms), event);
+            }
+        }
+    }
+
+    /// The platform's list shows who is left.
+    fn list(&mut self) {
+        let mut list = hosts(self.setup.sidecars, 1, 3);
+        let mut place = 0;
+        list.retain(|_| {
+            place += 1;
+            !self.gone[place - 1]
+        });
+        let peers: Vec<_> = list
+            .iter()
+            .map(|it| Peer { name: it.name.clone(), address: it.address.clone() })
+            .collect();
+        for router in &mut self.routers {
+            router.apply(routing::Event::Hosts(list.clone()), self.now);
+        }
+        for place in 0..self.sidecars.len() {
+            if !self.gone[place] {
+                self.apply_sidecar(place, admission::Event::Peers(peers.clone()));
+            }
+        }
+    }
+
     fn arrive(&mut self, place: usize) {
         let load = self.loads[place].clone();
         if self.now.0 >= load.until_ms {
@@ -355,8 +450,9 @@
         if load == weight {
             return;
         }
-        let total: u64 = self.sidecars.iter().map(admission::State::load).sum();
-        let members = u32::try_from(self.sidecars.len()).unwrap_or(u32::MAX);
+        let living = || self.sidecars.iter().zip(&self.gone).filter(|(_, gone)| !**gone);
+        let total: u64 = living().map(|(it, _)| it.load()).sum();
+        let members = u32::try_from(living().count()).unwrap_or(u32::MAX);
         let bound = Bound { margin: 0.0, ..self.setup.admission.bound };
         let ceiling = bound.ceiling(Pool { load: total - weight, members }, weight);
         let over = ratio(load, ceiling);
