Find chats again that had to go elsewhere

Change: the home's sidecar keeps a bounded directory, is asked first even if believed full, and sends returning chats to their two latest places; refusals over load have a budget of their own; a sidecar's word counts for 0.3 s.

--- a/components/admission/src/call.rs
+++ b/components/admission/src/call.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Stage {
     /// It waits for a slot.
-    Queued(Open),
+    Queued(Box<Open>),
     /// It was handed to the upstream, which has not answered.
     Running,
     /// The upstream answers.
--- a/components/admission/src/event.rs
+++ b/components/admission/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use errors::Kind;
 use placement::Pool;
-use wire::{Frame, Open, Report};
+use wire::{Frame, Note, Open, Report};
 
 /// A sidecar's own number for one attempt of a request.
 pub type CallId = u64;
@@ -67,6 +67,8 @@
         /// The report.
         report: Report,
     },
+    /// A chat was answered elsewhere.
+    Note(Note),
     /// The platform's list of the other members of the pool came.
     Peers(Vec<Peer>),
     /// Time passed.
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! returns [`Effect`]s for the edge to carry out.
 
 mod call;
+mod directory;
 mod event;
 mod keys;
 mod pool;
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -21,6 +21,8 @@
     /// How long a large change of load may wait for its report, in
     /// milliseconds.
     pub report_soon_ms: u64,
+    /// The most chats whose context is known to be elsewhere.
+    pub chats: usize,
     /// The most idempotency keys remembered; no further one is taken above it.
     pub keys: usize,
     /// The most bytes of stored answers; the oldest are dropped above it.
@@ -38,6 +40,7 @@
             report_keep_ms: 3_000,
             report_every_ms: 250,
             report_soon_ms: 50,
+            chats: 8_192,
             keys: 200_000,
             answers_bytes: 16 * 1024 * 1024,
             answer_bytes: 1024 * 1024,
--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -6,9 +6,10 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 use placement::Pool;
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Open, Refused, Report, Vitals};
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Open, Refused, Report, Vitals};
 
 use crate::call::{Answer, Call, Stage};
+use crate::directory::Directory;
 use crate::keys::{Keys, Verdict, digest};
 use crate::pool::Tree;
 use crate::queue::Queue;
@@ -31,6 +32,7 @@
     load: u64,
     keys: Keys,
     tree: Tree,
+    directory: Directory,
     run_ms: u64,
     leaving: bool,
 }
@@ -50,6 +52,7 @@
             load: 0,
             keys: Keys::default(),
             tree,
+            directory: Directory::default(),
             run_ms: 0,
             leaving: false,
         }
@@ -103,6 +106,7 @@
             Event::Failed { call, kind } => self.failed(call, kind),
             Event::Pool { pool, sum } => self.hear_pool(pool, sum, now),
             Event::Report { call, report } => self.report(call, &report, now),
+            Event::Note(note) => self.note(note),
             Event::Peers(peers) => self.peers(peers, now),
             Event::Tick => self.tick(now),
             Event::Leave => self.leave(),
@@ -120,21 +124,26 @@
 
     fn open(&mut self, id: CallId, open: Open, now: Millis) -> Vec<Effect> {
         if open.incarnation != 0 && open.incarnation != self.incarnation {
-            return self.refuse(id, Kind::KeyOwnerGone);
+            return self.refuse(id, Kind::KeyOwnerGone, Vec::new());
         }
+        let hints = self.hints(&open);
         if let Some(key) = &open.once {
             match self.keys.take(key, digest(&open), &self.settings) {
                 Verdict::First => {}
                 Verdict::Replay(answer) => return self.replay(id, open.attempt, &answer),
-                Verdict::Refuse(kind) => return self.refuse(id, kind),
+                Verdict::Refuse(kind) => return self.refuse(id, kind, Vec::new()),
             }
         }
         if let Some(kind) = self.objection(&open) {
             if let Some(key) = &open.once {
                 self.keys.release(key);
             }
-            return self.refuse(id, kind);
+            return self.refuse(id, kind, hints);
         }
+        if !hints.is_empty() {
+            return self.refuse(id, Kind::Moved, hints);
+        }
+        self.directory.forget(open.chat);
         self.load += open.weight;
         let call = Call {
             attempt: open.attempt,
@@ -144,7 +153,7 @@
             started: now,
             deadline: now + Millis(open.remaining_ms),
             key: open.once.clone(),
-            stage: Stage::Queued(open),
+            stage: Stage::Queued(Box::new(open)),
             chunks: 0,
             bytes: 0,
             wanted: true,
@@ -183,9 +192,18 @@
         ahead * self.run_ms / self.settings.slots.max(1) as u64
     }
 
-    fn refuse(&self, call: CallId, kind: Kind) -> Vec<Effect> {
+    /// The upstreams that a chat's context is at, if the chat is looked for here
+    /// and is known to be elsewhere.
+    fn hints(&self, open: &Open) -> Vec<Arc<str>> {
+        if !open.home || open.once.is_some() {
+            return Vec::new();
+        }
+        self.directory.find(open.chat).to_vec()
+    }
+
+    fn refuse(&self, call: CallId, kind: Kind, hints: Vec<Arc<str>>) -> Vec<Effect> {
         let retry_after_ms = self.wait_ms().max(self.run_ms);
-        let refused = Refused { kind, retry_after_ms, vitals: self.vitals() };
+        let refused = Refused { kind, retry_after_ms, hints, vitals: self.vitals() };
         vec![Effect::Finish { call, frame: Frame::Refused(refused) }]
     }
 
@@ -203,7 +221,7 @@
             };
             call.started = now;
             self.running += 1;
-            effects.push(Effect::Run { call: id, open });
+            effects.push(Effect::Run { call: id, open: *open });
         }
     }
 
@@ -271,7 +289,12 @@
         }
         let frame = if kind.row().outcome == Outcome::NotRun {
             let retry_after_ms = self.run_ms;
-            Frame::Refused(Refused { kind, retry_after_ms, vitals: self.vitals() })
+            Frame::Refused(Refused {
+                kind,
+                retry_after_ms,
+                hints: Vec::new(),
+                vitals: self.vitals(),
+            })
         } else {
             Frame::Broken(Broken { attempt: call.attempt, kind })
         };
@@ -368,6 +391,11 @@
         vec![Effect::Finish { call, frame }]
     }
 
+    fn note(&mut self, note: Note) -> Vec<Effect> {
+        self.directory.note(note.chat, note.upstream, self.settings.chats);
+        Vec::new()
+    }
+
     fn peers(&mut self, peers: Vec<Peer>, now: Millis) -> Vec<Effect> {
         self.tree.list(peers, now);
         Vec::new()
--- a/components/admission/tests/stateful.rs
+++ b/components/admission/tests/stateful.rs
@@ -241,6 +241,8 @@
             request: format!("r{call}").into(),
             attempt: 1,
             workspace: format!("w{workspace}").into(),
+            chat: call % 7,
+            home: call.is_multiple_of(2),
             priority: 0,
             remaining_ms: remaining,
             weight,
--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -95,6 +95,8 @@
     QueueFull: 503 NotRun true true "the upstream's queue is full";
     /// The request would wait past its deadline.
     WouldMiss: 503 NotRun true true "the deadline can't be met";
+    /// The chat's context is at another upstream.
+    Moved: 503 NotRun true true "the chat's context is at another upstream";
     /// The upstream is leaving.
     Leaving: 503 NotRun true true "the upstream is leaving";
     /// The sidecar can't reach its upstream.
--- a/components/experiment/src/lib.rs
+++ b/components/experiment/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`admission::State`]s between each other. [`World`] measures what the
 //! reducers decide together, [`slopes`] what they cost.
 
+mod cache;
 mod document;
+pub mod placement;
 mod queue;
 pub mod slopes;
 pub mod surge;
@@ -13,4 +15,4 @@
 
 pub use document::{document, hosts};
 pub use queue::Queue;
-pub use world::{Load, Loss, Outcome, Setup, World};
+pub use world::{Churn, Load, Loss, Outcome, Setup, World};
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -171,7 +171,12 @@
         sum: false,
     };
     let pool = placement::Pool { load: 5_000_000, members: 140 };
-    let refused = wire::Refused { kind: errors::Kind::OverBound, retry_after_ms: 250, vitals };
+    let refused = wire::Refused {
+        kind: errors::Kind::OverBound,
+        retry_after_ms: 250,
+        hints: Vec::new(),
+        vitals,
+    };
     let frames = [
         ("report", Frame::Report(report)),
         ("pool", Frame::Pool(pool)),
@@ -246,6 +251,8 @@
         request: format!("entry-17-1a236c6ad5d-{call:x}").into(),
         attempt: 1,
         workspace: format!("workspace-{}", call % 10).into(),
+        chat: 0,
+        home: false,
         priority: 0,
         remaining_ms: 60_000,
         weight: 1_000,
--- a/components/experiment/src/surge.rs
+++ b/components/experiment/src/surge.rs
@@ -84,6 +84,8 @@
         seed: variant.seed,
         routers: 3,
         sidecars: variant.engines,
+        cache_tokens: 0,
+        churn: None,
         loss: variant.loss.then_some(LOSS),
         delay_ms: 1,
         tokens_per_second: variant.shape.tokens_per_second(),
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -1,6 +1,6 @@
 //! Routers, sidecars and engines, and the frames between them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use admission::Peer;
@@ -13,12 +13,16 @@
 use routing::Ask;
 use wire::{Frame, Open};
 
+use crate::cache::Cache;
 use crate::queue::Queue;
 use crate::{document, hosts};
 
 /// How often a sidecar is told that time passed, in milliseconds.
 const TICK_MS: u64 = 20;
 
+/// The tokens of a chat's context in a cache.
+const CHAT_TOKENS: u64 = 500;
+
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -32,6 +36,10 @@
     pub delay_ms: u64,
     /// The tokens that an engine makes a second for one request.
     pub tokens_per_second: u64,
+    /// The tokens that an engine's cache holds.
+    pub cache_tokens: u64,
+    /// One engine after the other vanishes and returns cold, if at all.
+    pub churn: Option<Churn>,
     /// What is lost on the way, if anything.
     pub loss: Option<Loss>,
     /// The routers' settings.
@@ -51,6 +59,17 @@
     pub list_lag_ms: u64,
 }
 
+/// A rolling restart without end: engines vanish in turn and return cold.
+#[derive(Clone, Copy, Debug)]
+pub struct Churn {
+    /// From one vanishing to the next, in milliseconds.
+    pub every_ms: u64,
+    /// How long an engine is gone, in milliseconds.
+    pub gone_ms: u64,
+    /// When the platform's list shows a change, in milliseconds after.
+    pub list_lag_ms: u64,
+}
+
 /// The requests of one workspace.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -89,6 +108,15 @@
     /// The worst ratio of an engine's load to the pool's true mean, while the
     /// mean is above the floor.
     pub worst_skew: f64,
+    /// Tokens of chats that came back.
+    pub returning: u64,
+    /// Those of them whose chat was in the cache of the engine that ran them.
+    pub found: u64,
+    /// Those of them whose chat was in the cache of that or another engine that
+    /// could have run them under the bound.
+    pub findable: u64,
+    /// Notes of where a chat is.
+    pub notes: u64,
     /// Bytes of load reports and their answers.
     pub report_bytes: u64,
     /// Load reports that the busiest sidecar took.
@@ -107,7 +135,10 @@
     Pool { sidecar: usize, pool: Pool, sum: bool },
     Lost { router: usize, id: u64, attempt: u32, sent: bool },
     Vanish,
+    Restart(usize),
+    Return(usize),
     List,
+    Note { sidecar: usize, note: wire::Note },
 }
 
 /// Where a call's frames go.
@@ -135,6 +166,10 @@
     over_rule: Vec<f64>,
     gone: Vec<bool>,
     reports: Vec<u64>,
+    caches: Vec<Cache>,
+    chats: HashMap<u64, u64>,
+    seen: HashSet<u64>,
+    lives: Vec<u64>,
 }
 
 impl std::fmt::Debug for World {
@@ -195,6 +230,10 @@
             over_rule: Vec::new(),
             gone: vec![false; setup_sidecars],
             reports: vec![0; setup_sidecars],
+            caches: vec![Cache::default(); setup_sidecars],
+            chats: HashMap::new(),
+            seen: HashSet::new(),
+            lives: vec![1; setup_sidecars],
         };
         world.begin();
         world
@@ -205,6 +244,9 @@
             let at = self.random.random_range(0..TICK_MS);
             self.queue.add(Millis(at), Event::Tick(place));
         }
+        if let Some(churn) = self.setup.churn {
+            self.queue.add(Millis(churn.every_ms), Event::Restart(0));
+        }
         if let Some(loss) = self.setup.loss {
             self.queue.add(Millis(loss.at_ms), Event::Vanish);
             self.queue.add(Millis(loss.at_ms + loss.list_lag_ms), Event::List);
@@ -257,6 +299,7 @@
                 self.apply_router(router, id, event);
             }
             Event::Ended { sidecar, call } => {
+                self.keep(sidecar, call);
                 let headers = Vec::new();
                 let head = admission::Event::Head { call, status: 200, headers };
                 self.apply_sidecar(sidecar, head);
@@ -274,7 +317,17 @@
             Event::Lost { router, id, attempt, sent } => {
                 self.apply_router(router, id, routing::Event::Lost { id, attempt, sent });
             }
-            Event::Vanish => self.vanish(),
+            Event::Vanish => {
+                for place in (0..self.gone.len()).step_by(self.setup.loss.map_or(1, |it| it.every))
+                {
+                    self.vanish(place);
+                }
+            }
+            Event::Restart(place) => self.restart(place),
+            Event::Return(place) => self.come_back(place),
+            Event::Note { sidecar, note } => {
+                self.apply_sidecar(sidecar, admission::Event::Note(note));
+            }
             Event::List => self.list(),
             Event::Pool { sidecar, pool, sum } => {
                 self.apply_sidecar(sidecar, admission::Event::Pool { pool, sum });
@@ -290,6 +343,7 @@
             | Event::Ended { sidecar, .. }
             | Event::Report { sidecar, .. }
             | Event::Pool { sidecar, .. }
+            | Event::Note { sidecar, .. }
             | Event::Tick(sidecar) => *sidecar,
             _ => return false,
         };
@@ -302,22 +356,42 @@
         gone
     }
 
-    fn vanish(&mut self) {
-        let Some(loss) = self.setup.loss else { return };
-        for place in (0..self.gone.len()).step_by(loss.every) {
-            self.gone[place] = true;
-        }
-        let mut origins: Vec<_> =
-            self.origins.extract_if(|(place, _), _| self.gone[*place]).collect();
-        origins.sort_unstable_by_key(|((place, call), _)| (*place, *call));
+    fn vanish(&mut self, lost: usize) {
+        self.gone[lost] = true;
+        let mut origins: Vec<_> = self.origins.extract_if(|(place, _), _| *place == lost).collect();
+        origins.sort_unstable_by_key(|((_, call), _)| *call);
         for (_, Origin { router, id, attempt }) in origins {
             if router != usize::MAX {
                 let event = Event::Lost { router, id, attempt, sent: true };
-                self.queue.add(self.now + Millis(self.setup.delay_ms), event);
+                self.queue.add(self.later(), event);
             }
         }
     }
 
+    /// One step of a rolling restart.
+    fn restart(&mut self, place: usize) {
+        let Some(churn) = self.setup.churn else { return };
+        self.vanish(place);
+        let next = (place + 1) % self.gone.len();
+        self.queue.add(self.now + Millis(churn.list_lag_ms), Event::List);
+        self.queue.add(self.now + Millis(churn.gone_ms), Event::Return(place));
+        self.queue.add(self.now + Millis(churn.every_ms), Event::Restart(next));
+    }
+
+    /// The engine and its sidecar are there again, and know nothing.
+    fn come_back(&mut self, place: usize) {
+        let lag = self.setup.churn.map_or(0, |it| it.list_lag_ms);
+        self.gone[place] = false;
+        self.lives[place] += 1;
+        self.caches[place] = Cache::default();
+        let host = hosts(self.setup.sidecars, 1, 3).swap_remove(place);
+        let own = Peer { name: host.name.clone(), address: host.address };
+        self.sidecars[place] =
+            admission::State::new(self.setup.admission.clone(), own, self.lives[place]);
+        self.queue.add(self.now + Millis(TICK_MS), Event::Tick(place));
+        self.queue.add(self.now + Millis(lag), Event::List);
+    }
+
     /// The platform's list shows who is left.
     fn list(&mut self) {
         let mut list = hosts(self.setup.sidecars, 1, 3);
@@ -330,8 +404,16 @@
             .iter()
             .map(|it| Peer { name: it.name.clone(), address: it.address.clone() })
             .collect();
+        let welcomes: Vec<_> = peers
+            .iter()
+            .map(|it| (it.name.clone(), self.sidecars[self.by_name[&it.name]].vitals()))
+            .collect();
         for router in &mut self.routers {
             router.apply(routing::Event::Hosts(list.clone()), self.now);
+            for (name, vitals) in &welcomes {
+                let welcome = wire::Welcome { name: name.clone(), vitals: *vitals };
+                router.apply(routing::Event::Met(welcome), self.now);
+            }
         }
         for place in 0..self.sidecars.len() {
             if !self.gone[place] {
@@ -354,13 +436,15 @@
         let gap = gap.round() as u64;
         self.queue.add(self.now + Millis(gap), Event::Arrive(place));
         self.next_id += 1;
+        let chat = self.random.random_range(0..load.chats);
+        self.chats.insert(self.next_id, chat << 8 | load.workspace as u64);
         let ask = Ask {
             id: self.next_id,
             request: format!("r{}", self.next_id).into(),
             workspace: format!("workspace-{}", load.workspace).into(),
             kind: "chat".into(),
             model: Some("model-0".into()),
-            chat: format!("chat-{}", self.random.random_range(0..load.chats)).into(),
+            chat: format!("chat-{chat}").into(),
             once: None,
             weight: self.random.random_range(load.least..=load.greatest),
             deadline: None,
@@ -382,12 +466,17 @@
             match effect {
                 routing::Effect::Send(attempt) => {
                     self.outcome.attempts += 1;
-                    let open = Box::new(open(id, attempt.number, attempt.weight));
+                    let open = Box::new(open(id, &attempt));
                     let sidecar = self.by_name[&attempt.upstream];
                     let attempt = attempt.number;
                     let event = Event::ToSidecar { router, id, attempt, sidecar, open };
                     self.queue.add(self.later(), event);
                 }
+                routing::Effect::Note { upstream, note, .. } => {
+                    self.outcome.notes += 1;
+                    let sidecar = self.by_name[&upstream];
+                    self.queue.add(self.later(), Event::Note { sidecar, note });
+                }
                 routing::Effect::Finish => self.outcome.answered += 1,
                 routing::Effect::Fail(_) | routing::Effect::Cut(_) => self.outcome.refused += 1,
                 _ => {}
@@ -399,6 +488,7 @@
         for effect in self.sidecars[place].apply(event, self.now) {
             match effect {
                 admission::Effect::Run { call, open } => {
+                    self.look_up(place, call, open.weight);
                     let ms = open.weight * 1_000 / self.setup.tokens_per_second;
                     let at = self.now + Millis(ms.max(1));
                     self.queue.add(at, Event::Ended { sidecar: place, call });
@@ -439,6 +529,53 @@
         self.outcome.report_bytes += bytes as u64;
     }
 
+    fn chat_of(&self, place: usize, call: u64) -> Option<u64> {
+        let origin = self.origins.get(&(place, call))?;
+        self.chats.get(&origin.id).copied()
+    }
+
+    /// Counts whether a returning chat is found in the engine's cache.
+    fn look_up(&mut self, place: usize, call: u64, weight: u64) {
+        let Some(chat) = self.chat_of(place, call) else { return };
+        if !self.seen.contains(&chat) {
+            return;
+        }
+        self.outcome.returning += weight;
+        let found = self.caches[place].touch(chat);
+        let findable = found || self.is_findable(place, chat, weight);
+        self.outcome.found += if found { weight } else { 0 };
+        self.outcome.findable += if findable { weight } else { 0 };
+    }
+
+    /// Whether an engine other than `place` holds the chat and could have taken
+    /// it under the bound, with the pool's true load: what a placer would do
+    /// that knows everything.
+    fn is_findable(&self, place: usize, chat: u64, weight: u64) -> bool {
+        let pool = self.true_pool();
+        let without = Pool { load: pool.load.saturating_sub(weight), ..pool };
+        let bound = Bound { margin: 0.0, ..self.setup.admission.bound };
+        (0..self.sidecars.len()).any(|it| {
+            it != place
+                && !self.gone[it]
+                && self.caches[it].holds(chat)
+                && bound.admits(self.sidecars[it].load(), weight, without)
+        })
+    }
+
+    fn true_pool(&self) -> Pool {
+        let living = || self.sidecars.iter().zip(&self.gone).filter(|(_, gone)| !**gone);
+        let load = living().map(|(it, _)| it.load()).sum();
+        Pool { load, members: u32::try_from(living().count()).unwrap_or(u32::MAX) }
+    }
+
+    /// Puts a chat's context into the engine's cache.
+    fn keep(&mut self, place: usize, call: u64) {
+        let Some(chat) = self.chat_of(place, call) else { return };
+        self.seen.insert(chat);
+        let most = self.setup.cache_tokens / CHAT_TOKENS;
+        self.caches[place].store(chat, usize::try_from(most).unwrap_or(usize::MAX));
+    }
+
     fn later(&self) -> Millis {
         self.now + Millis(self.setup.delay_ms)
     }
@@ -450,9 +587,7 @@
         if load == weight {
             return;
         }
-        let living = || self.sidecars.iter().zip(&self.gone).filter(|(_, gone)| !**gone);
-        let total: u64 = living().map(|(it, _)| it.load()).sum();
-        let members = u32::try_from(living().count()).unwrap_or(u32::MAX);
+        let Pool { load: total, members } = self.true_pool();
         let bound = Bound { margin: 0.0, ..self.setup.admission.bound };
         let ceiling = bound.ceiling(Pool { load: total - weight, members }, weight);
         let over = ratio(load, ceiling);
@@ -475,14 +610,16 @@
     ms as f64 / 1_000.0
 }
 
-fn open(id: u64, attempt: u32, weight: u64) -> Open {
+fn open(id: u64, attempt: &routing::Attempt) -> Open {
     Open {
         request: format!("r{id}").into(),
-        attempt,
+        attempt: attempt.number,
         workspace: "workspace-0".into(),
+        chat: attempt.chat,
+        home: attempt.home,
         priority: 0,
-        remaining_ms: 60_000,
-        weight,
+        remaining_ms: attempt.remaining.0,
+        weight: attempt.weight,
         incarnation: 0,
         once: None,
         generation: 1,
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -31,6 +31,11 @@
         self.write(frame, true).await
     }
 
+    /// Ends this half without a frame.
+    pub fn end(&mut self) {
+        let _ = self.stream.send_data(Bytes::new(), true);
+    }
+
     /// Resets the stream, which the other side sees as a cancel.
     pub fn reset(&mut self) {
         self.stream.send_reset(h2::Reason::CANCEL);
--- a/components/placement/tests/rendezvous.rs
+++ b/components/placement/tests/rendezvous.rs
@@ -44,7 +44,8 @@
         members in 1..50_u32,
     ) {
         let bound = Bound { multiple: 1.25, floor: 3_000, margin: 0.0 };
-        let share = (1.25 * (total + weight) as f64 / f64::from(members)) as u64;
+        // 1.25 as 5 / 4, in whole numbers.
+        let share = 5 * (total + weight) / (4 * u64::from(members));
         let naive = load == 0 || load + weight <= share.max(3_000);
         prop_assert_eq!(bound.admits(load, weight, Pool { load: total, members }), naive);
     }
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -10,7 +10,9 @@
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
 use spdlog::{error, info};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::JoinSet;
+use wire::Frame;
 
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
@@ -26,12 +28,13 @@
 }
 
 /// Starts the tasks; they end when the stop is finished.
-pub(crate) fn spawn(core: &Rc<Core>) {
+pub(crate) fn spawn(core: &Rc<Core>, outbox: UnboundedReceiver<Effect>) {
     let core = core.clone();
     ntex::rt::spawn(async move {
         let mut tasks = JoinSet::new();
         tasks.spawn_local(follow_hosts(core.clone()));
         tasks.spawn_local(follow_intents(core.clone()));
+        tasks.spawn_local(send_notes(core.clone(), outbox));
         core.stop.asked().await;
         tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
         core.apply(Event::Drain);
@@ -111,3 +114,20 @@
 fn changed(path: &str) -> Option<SystemTime> {
     Path::new(path).metadata().ok()?.modified().ok()
 }
+
+/// Tells first upstreams in rank where chats are; a lost note costs a chat its
+/// context, no more.
+async fn send_notes(core: Rc<Core>, mut outbox: UnboundedReceiver<Effect>) {
+    let patience = Duration::from_millis(core.settings.connect_ms);
+    while let Some(effect) = outbox.recv().await {
+        let Effect::Note { upstream, address, note } = effect else { continue };
+        let frame = Frame::Note(note);
+        core.metrics.control("note", wire::encode(&frame).map_or(0, |it| it.len()));
+        let told = async {
+            if let Ok((mut call, _)) = core.links.call(&upstream, &address, &frame).await {
+                let _ = call.next().await;
+            }
+        };
+        let _ = tokio::time::timeout(patience, told).await;
+    }
+}
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -12,6 +12,7 @@
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use wire::Hello;
 
 use crate::background;
@@ -28,6 +29,7 @@
     pub stop: process::Stop,
     pub store: Option<platform::Store>,
     pub decisions: RefCell<Decisions>,
+    notes: UnboundedSender<Effect>,
     pub metrics: Metrics,
     pub tracer: Tracer,
     state: RefCell<State>,
@@ -52,6 +54,7 @@
         };
         let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
         let links = Links::new(hello, Duration::from_millis(settings.connect_ms));
+        let (notes, outbox) = unbounded_channel();
         let metrics = Metrics::new(SERVICE);
         let tracer = match &settings.traces_url {
             Some(url) => Tracer::new(SERVICE, &settings.name, url),
@@ -65,13 +68,14 @@
             stop,
             store,
             decisions,
+            notes,
             metrics,
             tracer,
             state: RefCell::new(state),
             started,
             requests: Cell::new(0),
         });
-        background::spawn(&core);
+        background::spawn(&core, outbox);
         core
     }
 
@@ -89,6 +93,11 @@
         effects
     }
 
+    /// Hands a note to the task that sends them; nobody waits for it.
+    pub(crate) fn tell(&self, note: Effect) {
+        let _ = self.notes.send(note);
+    }
+
     /// Counts, logs and keeps the decision on a request that has ended.
     pub(crate) fn record(&self, decision: &Arc<Decision>, trace: &str) {
         let error: Option<&'static str> = decision.error.map(Into::into);
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -138,6 +138,7 @@
             Effect::Cancel => self.call = None,
             Effect::Bind { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
+            Effect::Note { .. } => self.core.tell(effect),
             Effect::Record(_) | Effect::Connect { .. } | Effect::Drained => {}
         }
         None
@@ -187,6 +188,8 @@
             request: self.request.clone(),
             attempt: attempt.number,
             workspace: self.workspace.clone(),
+            chat: attempt.chat,
+            home: attempt.home,
             priority: attempt.priority,
             remaining_ms: attempt.remaining.0,
             weight: attempt.weight,
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -5,12 +5,13 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 use intents::Miss;
+use placement::key;
 
 use crate::choice::Choice;
 use crate::request::{Phase, Request};
 use crate::state::State;
 use crate::upstream::OVER_BOUND;
-use crate::{Ask, Attempt, Decision, Effect, Owner, Try};
+use crate::{Ask, Attempt, Decision, Effect, Owner, Policy, Try};
 
 impl State {
     pub(crate) fn ask(&mut self, ask: Ask, now: Millis) -> Vec<Effect> {
@@ -32,7 +33,7 @@
         if !target.repeatable && ask.once.is_none() {
             return self.refuse(&ask, Kind::KeyMissing, "", now);
         }
-        let Choice { candidates, passed } =
+        let Choice { candidates, passed, home } =
             self.index.choose(&self.upstreams, target.intent, &ask, &self.settings, now);
         let allowed = Millis(target.intent.deadline_ms);
         let id = ask.id;
@@ -49,10 +50,13 @@
                 generation: plan.generation(),
                 candidates,
                 passed,
+                home: home.filter(|_| self.settings.policy == Policy::Directory),
+                hints: Vec::new(),
                 tries: Vec::new(),
             },
         );
         self.budget.earn();
+        self.hops.earn();
         self.start(id, now)
     }
 
@@ -134,7 +138,8 @@
         let request = self.requests.get_mut(&id)?;
         let error = request.tries.last().and_then(|it| it.error);
         let crowded = matches!(error, Some(Kind::OverBound | Kind::QueueFull | Kind::WouldMiss));
-        if !crowded {
+        let hinted = request.candidates.last().is_some_and(|it| request.hints.contains(it));
+        if !crowded || hinted {
             return request.candidates.pop();
         }
         let load = |name: &Arc<str>| self.upstreams.get(name).map_or(u64::MAX, |it| it.vitals.load);
@@ -163,6 +168,8 @@
             priority: request.priority,
             remaining: now.until(request.deadline),
             generation: request.generation,
+            chat: key(&request.ask.workspace, &request.ask.chat),
+            home: request.hints.is_empty() && request.home.as_ref() == Some(name),
         })]
     }
 
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -9,7 +9,7 @@
 use placement::{key, top};
 
 use crate::upstream::OVER_BOUND;
-use crate::{Ask, Passed, Settings, Upstream};
+use crate::{Ask, Passed, Policy, Settings, Upstream};
 
 /// The most upstreams that one request may be tried at.
 const MAX_CANDIDATES: usize = 16;
@@ -20,11 +20,14 @@
 /// The upstreams known, by name; the index relies on their places.
 pub(crate) type Upstreams = IndexMap<Arc<str>, Upstream>;
 
+/// An intent's name and the model that is asked for.
+type Question = (Arc<str>, Option<Arc<str>>);
+
 /// The upstreams that fit each intent and model, so that a request does not
 /// look at all of them. It is emptied when upstreams or intents change.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Index {
-    fitting: HashMap<(Arc<str>, Option<Arc<str>>), Arc<[usize]>>,
+    fitting: HashMap<Question, Arc<[usize]>>,
 }
 
 /// Where a request may go.
@@ -34,6 +37,8 @@
     pub candidates: Vec<Arc<str>>,
     /// The best of those that were passed over.
     pub passed: Vec<Passed>,
+    /// The first in rank of those that are up, whatever their load.
+    pub home: Option<Arc<str>>,
 }
 
 impl Index {
@@ -54,12 +59,17 @@
         let mut open = Vec::with_capacity(fitting.len());
         let mut objected = Vec::new();
         let mut lightest: Option<&Upstream> = None;
+        let mut up = Vec::new();
         for upstream in fitting.iter().map(|place| &upstreams[*place]) {
             let Some(why) = upstream.objection(ask.weight, settings, now) else {
                 open.push(upstream);
+                up.push(upstream);
                 continue;
             };
             objected.push((upstream, why));
+            if why == OVER_BOUND {
+                up.push(upstream);
+            }
             if why == OVER_BOUND && lightest.is_none_or(|it| upstream.load() < it.load()) {
                 lightest = Some(upstream);
             }
@@ -70,7 +80,16 @@
             open.extend(lightest);
         }
         let key = key(&ask.workspace, &ask.chat);
-        let best = top(key, open.into_iter(), MAX_CANDIDATES, |it| (it.name(), 1.0));
+        let home = top(key, up.into_iter(), 1, |it| (it.name(), 1.0)).pop();
+        let mut best = order(settings.policy, key, &ask.request, open);
+        if settings.policy == Policy::Directory
+            && let Some(home) = home.filter(|_| ask.is_chat())
+        {
+            // The home is asked first even if it is believed to be full: it
+            // knows where the chat's context is.
+            best.retain(|it| it.name() != home.name());
+            best.insert(0, home);
+        }
         let passed = top(key, objected.into_iter(), MAX_PASSED, |(it, _)| (it.name(), 1.0));
         Choice {
             candidates: best.into_iter().rev().map(|it| it.name().clone()).collect(),
@@ -78,6 +97,7 @@
                 .into_iter()
                 .map(|(it, why)| Passed { upstream: it.name().clone(), why })
                 .collect(),
+            home: home.filter(|_| ask.is_chat()).map(|it| it.name().clone()),
         }
     }
 
@@ -92,3 +112,24 @@
         self.fitting.entry(question).or_insert_with(find).clone()
     }
 }
+
+/// The best of `open`, the best first.
+fn order<'a>(
+    policy: Policy,
+    key: u64,
+    request: &str,
+    mut open: Vec<&'a Upstream>,
+) -> Vec<&'a Upstream> {
+    let ranked = |key, open: Vec<&'a Upstream>| {
+        top(key, open.into_iter(), MAX_CANDIDATES, |it| (it.name(), 1.0))
+    };
+    match policy {
+        Policy::Random => ranked(placement::key("", request), open),
+        Policy::Ranked | Policy::Directory => ranked(key, open),
+        Policy::Lightest => {
+            open.sort_by_key(|it| it.load());
+            open.truncate(MAX_CANDIDATES);
+            open
+        }
+    }
+}
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use errors::{Answer, Kind};
 use intents::{Labels, Plan};
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Refused, Welcome};
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Refused, Welcome};
 
 use crate::Decision;
 
@@ -94,6 +94,13 @@
     pub deadline: Option<Millis>,
 }
 
+impl Ask {
+    /// Whether it is a turn of a chat, which has a context to come back to.
+    pub fn is_chat(&self) -> bool {
+        self.model.is_some() && self.once.is_none()
+    }
+}
+
 /// An idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Once {
@@ -144,7 +151,8 @@
             | Frame::Welcome(_)
             | Frame::Open(_)
             | Frame::Report(_)
-            | Frame::Pool(_) => Self::Strange,
+            | Frame::Pool(_)
+            | Frame::Note(_) => Self::Strange,
         }
     }
 }
@@ -190,6 +198,15 @@
     Cancel,
     /// Keep a decision for explaining.
     Record(Arc<Decision>),
+    /// Tell a chat's first upstream in rank where its context is now.
+    Note {
+        /// The first upstream in rank.
+        upstream: Arc<str>,
+        /// The address of its sidecar.
+        address: Arc<str>,
+        /// What to tell.
+        note: Note,
+    },
     /// Connect to an upstream's sidecar.
     Connect {
         /// The upstream.
@@ -220,6 +237,10 @@
     pub remaining: Millis,
     /// The generation it was decided under.
     pub generation: u64,
+    /// The hash of workspace and chat.
+    pub chat: u64,
+    /// Whether the sidecar is asked for where the chat is.
+    pub home: bool,
 }
 
 impl Effect {
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -1,8 +1,11 @@
 //! What becomes of an attempt.
 
+use std::sync::Arc;
+
 use clock::Millis;
 use errors::{Kind, Outcome};
-use wire::{Broken, Chunk, End, Head, Refused, Vitals};
+use placement::key;
+use wire::{Broken, Chunk, End, Head, Note, Refused, Vitals};
 
 use crate::request::Phase;
 use crate::state::State;
@@ -46,9 +49,42 @@
 
     fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
         self.hear(id, refused.vitals, now);
+        if !refused.hints.is_empty() {
+            self.follow(id, &refused.hints);
+        }
         self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
     }
 
+    /// The chat's context is at `hints`: they are next, then the home itself.
+    fn follow(&mut self, id: u64, hints: &[Arc<str>]) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if !request.hints.is_empty() {
+            return;
+        }
+        request.hints = hints.to_vec();
+        request.candidates.retain(|it| !hints.contains(it));
+        let home = request.tries.last().map(|it| it.upstream.clone());
+        let listed = hints.iter().rev().filter(|it| self.upstreams.contains_key(*it));
+        request.candidates.extend(home.into_iter().chain(listed.cloned()));
+    }
+
+    /// What the chat's first upstream in rank is to be told, if it was answered
+    /// by another than it believes.
+    fn note(&self, id: u64) -> Option<Effect> {
+        let request = self.requests.get(&id)?;
+        let (home, served) = (request.home.as_ref()?, request.upstream()?);
+        if home == served || request.hints.first() == Some(served) {
+            return None;
+        }
+        let upstream = self.upstreams.get(home)?;
+        let chat = key(&request.ask.workspace, &request.ask.chat);
+        Some(Effect::Note {
+            upstream: home.clone(),
+            address: upstream.host.address.clone(),
+            note: Note { chat, upstream: served.clone() },
+        })
+    }
+
     fn admitted(&mut self, id: u64, vitals: Vitals, now: Millis) -> Vec<Effect> {
         self.hear(id, vitals, now);
         if let Some(request) = self.requests.get_mut(&id)
@@ -104,7 +140,8 @@
         if request.phase != whole {
             return self.cut(id, Kind::Truncated, now);
         }
-        let mut effects = vec![Effect::Finish];
+        let mut effects: Vec<_> = self.note(id).into_iter().collect();
+        effects.push(Effect::Finish);
         effects.extend(self.close(id, None, "", now));
         effects
     }
@@ -173,6 +210,18 @@
         effects
     }
 
+    /// Whether the budget for going on after `kind` has something left.
+    fn may_go_on(&mut self, kind: Kind) -> bool {
+        match kind {
+            // Following a chat to its context is not a retry.
+            Kind::Moved => true,
+            Kind::OverBound | Kind::QueueFull | Kind::WouldMiss | Kind::Leaving => {
+                self.hops.spend()
+            }
+            _ => self.budget.spend(),
+        }
+    }
+
     fn cut(&mut self, id: u64, kind: Kind, now: Millis) -> Vec<Effect> {
         let mut effects = vec![Effect::Cancel];
         effects.extend(self.fail(id, kind, 0, "", now));
@@ -197,7 +246,7 @@
         let allowed = request.attempt() < self.settings.max_attempts
             && request.deadline > now
             && !request.candidates.is_empty();
-        if safe && allowed && self.budget.spend() {
+        if safe && allowed && self.may_go_on(kind) {
             return self.attempt(id, now);
         }
         self.fail(id, kind, after, "", now)
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -34,6 +34,10 @@
     /// The candidates not tried yet, the next one last.
     pub candidates: Vec<Arc<str>>,
     pub passed: Vec<Passed>,
+    /// The chat's first upstream in rank, which keeps its directory entry.
+    pub home: Option<Arc<str>>,
+    /// Where the home said that the chat's context is.
+    pub hints: Vec<Arc<str>>,
     pub tries: Vec<Try>,
 }
 
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -3,10 +3,28 @@
 use placement::Bound;
 use serde::{Deserialize, Serialize};
 
+/// How an upstream is chosen among those that fit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Any; to compare with.
+    Random,
+    /// The one that is known to carry least; to compare with.
+    Lightest,
+    /// The first in rank by rendezvous hashing, under the load bound.
+    Ranked,
+    /// The same, and the first in rank knows where a chat went that could not
+    /// be served there.
+    #[default]
+    Directory,
+}
+
 /// The settings of the reducer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
+    /// How an upstream is chosen.
+    pub policy: Policy,
     /// The load bound, as far as the router applies it beforehand.
     pub bound: Bound,
     /// How long a sidecar's word on its load counts, in milliseconds.
@@ -17,6 +35,11 @@
     pub retry_share: f64,
     /// Retries that may be saved up.
     pub retry_burst: f64,
+    /// Hops to another upstream after a refusal over load, earned by each
+    /// request, as a share of one.
+    pub hop_share: f64,
+    /// Hops that may be saved up.
+    pub hop_burst: f64,
     /// How long an upstream is left alone after its first failure, in
     /// milliseconds; doubled with each further one.
     pub suspect_ms: u64,
@@ -34,11 +57,14 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            policy: Policy::default(),
             bound: Bound::default(),
-            fresh_ms: 2_000,
+            fresh_ms: 300,
             max_attempts: 4,
             retry_share: 0.2,
             retry_burst: 20.0,
+            hop_share: 1.0,
+            hop_burst: 50.0,
             suspect_ms: 250,
             suspect_max_ms: 10_000,
             connects: 64,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -22,7 +22,10 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) index: Index,
     pub(crate) requests: HashMap<u64, Request>,
+    /// Retries after faults.
     pub(crate) budget: Budget,
+    /// Hops after refusals over load, which did not run.
+    pub(crate) hops: Budget,
     pub(crate) draining: bool,
     pub(crate) random: ChaCha8Rng,
 }
@@ -31,6 +34,7 @@
     /// A router that knows nothing yet; `seed` decides its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let budget = Budget::new(settings.retry_share, settings.retry_burst);
+        let hops = Budget::new(settings.hop_share, settings.hop_burst);
         Self {
             settings,
             plan: None,
@@ -38,6 +42,7 @@
             index: Index::default(),
             requests: HashMap::new(),
             budget,
+            hops,
             draining: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -60,7 +60,7 @@
 
 fn acts() -> impl Strategy<Value = Act> {
     prop_oneof![
-        2 => prop_oneof![Just(Kind::OverBound), Just(Kind::Leaving), Just(Kind::UpstreamDown)]
+        2 => prop_oneof![Just(Kind::OverBound), Just(Kind::Leaving), Just(Kind::UpstreamDown), Just(Kind::Moved)]
             .prop_map(Act::Refuse),
         8 => Just(Act::Admit),
         8 => Just(Act::Head),
@@ -153,6 +153,7 @@
             { "name": "chat", "repeatable": true },
             { "name": "pickup", "repeatable": false },
         ],
+        "models": ["m"],
         "intents": [{ "name": "all", "upstreams": [] }],
     });
     Document::parse(&json.to_string()).expect("the document is right")
@@ -167,7 +168,7 @@
         name: format!("u{place}").into(),
         address: format!("a{place}").into(),
         domain: "d".into(),
-        labels: BTreeMap::new(),
+        labels: BTreeMap::from([("model".into(), "m".into())]),
         leaving,
     }
 }
@@ -283,7 +284,7 @@
             request: format!("r{id}").into(),
             workspace: "w".into(),
             kind: if once { "pickup" } else { "chat" }.into(),
-            model: None,
+            model: (!once).then(|| "m".into()),
             chat: format!("c{chat}").into(),
             once: once.then_some(key),
             weight: 100,
@@ -412,7 +413,8 @@
                 Effect::Record(decision) => {
                     self.seen_generations.insert(decision.generation);
                 }
-                Effect::Cancel | Effect::Connect { .. } | Effect::Drained => {}
+                Effect::Note { .. } | Effect::Cancel | Effect::Connect { .. } | Effect::Drained => {
+                }
             }
             assert!(record.ended <= 1, "request {id} got two final answers");
         }
@@ -429,7 +431,9 @@
     let chunk = |sequence| Reply::Chunk(Chunk { attempt, sequence, bytes: text(id, sequence) });
     let last = record.sent_chunks.saturating_sub(1);
     let reply = match act {
-        Act::Refuse(kind) => Reply::Refused(Refused { kind, retry_after_ms: 5, vitals }),
+        Act::Refuse(kind) => {
+            Reply::Refused(Refused { kind, retry_after_ms: 5, hints: Vec::new(), vitals })
+        }
         Act::Admit => Reply::Admitted(Admitted { vitals }),
         Act::Head => Reply::Head(Head { attempt, status: 200, headers: Vec::new() }),
         Act::Chunk | Act::Repeat => chunk(last),
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -245,6 +245,10 @@
     match exchange.frame {
         Frame::Open(open) => call::serve(core, open, exchange.sink).await,
         Frame::Report(report) => call::aggregate(core, report, exchange.sink).await,
+        Frame::Note(note) => {
+            core.apply(Event::Note(note));
+            exchange.sink.end();
+        }
         _ => exchange.sink.reset(),
     }
 }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -37,6 +37,8 @@
     Report(Report),
     /// The sum over the pool, in answer to `Report`.
     Pool(Pool),
+    /// Where a chat's context is now, told to its first upstream in rank.
+    Note(Note),
 }
 
 /// Who connects, and the proof that it may.
@@ -81,6 +83,11 @@
     pub attempt: u32,
     /// The workspace.
     pub workspace: Arc<str>,
+    /// The hash of workspace and chat.
+    pub chat: u64,
+    /// Whether this is the chat's first upstream in rank, which knows where the
+    /// chat's context is.
+    pub home: bool,
     /// Lower runs earlier.
     pub priority: i32,
     /// The time left until the caller's deadline, in milliseconds.
@@ -112,6 +119,9 @@
     pub kind: Kind,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
+    /// The other upstreams where the chat's context is known to be, the latest
+    /// first.
+    pub hints: Vec<Arc<str>>,
     /// The state of the sidecar.
     pub vitals: Vitals,
 }
@@ -181,3 +191,12 @@
     /// Whether it is a sum that a leader of the pool reports.
     pub sum: bool,
 }
+
+/// Where a chat's context is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The hash of workspace and chat.
+    pub chat: u64,
+    /// The upstream that answered the chat last.
+    pub upstream: Arc<str>,
+}
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -17,6 +17,8 @@
         request: "entry-1-0-1".into(),
         attempt: 2,
         workspace: "mesa".into(),
+        chat: 5,
+        home: true,
         priority: -3,
         remaining_ms: 4_000,
         weight: 77,
--- a/tests/end_to_end/observe.rs
+++ b/tests/end_to_end/observe.rs
@@ -36,7 +36,7 @@
         )
     };
     let server = web::HttpServer::new(factory).workers(1).disable_signals();
-    let _ = server.listen(listener).expect("it listens").run();
+    drop(server.listen(listener).expect("it listens").run());
     (format!("http://{address}"), spans)
 }
 
