Leave a sidecar that says nothing

Cause: a chat sent to a frozen sidecar waited for its whole deadline and was then told that it had expired (the new test: 504 after 30 s). Ruled out: the link, which stands as long as the frozen host's kernel answers. Change: a sidecar says at once whether it takes a request, so one that has said nothing for a second is taken for lost: what may be repeated goes elsewhere, the rest is told 'unknown' at once.

--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -60,6 +60,8 @@
     attempt: u32,
     upstream: Arc<str>,
     deadline: Option<Instant>,
+    /// When the sidecar must have said something; `None` once it has.
+    patience: Option<Instant>,
     over: bool,
 }
 
@@ -83,6 +85,7 @@
             attempt: 0,
             upstream: "".into(),
             deadline: None,
+            patience: None,
             over: false,
             core,
         };
@@ -167,11 +170,13 @@
         self.attempt = attempt.number;
         self.upstream = attempt.upstream.clone();
         let deadline = Instant::now() + attempt.remaining.duration();
+        let patience = Instant::now() + attempt.patience.duration();
         self.deadline = Some(deadline);
+        self.patience = Some(patience);
         let frame = Frame::Open(self.open(&attempt));
         let call = self.core.links.call(&attempt.upstream, &attempt.address, &frame);
         let (id, attempt) = (self.id, attempt.number);
-        match timeout_at(deadline, call).await {
+        match timeout_at(patience, call).await {
             Ok(Ok((call, welcome))) => {
                 self.call = Some(call);
                 if let Some(welcome) = welcome {
@@ -179,10 +184,21 @@
                 }
             }
             Ok(Err(fault)) => self.apply(Event::Lost { id, attempt, sent: !fault.nothing_sent() }),
-            Err(_) => self.apply(Event::Expire { id }),
+            Err(_) => self.late(),
         }
     }
 
+    /// The patience or the deadline has passed.
+    fn late(&mut self) {
+        let (id, attempt) = (self.id, self.attempt);
+        let event = if self.deadline.is_some_and(|it| it <= Instant::now()) {
+            Event::Expire { id }
+        } else {
+            Event::Stalled { id, attempt }
+        };
+        self.apply(event);
+    }
+
     fn open(&self, attempt: &Attempt) -> Open {
         Open {
             request: self.request.clone(),
@@ -204,19 +220,20 @@
         }
     }
 
-    /// Waits for the next frame, the loss of the link or the deadline.
+    /// Waits for the next frame, the loss of the link, the patience or the
+    /// deadline.
     async fn wait(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
         let Some(call) = &mut self.call else {
             return std::future::pending().await;
         };
-        let deadline = self.deadline.unwrap_or_else(Instant::now);
-        let event = match timeout_at(deadline, call.next()).await {
-            Ok(Ok(Some(frame))) => Event::Reply { id, attempt, reply: frame.into() },
-            Ok(Ok(None) | Err(_)) => Event::Lost { id, attempt, sent: true },
-            Err(_) => Event::Expire { id },
-        };
-        self.apply(event);
+        let latest = self.patience.or(self.deadline).unwrap_or_else(Instant::now);
+        let Ok(frame) = timeout_at(latest, call.next()).await else { return self.late() };
+        self.patience = None;
+        self.apply(match frame {
+            Ok(Some(frame)) => Event::Reply { id, attempt, reply: frame.into() },
+            Ok(None) | Err(_) => Event::Lost { id, attempt, sent: true },
+        });
     }
 }
 
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -167,6 +167,7 @@
             weight: request.ask.weight,
             priority: request.priority,
             remaining: now.until(request.deadline),
+            patience: Millis(self.settings.admit_ms).min(now.until(request.deadline)),
             generation: request.generation,
             chat: key(&request.ask.workspace, &request.ask.chat),
             home: request.hints.is_empty() && request.home.as_ref() == Some(name),
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -39,6 +39,13 @@
         /// Whether any byte of the request may have reached the sidecar.
         sent: bool,
     },
+    /// The sidecar has said nothing for the attempt's patience.
+    Stalled {
+        /// The request.
+        id: u64,
+        /// The attempt that was sent.
+        attempt: u32,
+    },
     /// The caller went away.
     Quit {
         /// The request.
@@ -235,6 +242,8 @@
     pub priority: i32,
     /// The time left.
     pub remaining: Millis,
+    /// How long the sidecar may take to say anything.
+    pub patience: Millis,
     /// The generation it was decided under.
     pub generation: u64,
     /// The hash of workspace and chat.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -182,6 +182,18 @@
         self.try_elsewhere(id, kind, 0, now)
     }
 
+    /// A sidecar that says nothing is frozen or cut off; the request may still
+    /// run there.
+    pub(crate) fn stalled(&mut self, id: u64, attempt: u32, now: Millis) -> Vec<Effect> {
+        let waiting = self.requests.get(&id).is_some_and(|it| it.phase == Phase::Sent);
+        if !waiting || !self.is_current(id, attempt) {
+            return Vec::new();
+        }
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.lost(id, attempt, true, now));
+        effects
+    }
+
     pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -40,6 +40,9 @@
     pub hop_share: f64,
     /// Hops that may be saved up.
     pub hop_burst: f64,
+    /// How long a sidecar may take to say whether it takes a request, in
+    /// milliseconds; it does so at once unless it is frozen or cut off.
+    pub admit_ms: u64,
     /// How long an upstream is left alone after its first failure, in
     /// milliseconds; doubled with each further one.
     pub suspect_ms: u64,
@@ -65,6 +68,7 @@
             retry_burst: 20.0,
             hop_share: 1.0,
             hop_burst: 50.0,
+            admit_ms: 1_000,
             suspect_ms: 250,
             suspect_max_ms: 10_000,
             connects: 64,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -80,6 +80,7 @@
             Event::Bound { id, owner } => self.bound(id, owner.as_ref(), now),
             Event::Reply { id, attempt, reply } => self.reply(id, attempt, reply, now),
             Event::Lost { id, attempt, sent } => self.lost(id, attempt, sent, now),
+            Event::Stalled { id, attempt } => self.stalled(id, attempt, now),
             Event::Quit { id } => self.quit(id, now),
             Event::Expire { id } => self.expire(id, now),
             Event::Hosts(hosts) => self.hosts(hosts, now),
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -33,6 +33,7 @@
     Break(Kind),
     Strange,
     LinkLost { ran: bool },
+    Stall { ran: bool },
     NeverSent,
 }
 
@@ -72,6 +73,7 @@
         1 => prop_oneof![Just(Kind::UpstreamLost), Just(Kind::Truncated)].prop_map(Act::Break),
         1 => Just(Act::Strange),
         2 => any::<bool>().prop_map(|ran| Act::LinkLost { ran }),
+        1 => any::<bool>().prop_map(|ran| Act::Stall { ran }),
         2 => Just(Act::NeverSent),
     ]
 }
@@ -325,7 +327,8 @@
                 record.ran += 1;
                 record.may_have_run += 1;
             }
-            Act::LinkLost { ran } => {
+            Act::Stall { .. } if admitted => return,
+            Act::LinkLost { ran } | Act::Stall { ran } => {
                 record.held = None;
                 if !admitted {
                     record.may_have_run += 1;
@@ -446,6 +449,7 @@
         }),
         Act::Break(kind) => Reply::Broken(Broken { attempt, kind }),
         Act::Strange => Reply::Strange,
+        Act::Stall { .. } => return Event::Stalled { id, attempt },
         Act::LinkLost { .. } => {
             return Event::Lost { id, attempt, sent: true };
         }
--- a/tests/end_to_end/failures.rs
+++ b/tests/end_to_end/failures.rs
@@ -278,3 +278,68 @@
     let stranger = listed().await.into_iter().find(|it| it["name"] == "engine-9");
     assert_eq!(stranger.expect("it is listed")["up"], false);
 }
+
+#[ntex::test]
+async fn a_frozen_sidecar_holds_up_no_chat_that_may_run_elsewhere() {
+    let fleet = Fleet::start(Layout { services: 0, ..Layout::default() }).await;
+    fleet.sidecars["engine-3"].signal(Signal::SIGSTOP);
+    let mut chats = JoinSet::new();
+    for place in 0..REQUESTS {
+        let caller = fleet.mesa(place % 2).await;
+        chats.spawn_local(async move {
+            let chat = chat(&format!("chat{place}"), 5, true);
+            let answer = caller.chat(&chat).await.expect("a whole answer");
+            assert_eq!(answer.text, truth(&chat));
+            assert_ne!(answer.upstream, "engine-3");
+        });
+    }
+    finish_streams(chats).await;
+}
+
+#[ntex::test]
+async fn a_killed_router_makes_no_call_run_twice() {
+    let mut fleet = Fleet::start(Layout { engines: 0, ..slow() }).await;
+    let calls = confirm_many(&fleet).await;
+    until(|| async { fleet.runs().len() > REQUESTS / 4 }).await;
+    fleet.routers[0].kill();
+    let first = collect(calls).await;
+    let cut = first.iter().filter(|(_, told)| told.as_ref().is_err_and(String::is_empty)).count();
+    assert!(cut > 0, "the kill came too late to matter");
+    // Every caller repeats its call through the other router until it is told.
+    let mut again = JoinSet::new();
+    for place in 0..REQUESTS {
+        let caller = fleet.courier(1).await;
+        again.spawn_local(async move {
+            let mut told = confirm(caller.clone(), place).await;
+            for _ in 0..20 {
+                if told.1.is_ok() {
+                    return told;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                told = confirm(caller.clone(), place).await;
+            }
+            told
+        });
+    }
+    let again = collect(again).await;
+    check_told(&fleet, &again);
+    assert!(again.iter().all(|(_, told)| told.is_ok()), "{again:?}");
+}
+
+#[ntex::test]
+async fn a_killed_sidecar_in_an_outage_of_the_store_makes_no_call_run_twice() {
+    let mut fleet = Fleet::start(Layout { engines: 0, ..slow() }).await;
+    let calls = confirm_many(&fleet).await;
+    until(|| async { fleet.runs().len() > REQUESTS / 4 }).await;
+    fleet.store.set_trouble(standin::Trouble::Down);
+    fleet.sidecars.get_mut("pickup-3").expect("it runs").kill();
+    check_told(&fleet, &collect(calls).await);
+    fleet.start_sidecar("pickup-3");
+    fleet.wait_until_met().await;
+    let during = collect(confirm_many(&fleet).await).await;
+    assert!(during.iter().all(|(_, told)| told == &Err("unknown".to_owned())), "{during:?}");
+    fleet.store.set_trouble(standin::Trouble::None);
+    let after = collect(confirm_many(&fleet).await).await;
+    check_told(&fleet, &after);
+    assert!(after.iter().any(|(_, told)| told.is_ok()));
+}
