--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -1,5 +1,11 @@
 //! Routers, sidecars and engines, and the frames between them.
 
+mod faults;
+mod measure;
+mod setup;
+
+pub use setup::{Churn, Load, Loss, Outcome, Setup};
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
@@ -7,7 +13,7 @@
 use bytes::Bytes;
 use clock::Millis;
 use intents::Plan;
-use placement::{Bound, Pool};
+use placement::Pool;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::Ask;
@@ -23,108 +29,6 @@
 /// The tokens of a chat's context in a cache.
 const CHAT_TOKENS: u64 = 500;
 
-/// What is run.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// The seed of everything that is drawn.
-    pub seed: u64,
-    /// Routers.
-    pub routers: usize,
-    /// Sidecars, each with an engine.
-    pub sidecars: usize,
-    /// One way between any two hosts, in milliseconds.
-    pub delay_ms: u64,
-    /// The tokens that an engine makes a second for one request.
-    pub tokens_per_second: u64,
-    /// The tokens that an engine's cache holds.
-    pub cache_tokens: u64,
-    /// One engine after the other vanishes and returns cold, if at all.
-    pub churn: Option<Churn>,
-    /// What is lost on the way, if anything.
-    pub loss: Option<Loss>,
-    /// The routers' settings.
-    pub routing: routing::Settings,
-    /// The sidecars' settings.
-    pub admission: admission::Settings,
-}
-
-/// Sidecars that vanish at one moment, with their engines.
-#[derive(Clone, Copy, Debug)]
-pub struct Loss {
-    /// When, in milliseconds.
-    pub at_ms: u64,
-    /// Every so manyth sidecar vanishes.
-    pub every: usize,
-    /// When the platform's list shows it, in milliseconds after.
-    pub list_lag_ms: u64,
-}
-
-/// A rolling restart without end: engines vanish in turn and return cold.
-#[derive(Clone, Copy, Debug)]
-pub struct Churn {
-    /// From one vanishing to the next, in milliseconds.
-    pub every_ms: u64,
-    /// How long an engine is gone, in milliseconds.
-    pub gone_ms: u64,
-    /// When the platform's list shows a change, in milliseconds after.
-    pub list_lag_ms: u64,
-}
-
-/// The requests of one workspace.
-#[derive(Clone, Debug)]
-pub struct Load {
-    /// The workspace.
-    pub workspace: usize,
-    /// When they begin, in milliseconds.
-    pub from_ms: u64,
-    /// When they end, in milliseconds.
-    pub until_ms: u64,
-    /// Requests a second.
-    pub rate: f64,
-    /// How many chats they belong to.
-    pub chats: u64,
-    /// The least weight of a request, in tokens.
-    pub least: u64,
-    /// The greatest weight of a request, in tokens.
-    pub greatest: u64,
-}
-
-/// What came of it.
-#[derive(Clone, Debug, Default, serde::Serialize)]
-pub struct Outcome {
-    /// Requests that came.
-    pub asked: u64,
-    /// Requests that were answered whole.
-    pub answered: u64,
-    /// Requests refused as not run.
-    pub refused: u64,
-    /// Attempts that were sent.
-    pub attempts: u64,
-    /// The worst ratio of an engine's load, just after an admission, to what
-    /// the rule allows with the true load of the pool.
-    pub worst_over_rule: f64,
-    /// The same in 999 of 1,000 admissions.
-    pub p999_over_rule: f64,
-    /// The worst ratio of an engine's load to the pool's true mean, while the
-    /// mean is above the floor.
-    pub worst_skew: f64,
-    /// Tokens of chats that came back.
-    pub returning: u64,
-    /// Those of them whose chat was in the cache of the engine that ran them.
-    pub found: u64,
-    /// Those of them whose chat was in the cache of that or another engine that
-    /// could have run them under the bound.
-    pub findable: u64,
-    /// Notes of where a chat is.
-    pub notes: u64,
-    /// Bytes of load reports and their answers.
-    pub report_bytes: u64,
-    /// Load reports that the busiest sidecar took.
-    pub busiest_reports: u64,
-    /// Simulated seconds.
-    pub seconds: f64,
-}
-
 enum Event {
     Arrive(usize),
     Tick(usize),
@@ -335,93 +239,6 @@
         }
     }
 
-    /// Whether the event is for a sidecar that has vanished; a router hears of
-    /// what it sent there.
-    fn is_for_gone(&mut self, event: &Event) -> bool {
-        let sidecar = match event {
-            Event::ToSidecar { sidecar, .. }
-            | Event::Ended { sidecar, .. }
-            | Event::Report { sidecar, .. }
-            | Event::Pool { sidecar, .. }
-            | Event::Note { sidecar, .. }
-            | Event::Tick(sidecar) => *sidecar,
-            _ => return false,
-        };
-        let gone = self.gone[sidecar];
-        if let (true, Event::ToSidecar { router, id, attempt, .. }) = (gone, event) {
-            let (router, id, attempt) = (*router, *id, *attempt);
-            let event = Event::Lost { router, id, attempt, sent: false };
-            self.queue.add(self.later(), event);
-        }
-        gone
-    }
-
-    fn vanish(&mut self, lost: usize) {
-        self.gone[lost] = true;
-        let mut origins: Vec<_> = self.origins.extract_if(|(place, _), _| *place == lost).collect();
-        origins.sort_unstable_by_key(|((_, call), _)| *call);
-        for (_, Origin { router, id, attempt }) in origins {
-            if router != usize::MAX {
-                let event = Event::Lost { router, id, attempt, sent: true };
-                self.queue.add(self.later(), event);
-            }
-        }
-    }
-
-    /// One step of a rolling restart.
-    fn restart(&mut self, place: usize) {
-        let Some(churn) = self.setup.churn else { return };
-        self.vanish(place);
-        let next = (place + 1) % self.gone.len();
-        self.queue.add(self.now + Millis(churn.list_lag_ms), Event::List);
-        self.queue.add(self.now + Millis(churn.gone_ms), Event::Return(place));
-        self.queue.add(self.now + Millis(churn.every_ms), Event::Restart(next));
-    }
-
-    /// The engine and its sidecar are there again, and know nothing.
-    fn come_back(&mut self, place: usize) {
-        let lag = self.setup.churn.map_or(0, |it| it.list_lag_ms);
-        self.gone[place] = false;
-        self.lives[place] += 1;
-        self.caches[place] = Cache::default();
-        let host = hosts(self.setup.sidecars, 1, 3).swap_remove(place);
-        let own = Peer { name: host.name.clone(), address: host.address };
-        self.sidecars[place] =
-            admission::State::new(self.setup.admission.clone(), own, self.lives[place]);
-        self.queue.add(self.now + Millis(TICK_MS), Event::Tick(place));
-        self.queue.add(self.now + Millis(lag), Event::List);
-    }
-
-    /// The platform's list shows who is left.
-    fn list(&mut self) {
-        let mut list = hosts(self.setup.sidecars, 1, 3);
-        let mut place = 0;
-        list.retain(|_| {
-            place += 1;
-            !self.gone[place - 1]
-        });
-        let peers: Vec<_> = list
-            .iter()
-            .map(|it| Peer { name: it.name.clone(), address: it.address.clone() })
-            .collect();
-        let welcomes: Vec<_> = peers
-            .iter()
-            .map(|it| (it.name.clone(), self.sidecars[self.by_name[&it.name]].vitals()))
-            .collect();
-        for router in &mut self.routers {
-            router.apply(routing::Event::Hosts(list.clone()), self.now);
-            for (name, vitals) in &welcomes {
-                let welcome = wire::Welcome { name: name.clone(), vitals: *vitals };
-                router.apply(routing::Event::Met(welcome), self.now);
-            }
-        }
-        for place in 0..self.sidecars.len() {
-            if !self.gone[place] {
-                self.apply_sidecar(place, admission::Event::Peers(peers.clone()));
-            }
-        }
-    }
-
     fn arrive(&mut self, place: usize) {
         let load = self.loads[place].clone();
         if self.now.0 >= load.until_ms {
@@ -529,80 +346,9 @@
         self.outcome.report_bytes += bytes as u64;
     }
 
-    fn chat_of(&self, place: usize, call: u64) -> Option<u64> {
-        let origin = self.origins.get(&(place, call))?;
-        self.chats.get(&origin.id).copied()
-    }
-
-    /// Counts whether a returning chat is found in the engine's cache.
-    fn look_up(&mut self, place: usize, call: u64, weight: u64) {
-        let Some(chat) = self.chat_of(place, call) else { return };
-        if !self.seen.contains(&chat) {
-            return;
-        }
-        self.outcome.returning += weight;
-        let found = self.caches[place].touch(chat);
-        let findable = found || self.is_findable(place, chat, weight);
-        self.outcome.found += if found { weight } else { 0 };
-        self.outcome.findable += if findable { weight } else { 0 };
-    }
-
-    /// Whether an engine other than `place` holds the chat and could have taken
-    /// it under the bound, with the pool's true load: what a placer would do
-    /// that knows everything.
-    fn is_findable(&self, place: usize, chat: u64, weight: u64) -> bool {
-        let pool = self.true_pool();
-        let without = Pool { load: pool.load.saturating_sub(weight), ..pool };
-        let bound = Bound { margin: 0.0, ..self.setup.admission.bound };
-        (0..self.sidecars.len()).any(|it| {
-            it != place
-                && !self.gone[it]
-                && self.caches[it].holds(chat)
-                && bound.admits(self.sidecars[it].load(), weight, without)
-        })
-    }
-
-    fn true_pool(&self) -> Pool {
-        let living = || self.sidecars.iter().zip(&self.gone).filter(|(_, gone)| !**gone);
-        let load = living().map(|(it, _)| it.load()).sum();
-        Pool { load, members: u32::try_from(living().count()).unwrap_or(u32::MAX) }
-    }
-
-    /// Puts a chat's context into the engine's cache.
-    fn keep(&mut self, place: usize, call: u64) {
-        let Some(chat) = self.chat_of(place, call) else { return };
-        self.seen.insert(chat);
-        let most = self.setup.cache_tokens / CHAT_TOKENS;
-        self.caches[place].store(chat, usize::try_from(most).unwrap_or(usize::MAX));
-    }
-
     fn later(&self) -> Millis {
         self.now + Millis(self.setup.delay_ms)
     }
-
-    /// Compares the load of a sidecar that has just admitted `weight` with the
-    /// true load of the pool.
-    fn measure(&mut self, sidecar: usize, weight: u64) {
-        let load = self.sidecars[sidecar].load();
-        if load == weight {
-            return;
-        }
-        let Pool { load: total, members } = self.true_pool();
-        let bound = Bound { margin: 0.0, ..self.setup.admission.bound };
-        let ceiling = bound.ceiling(Pool { load: total - weight, members }, weight);
-        let over = ratio(load, ceiling);
-        self.over_rule.push(over);
-        self.outcome.worst_over_rule = self.outcome.worst_over_rule.max(over);
-        if total / u64::from(members) > bound.floor {
-            let skew = ratio(load * u64::from(members), total);
-            self.outcome.worst_skew = self.outcome.worst_skew.max(skew);
-        }
-    }
-}
-
-#[expect(clippy::cast_precision_loss, reason = "loads stay far below 2^53")]
-fn ratio(one: u64, other: u64) -> f64 {
-    one as f64 / other.max(1) as f64
 }
 
 #[expect(clippy::cast_precision_loss, reason = "runs are short")]
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -108,15 +108,24 @@
     }
 }
 
+/// The checked caller and the whole body, or the refusal.
+async fn receive(
+    core: &Core,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<(Caller, Bytes), HttpResponse> {
+    let caller = Caller::check(core, request)?;
+    match body::read(payload, declared(request), &core.settings).await {
+        Ok(body) => Ok((caller, body)),
+        Err(kind) => Err(caller.refuse(core, kind, "")),
+    }
+}
+
 async fn chat(request: HttpRequest, payload: Payload, core: Shared) -> HttpResponse {
-    let caller = match Caller::check(&core, &request) {
-        Ok(caller) => caller,
+    let (caller, body) = match receive(&core, &request, payload).await {
+        Ok(received) => received,
         Err(refusal) => return refusal,
     };
-    let body = match body::read(payload, declared(&request), &core.settings).await {
-        Ok(body) => body,
-        Err(kind) => return caller.refuse(&core, kind, ""),
-    };
     let prompt = match Prompt::parse(&body) {
         Ok(prompt) => prompt,
         Err(fault) => return caller.refuse(&core, Kind::Malformed, &fault),
@@ -138,14 +147,10 @@
 }
 
 async fn service(request: HttpRequest, payload: Payload, core: Shared) -> HttpResponse {
-    let caller = match Caller::check(&core, &request) {
-        Ok(caller) => caller,
+    let (caller, body) = match receive(&core, &request, payload).await {
+        Ok(received) => received,
         Err(refusal) => return refusal,
     };
-    let body = match body::read(payload, declared(&request), &core.settings).await {
-        Ok(body) => body,
-        Err(kind) => return caller.refuse(&core, kind, ""),
-    };
     let key = header(&request, "idempotency-key");
     if key.is_some_and(|key| key.is_empty() || key.len() > key::MAX_KEY) {
         return caller.refuse(&core, Kind::Malformed, "Idempotency-Key: 1 to 200 bytes");
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -320,14 +320,13 @@
         };
         let admitted = record.held.is_some_and(|(_, admitted)| admitted);
         match act {
-            Act::Refuse(_) | Act::Admit | Act::NeverSent if admitted => return,
+            Act::Refuse(_) | Act::Admit | Act::NeverSent | Act::Stall { .. } if admitted => return,
             Act::Refuse(_) | Act::NeverSent | Act::Break(_) => record.held = None,
             Act::Admit => {
                 record.held = Some((attempt, true));
                 record.ran += 1;
                 record.may_have_run += 1;
             }
-            Act::Stall { .. } if admitted => return,
             Act::LinkLost { ran } | Act::Stall { ran } => {
                 record.held = None;
                 if !admitted {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,13 @@
 //! Command lines and exit codes.
 
 use std::fmt::Display;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use gumdrop::Options;
+use process::Stop;
+use serde::de::DeserializeOwned;
+use settings::Check;
 use telemetry::Level;
 
 /// Everything went well.
@@ -17,6 +22,56 @@
 /// A planned stop cut requests that were still in flight.
 pub const CUT: u8 = 3;
 
+/// A process of the fleet; it serves until SIGTERM or SIGINT asks it to stop.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    /// Print name and version.
+    version: bool,
+    /// The settings file.
+    #[options(meta = "FILE")]
+    settings: Option<PathBuf>,
+    /// Check the settings and stop.
+    check: bool,
+    /// What to log: error, warn, info or debug.
+    #[options(meta = "LEVEL", default = "info")]
+    log: String,
+}
+
+/// Reads the command line and the settings of a process of the fleet, and
+/// starts its log.
+///
+/// # Errors
+///
+/// The exit code, where the process has nothing more to do.
+pub fn begin<T: Check + DeserializeOwned>(program: &str) -> Result<T, ExitCode> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        return Err(version(program));
+    }
+    let Some(path) = &arguments.settings else {
+        return Err(fail(program, "--settings FILE is needed", USAGE));
+    };
+    let settings = settings::load(path).map_err(|fault| fail(program, fault, USAGE))?;
+    let level = level(&arguments.log).map_err(|fault| fail(program, fault, USAGE))?;
+    if arguments.check {
+        return Err(ExitCode::from(OK));
+    }
+    telemetry::logs(level).map_err(|fault| fail(program, fault, FAILED))?;
+    Ok(settings)
+}
+
+/// Asks for a planned stop at the first SIGTERM or SIGINT.
+pub fn stop_on_signal(stop: Stop) {
+    ntex::rt::spawn(async move {
+        if Stop::signalled().await.is_ok() {
+            stop.ask();
+        }
+    })
+    .detach();
+}
+
 /// Prints the fault on standard error and returns the exit code for it.
 pub fn fail(program: &str, fault: impl Display, code: u8) -> ExitCode {
     eprintln!("{program}: {fault}");
@@ -34,7 +89,7 @@
 /// # Errors
 ///
 /// Another word.
-pub fn level(word: &str) -> Result<Level, String> {
+fn level(word: &str) -> Result<Level, String> {
     match word {
         "error" => Ok(Level::Error),
         "warn" => Ok(Level::Warn),
