--- /dev/null
+++ b/tests/end_to_end/commands.rs
@@ -0,0 +1,59 @@
+//! Command lines and exit codes.
+
+use std::process::{Command, Output};
+
+use serde_json::{Value, json};
+
+use crate::process::write;
+
+const ROUTER: &str = env!("CARGO_BIN_EXE_silverstack-router");
+const SIDECAR: &str = env!("CARGO_BIN_EXE_silverstack-sidecar");
+const LOCAL: &str = env!("CARGO_BIN_EXE_silverstack-local");
+
+fn run(binary: &str, arguments: &[&str]) -> Output {
+    Command::new(binary).args(arguments).output().expect("the binary starts")
+}
+
+fn code(binary: &str, arguments: &[&str]) -> Option<i32> {
+    run(binary, arguments).status.code()
+}
+
+#[test]
+fn help_and_version_need_no_settings() {
+    for binary in [ROUTER, SIDECAR, LOCAL] {
+        assert_eq!(code(binary, &["--help"]), Some(0));
+        let version = run(binary, &["--version"]);
+        assert_eq!(version.status.code(), Some(0));
+        assert!(String::from_utf8_lossy(&version.stdout).contains(env!("CARGO_PKG_VERSION")));
+    }
+}
+
+#[test]
+fn wrong_command_lines_and_settings_end_with_two() {
+    assert_eq!(code(ROUTER, &[]), Some(2));
+    assert_eq!(code(ROUTER, &["--no-such-flag"]), Some(2));
+    assert_eq!(code(ROUTER, &["--settings", "/no/such/file"]), Some(2));
+    assert_eq!(code(ROUTER, &["--settings", "examples/router.json", "--log", "loud"]), Some(2));
+    let mut settings: Value =
+        serde_json::from_str(include_str!("../../examples/router.json")).expect("it is JSON");
+    settings["intents"] = json!("/no/such/file");
+    let path = write(&settings);
+    let output = run(ROUTER, &["--settings", path.to_str().expect("a path")]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("/no/such/file"));
+}
+
+#[test]
+fn the_examples_pass_their_check() {
+    for (binary, path) in [(ROUTER, "examples/router.json"), (SIDECAR, "examples/sidecar.json")] {
+        assert_eq!(code(binary, &["--settings", path, "--check"]), Some(0));
+    }
+}
+
+#[test]
+fn the_laptop_binary_loses_nothing() {
+    let output = run(LOCAL, &["--quiet", "--chats", "6", "--turns", "3"]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    assert!(text.contains("18 chat turns and 18 calls answered whole; 0 lost"), "{text}");
+}
