--- a/tests/end_to_end/failures.rs
+++ b/tests/end_to_end/failures.rs
@@ -343,3 +343,37 @@
     check_told(&fleet, &after);
     assert!(after.iter().any(|(_, told)| told.is_ok()));
 }
+
+#[ntex::test]
+async fn a_planned_stop_cuts_none_of_a_thousand_streams() {
+    const STREAMS: usize = 1_000;
+    let engine = EngineSettings {
+        model: MODEL.to_owned(),
+        step_ms: 100,
+        batch: STREAMS,
+        ..Default::default()
+    };
+    let admission = json!({ "slots": STREAMS, "bound": { "multiple": 1.25, "floor": 1_000_000 } });
+    // A debug build takes a while to take so many in.
+    let router = json!({ "drain_notice_ms": 100, "routing": { "admit_ms": 20_000 } });
+    let layout = Layout { services: 0, engine, admission, router, ..Layout::default() };
+    let mut fleet = Fleet::start(layout).await;
+    let mut streams = JoinSet::new();
+    let callers = [fleet.mesa(0).await, fleet.mesa(1).await];
+    for place in 0..STREAMS {
+        let caller = callers[place % 2].clone();
+        streams.spawn_local(async move {
+            let chat = chat(&format!("many{place}"), 40, true);
+            let answer = caller.chat(&chat).await.expect("a whole answer");
+            assert_eq!(answer.text, truth(&chat));
+        });
+    }
+    let started = || fleet.engines.iter().map(standin::Engine::started).sum::<u64>();
+    until(|| async { started() >= STREAMS as u64 }).await;
+    fleet.sidecars["engine-1"].signal(Signal::SIGTERM);
+    fleet.routers[0].signal(Signal::SIGTERM);
+    finish_streams(streams).await;
+    let sidecar = fleet.sidecars.get_mut("engine-1").expect("it runs").ended().await;
+    let router = fleet.routers[0].ended().await;
+    assert_eq!((sidecar.code(), router.code()), (Some(0), Some(0)));
+}
