Read on before a refusal, so that it reaches the caller

Ruled out: time limits of the client (off) and of the headers (5 s). Change: up to 256 KiB of the body are taken in for at most half a second before the refusal.

--- a/components/router/src/body.rs
+++ b/components/router/src/body.rs
@@ -6,13 +6,19 @@
 use errors::Kind;
 use ntex::web::types::Payload;
 
+/// The most bytes of a refused request that are taken in.
+const MAX_DISCARDED: usize = 256 * 1024;
+
+/// How long the rest of a refused request may take to come.
+const DISCARD_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Reads the whole body.
 ///
 /// # Errors
 ///
 /// The body is too large, too slow, or broke off.
 pub(crate) async fn read(
-    mut payload: Payload,
+    payload: &mut Payload,
     declared: Option<usize>,
     settings: &settings::Router,
 ) -> Result<Bytes, Kind> {
@@ -20,10 +26,26 @@
         return Err(Kind::TooLarge);
     }
     let patience = Duration::from_millis(settings.body_ms);
-    let collected = collect(&mut payload, settings.body_bytes);
+    let collected = collect(payload, settings.body_bytes);
     tokio::time::timeout(patience, collected).await.unwrap_or(Err(Kind::SlowBody))
 }
 
+/// Takes in and drops what is left of a body that is of no interest, so that
+/// the answer is not lost when the connection ends with bytes unread. What is
+/// too large or too slow for that is left.
+pub(crate) async fn discard(payload: &mut Payload) {
+    let dropped = async {
+        let mut left = MAX_DISCARDED;
+        while let Some(Ok(bytes)) = payload.recv().await {
+            if bytes.len() > left {
+                return;
+            }
+            left -= bytes.len();
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_PATIENCE, dropped).await;
+}
+
 async fn collect(payload: &mut Payload, most: usize) -> Result<Bytes, Kind> {
     let mut body = BytesMut::new();
     while let Some(bytes) = payload.recv().await {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -112,12 +112,21 @@
 async fn receive(
     core: &Core,
     request: &HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
 ) -> Result<(Caller, Bytes), HttpResponse> {
-    let caller = Caller::check(core, request)?;
-    match body::read(payload, declared(request), &core.settings).await {
+    let caller = match Caller::check(core, request) {
+        Ok(caller) => caller,
+        Err(refusal) => {
+            body::discard(&mut payload).await;
+            return Err(refusal);
+        }
+    };
+    match body::read(&mut payload, declared(request), &core.settings).await {
         Ok(body) => Ok((caller, body)),
-        Err(kind) => Err(caller.refuse(core, kind, "")),
+        Err(kind) => {
+            body::discard(&mut payload).await;
+            Err(caller.refuse(core, kind, ""))
+        }
     }
 }
 
@@ -275,7 +284,8 @@
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(core.metrics.render())
 }
 
-async fn nothing(core: Shared) -> HttpResponse {
+async fn nothing(mut payload: Payload, core: Shared) -> HttpResponse {
+    body::discard(&mut payload).await;
     let (_, request) = core.number();
     refusal(&core, Kind::NotFound, &request, "")
 }
--- a/tests/end_to_end/bad_input.rs
+++ b/tests/end_to_end/bad_input.rs
@@ -112,7 +112,7 @@
             let caller = Caller::new(&url, workspace, key).await.expect("a client");
             let chat = Chat { model: model.to_owned(), ..chat("wrong", 3, true) };
             let fault = caller.chat(&chat).await.expect_err("it is refused");
-            assert_eq!(fault.outcome(), "not_run");
+            assert_eq!(fault.outcome(), "not_run", "{fault:?}");
             fault.kind().to_owned()
         }
     };
@@ -154,3 +154,23 @@
     assert!(!matches!(call.next().await, Ok(Some(_))), "a strange frame got an answer");
     check_up(&fleet).await;
 }
+
+#[ntex::test]
+async fn refusals_that_come_before_the_body_is_read_reach_the_caller() {
+    let fleet = small().await;
+    let mut tasks = tokio::task::JoinSet::new();
+    for place in 0..400 {
+        let url = fleet.url(0);
+        tasks.spawn_local(async move {
+            let caller = Caller::new(&url, "mesa", "wrong").await.expect("a client");
+            let mut chat = chat(&format!("wrong{place}"), 3, true);
+            chat.messages[0]["content"] = "long ".repeat(600).into();
+            let fault = caller.chat(&chat).await.expect_err("it is refused");
+            assert_eq!(fault.kind(), "unauthorized", "{fault}");
+        });
+    }
+    while let Some(task) = tasks.join_next().await {
+        task.expect("the refusal came");
+    }
+    check_up(&fleet).await;
+}
