--- a/benches/control.rs
+++ b/benches/control.rs
@@ -17,7 +17,7 @@
 use link::{Connection, Identity};
 use serde_json::json;
 use tokio::net::TcpListener;
-use wire::{Hello, Vitals, Welcome};
+use wire::{Hello, Status, Welcome};
 
 /// How long each point is measured.
 const LENGTH: Duration = Duration::from_secs(6);
@@ -126,7 +126,7 @@
             let name = usize::from(high) << 8 | usize::from(low);
             let welcome = move || Welcome {
                 name: format!("engine-{name}").into(),
-                vitals: Vitals { incarnation: 1, ..Vitals::default() },
+                status: Status { incarnation: 1, ..Status::default() },
             };
             let identity = Identity { key: LINK_KEY.into() };
             ntex::rt::spawn(async move {
--- a/components/admission/src/keys.rs
+++ b/components/admission/src/keys.rs
@@ -86,7 +86,7 @@
     }
 
     /// The call was handed over and its answer is not known.
-    pub(crate) fn doubt(&mut self, key: &str, kind: Kind) {
+    pub(crate) fn mark_unknown(&mut self, key: &str, kind: Kind) {
         if let Some((_, record)) = self.records.get_mut(key) {
             *record = Record::Unknown(kind);
         }
--- a/components/admission/src/state.rs
+++ b/components/admission/src/state.rs
@@ -6,7 +6,7 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 use placement::Pool;
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Open, Refused, Report, Vitals};
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Open, Refused, Report, Status};
 
 use crate::call::{Answer, Call, Stage};
 use crate::directory::Directory;
@@ -59,8 +59,8 @@
     }
 
     /// What the sidecar says of itself.
-    pub fn vitals(&self) -> Vitals {
-        Vitals {
+    pub fn status(&self) -> Status {
+        Status {
             incarnation: self.incarnation,
             load: self.load,
             pool: self.pool(),
@@ -161,7 +161,7 @@
         };
         self.queue.push(id, &call);
         self.calls.insert(id, call);
-        let frame = Frame::Admitted(Admitted { vitals: self.vitals() });
+        let frame = Frame::Admitted(Admitted { status: self.status() });
         vec![Effect::Send { call: id, frame }]
     }
 
@@ -203,7 +203,7 @@
 
     fn refuse(&self, call: CallId, kind: Kind, hints: Vec<Arc<str>>) -> Vec<Effect> {
         let retry_after_ms = self.wait_ms().max(self.run_ms);
-        let refused = Refused { kind, retry_after_ms, hints, vitals: self.vitals() };
+        let refused = Refused { kind, retry_after_ms, hints, status: self.status() };
         vec![Effect::Finish { call, frame: Frame::Refused(refused) }]
     }
 
@@ -269,7 +269,7 @@
             self.keys.store(key, call.answer, &self.settings);
         }
         let (attempt, chunks, bytes) = (call.attempt, call.chunks, call.bytes);
-        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
+        let frame = Frame::End(End { attempt, chunks, bytes, status: self.status() });
         if call.wanted { vec![Effect::Finish { call: id, frame }] } else { Vec::new() }
     }
 
@@ -281,7 +281,7 @@
         if let Some(key) = &call.key {
             match kind.row().outcome {
                 Outcome::NotRun => self.keys.release(key),
-                Outcome::Unknown | Outcome::Ran => self.keys.doubt(key, kind),
+                Outcome::Unknown | Outcome::Ran => self.keys.mark_unknown(key, kind),
             }
         }
         if !call.wanted {
@@ -293,7 +293,7 @@
                 kind,
                 retry_after_ms,
                 hints: Vec::new(),
-                vitals: self.vitals(),
+                status: self.status(),
             })
         } else {
             Frame::Broken(Broken { attempt: call.attempt, kind })
@@ -339,14 +339,14 @@
         let send = |frame| Effect::Send { call, frame };
         let (status, headers) = (answer.status, answer.headers.clone());
         let mut effects = vec![
-            send(Frame::Admitted(Admitted { vitals: self.vitals() })),
+            send(Frame::Admitted(Admitted { status: self.status() })),
             send(Frame::Head(Head { attempt, status, headers })),
         ];
         for (sequence, bytes) in (0..).zip(&answer.chunks) {
             effects.push(send(Frame::Chunk(Chunk { attempt, sequence, bytes: bytes.clone() })));
         }
         let (chunks, bytes) = (answer.chunks.len() as u64, answer.size as u64);
-        let frame = Frame::End(End { attempt, chunks, bytes, vitals: self.vitals() });
+        let frame = Frame::End(End { attempt, chunks, bytes, status: self.status() });
         effects.push(Effect::Finish { call, frame });
         effects
     }
--- a/components/admission/tests/stateful.rs
+++ b/components/admission/tests/stateful.rs
@@ -236,7 +236,7 @@
                 opened_after_leave: self.leaving,
             },
         );
-        let before = (self.state.load(), self.state.vitals().pool);
+        let before = (self.state.load(), self.state.status().pool);
         let open = Open {
             request: format!("r{call}").into(),
             attempt: 1,
@@ -378,7 +378,7 @@
         let at_upstream = self.calls.values().filter(|it| it.at_upstream).count();
         assert_eq!(self.state.running(), at_upstream, "the count of running calls is wrong");
         let free = self.state.running() < SLOTS;
-        assert!(!free || self.state.vitals().queued == 0, "a call waits though a slot is free");
+        assert!(!free || self.state.status().queued == 0, "a call waits though a slot is free");
         let carried: u64 =
             self.calls.values().filter(|it| it.at_upstream).map(|it| it.weight).sum();
         assert!(self.state.load() >= carried, "less load is counted than is carried");
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -12,7 +12,7 @@
 use clock::Millis;
 use intents::Plan;
 use routing::{Ask, Event, Reply};
-use wire::{Admitted, End, Frame, Head, Open, Report, Vitals, Welcome};
+use wire::{Admitted, End, Frame, Head, Open, Report, Status, Welcome};
 
 use crate::{document, hosts};
 
@@ -162,7 +162,7 @@
 ///
 /// Never: the frames can be encoded.
 pub fn frames() -> Vec<(&'static str, usize)> {
-    let vitals = Vitals { incarnation: 1_796_215_359_116, load: 40_000, ..Vitals::default() };
+    let status = Status { incarnation: 1_796_215_359_116, load: 40_000, ..Status::default() };
     let report = Report {
         name: "engine-4711".into(),
         incarnation: 1_796_215_359_116,
@@ -175,15 +175,15 @@
         kind: errors::Kind::OverBound,
         retry_after_ms: 250,
         hints: Vec::new(),
-        vitals,
+        status,
     };
     let frames = [
         ("report", Frame::Report(report)),
         ("pool", Frame::Pool(pool)),
-        ("admitted", Frame::Admitted(Admitted { vitals })),
+        ("admitted", Frame::Admitted(Admitted { status })),
         ("refused", Frame::Refused(refused)),
-        ("end", Frame::End(End { attempt: 1, chunks: 256, bytes: 40_000, vitals })),
-        ("welcome", Frame::Welcome(Welcome { name: "engine-4711".into(), vitals })),
+        ("end", Frame::End(End { attempt: 1, chunks: 256, bytes: 40_000, status })),
+        ("welcome", Frame::Welcome(Welcome { name: "engine-4711".into(), status })),
     ];
     let size = |frame: &Frame| wire::encode(frame).expect("it can be encoded").len();
     frames.iter().map(|(name, frame)| (*name, size(frame))).collect()
@@ -198,8 +198,8 @@
     let names: Vec<_> = list.iter().map(|it| it.name.clone()).collect();
     state.apply(Event::Hosts(list), Millis::ZERO);
     for name in names {
-        let vitals = Vitals { incarnation: 1, ..Vitals::default() };
-        state.apply(Event::Met(Welcome { name, vitals }), Millis::ZERO);
+        let status = Status { incarnation: 1, ..Status::default() };
+        state.apply(Event::Met(Welcome { name, status }), Millis::ZERO);
     }
     state
 }
@@ -221,11 +221,11 @@
 /// A whole request of one chunk.
 fn serve(state: &mut routing::State, id: u64) {
     state.apply(Event::Ask(ask(id)), Millis(id));
-    let vitals = Vitals { incarnation: 1, ..Vitals::default() };
+    let status = Status { incarnation: 1, ..Status::default() };
     let frames = [
-        Frame::Admitted(Admitted { vitals }),
+        Frame::Admitted(Admitted { status }),
         Frame::Head(Head { attempt: 1, status: 200, headers: Vec::new() }),
-        Frame::End(End { attempt: 1, chunks: 0, bytes: 0, vitals }),
+        Frame::End(End { attempt: 1, chunks: 0, bytes: 0, status }),
     ];
     for frame in frames {
         let reply: Reply = frame.into();
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -110,7 +110,7 @@
             router.apply(routing::Event::Configure(plan.clone()), Millis::ZERO);
             router.apply(routing::Event::Hosts(list.clone()), Millis::ZERO);
             for (peer, sidecar) in peers.iter().zip(&sidecars) {
-                let welcome = wire::Welcome { name: peer.name.clone(), vitals: sidecar.vitals() };
+                let welcome = wire::Welcome { name: peer.name.clone(), status: sidecar.status() };
                 router.apply(routing::Event::Met(welcome), Millis::ZERO);
             }
         }
--- a/components/experiment/src/world/faults.rs
+++ b/components/experiment/src/world/faults.rs
@@ -79,12 +79,12 @@
             .collect();
         let welcomes: Vec<_> = peers
             .iter()
-            .map(|it| (it.name.clone(), self.sidecars[self.by_name[&it.name]].vitals()))
+            .map(|it| (it.name.clone(), self.sidecars[self.by_name[&it.name]].status()))
             .collect();
         for router in &mut self.routers {
             router.apply(routing::Event::Hosts(list.clone()), self.now);
-            for (name, vitals) in &welcomes {
-                let welcome = wire::Welcome { name: name.clone(), vitals: *vitals };
+            for (name, status) in &welcomes {
+                let welcome = wire::Welcome { name: name.clone(), status: *status };
                 router.apply(routing::Event::Met(welcome), self.now);
             }
         }
--- a/components/link/src/client.rs
+++ b/components/link/src/client.rs
@@ -46,9 +46,9 @@
     pub async fn open(
         address: &str,
         hello: Hello,
-        patience: Duration,
+        timeout: Duration,
     ) -> Result<(Self, Welcome), Error> {
-        let greeting = tokio::time::timeout(patience, Self::greet(address, hello)).await;
+        let greeting = tokio::time::timeout(timeout, Self::greet(address, hello)).await;
         greeting.unwrap_or_else(|_| SlowSnafu { address }.fail())
     }
 
--- a/components/link/src/links.rs
+++ b/components/link/src/links.rs
@@ -26,14 +26,14 @@
 #[derive(Debug)]
 pub struct Links {
     hello: Hello,
-    patience: Duration,
+    timeout: Duration,
     slots: RefCell<HashMap<Arc<str>, Slot>>,
 }
 
 impl Links {
-    /// A process that shows `hello` and waits `patience` for a link to stand.
-    pub fn new(hello: Hello, patience: Duration) -> Self {
-        Self { hello, patience, slots: RefCell::default() }
+    /// A process that shows `hello` and waits `timeout` for a link to stand.
+    pub fn new(hello: Hello, timeout: Duration) -> Self {
+        Self { hello, timeout, slots: RefCell::default() }
     }
 
     /// Makes sure that a link to `upstream` stands. Returns the greeting if it
@@ -82,7 +82,7 @@
         }
         *slot = None;
         let (connection, welcome) =
-            Connection::open(address, self.hello.clone(), self.patience).await?;
+            Connection::open(address, self.hello.clone(), self.timeout).await?;
         if welcome.name != *upstream {
             // An address can be given to another host before the list shows it.
             let (wanted, found) = (upstream.to_string(), welcome.name.to_string());
--- a/components/link/src/listener.rs
+++ b/components/link/src/listener.rs
@@ -16,10 +16,10 @@
 use crate::{CONNECTION_WINDOW, Error, MAX_STREAMS, Sink, Source, WINDOW};
 
 /// How long a connection may take to show the link key.
-const GREETING_PATIENCE: Duration = Duration::from_secs(3);
+const GREETING_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How long a request frame may take to come whole.
-const REQUEST_PATIENCE: Duration = Duration::from_secs(10);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Who this process is on its links.
 #[derive(Clone, Debug)]
@@ -61,7 +61,7 @@
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(socket);
-    let mut connection = tokio::time::timeout(GREETING_PATIENCE, handshake)
+    let mut connection = tokio::time::timeout(GREETING_TIMEOUT, handshake)
         .await
         .ok()
         .context(EndedSnafu)?
@@ -107,12 +107,12 @@
 }
 
 async fn read(source: &mut Source) -> Result<Frame, Error> {
-    let frame = tokio::time::timeout(REQUEST_PATIENCE, source.next()).await;
+    let frame = tokio::time::timeout(REQUEST_TIMEOUT, source.next()).await;
     frame.ok().context(EndedSnafu)??.context(EndedSnafu)
 }
 
 async fn greet(source: &mut Source, identity: &Identity) -> Result<(), Error> {
-    let frame = tokio::time::timeout(GREETING_PATIENCE, source.next()).await;
+    let frame = tokio::time::timeout(GREETING_TIMEOUT, source.next()).await;
     let frame = frame.ok().context(EndedSnafu)??.context(EndedSnafu)?;
     let Frame::Hello(hello) = frame else {
         return UnexpectedSnafu.fail();
--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -19,7 +19,7 @@
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
 /// How long a whole answer may take.
-const PATIENCE: Duration = Duration::from_mins(2);
+const TIMEOUT: Duration = Duration::from_mins(2);
 
 /// One workspace's caller.
 #[derive(Clone, Debug)]
@@ -76,7 +76,7 @@
         let read = async {
             if chat.stream { streamed(response, asked).await } else { whole(response, asked).await }
         };
-        tokio::time::timeout(PATIENCE, read).await.unwrap_or_else(|_| Err(broken("too slow")))
+        tokio::time::timeout(TIMEOUT, read).await.unwrap_or_else(|_| Err(broken("too slow")))
     }
 
     /// Sends one turn of a chat and reads nothing of the answer; dropping what
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -3,9 +3,9 @@
 mod answer;
 mod caller;
 mod error;
-mod patience;
+mod retry;
 
 pub use answer::{Answer, Reply};
 pub use caller::{Caller, Chat, Held};
 pub use error::Error;
-pub use patience::come_back;
+pub use retry::retry;
--- a/components/load/src/patience.rs
+++ b/components/load/src/retry.rs
@@ -11,7 +11,7 @@
 /// # Errors
 ///
 /// Any other fault, or the last refusal.
-pub async fn come_back<T, F>(send: impl Fn() -> F) -> Result<T, Error>
+pub async fn retry<T, F>(send: impl Fn() -> F) -> Result<T, Error>
 where
     F: Future<Output = Result<T, Error>>,
 {
--- a/components/platform/src/hosts.rs
+++ b/components/platform/src/hosts.rs
@@ -15,7 +15,7 @@
 pub(crate) const KEEP_ALIVE: Seconds = Seconds(4);
 
 /// How long the list may take to come.
-const PATIENCE: Millis = Millis(2_000);
+const TIMEOUT: Millis = Millis(2_000);
 
 /// The longest list, in bytes.
 const MAX_LIST: usize = 8 * 1024 * 1024;
@@ -73,7 +73,7 @@
     ///
     /// The service did not answer, or not with a list.
     pub async fn read(&mut self) -> Result<Reading, Error> {
-        let mut request = self.client.get(&*self.url).timeout(PATIENCE);
+        let mut request = self.client.get(&*self.url).timeout(TIMEOUT);
         if let Some(tag) = &self.tag {
             request = request.header("if-none-match", tag);
         }
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -14,7 +14,7 @@
 use crate::hosts::{KEEP_ALIVE, silent};
 
 /// How long one call may take.
-const PATIENCE: Millis = Millis(1_000);
+const TIMEOUT: Millis = Millis(1_000);
 
 /// A client of the key-value service.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
 
     async fn call(&self, path: &str, body: &Value) -> Result<Value, Error> {
         let url = format!("{}{path}", self.base);
-        let request = self.client.post(url).timeout(PATIENCE).send_json(body);
+        let request = self.client.post(url).timeout(TIMEOUT).send_json(body);
         let response = request.await.map_err(silent)?;
         let status = response.status().as_u16();
         if status != 200 {
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -118,7 +118,7 @@
 /// Tells first upstreams in rank where chats are; a lost note costs a chat its
 /// context, no more.
 async fn send_notes(core: Rc<Core>, mut outbox: UnboundedReceiver<Effect>) {
-    let patience = Duration::from_millis(core.settings.connect_ms);
+    let timeout = Duration::from_millis(core.settings.connect_ms);
     while let Some(effect) = outbox.recv().await {
         let Effect::Note { upstream, address, note } = effect else { continue };
         let frame = Frame::Note(note);
@@ -128,6 +128,6 @@
                 let _ = call.next().await;
             }
         };
-        let _ = tokio::time::timeout(patience, told).await;
+        let _ = tokio::time::timeout(timeout, told).await;
     }
 }
--- a/components/router/src/body.rs
+++ b/components/router/src/body.rs
@@ -10,7 +10,7 @@
 const MAX_DISCARDED: usize = 256 * 1024;
 
 /// How long the rest of a refused request may take to come.
-const DISCARD_PATIENCE: Duration = Duration::from_millis(500);
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reads the whole body.
 ///
@@ -25,9 +25,9 @@
     if declared.is_some_and(|it| it > settings.body_bytes) {
         return Err(Kind::TooLarge);
     }
-    let patience = Duration::from_millis(settings.body_ms);
+    let timeout = Duration::from_millis(settings.body_ms);
     let collected = collect(payload, settings.body_bytes);
-    tokio::time::timeout(patience, collected).await.unwrap_or(Err(Kind::SlowBody))
+    tokio::time::timeout(timeout, collected).await.unwrap_or(Err(Kind::SlowBody))
 }
 
 /// Takes in and drops what is left of a body that is of no interest, so that
@@ -43,7 +43,7 @@
             left -= bytes.len();
         }
     };
-    let _ = tokio::time::timeout(DISCARD_PATIENCE, dropped).await;
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, dropped).await;
 }
 
 async fn collect(payload: &mut Payload, most: usize) -> Result<Bytes, Kind> {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -61,7 +61,7 @@
     upstream: Arc<str>,
     deadline: Option<Instant>,
     /// When the sidecar must have said something; `None` once it has.
-    patience: Option<Instant>,
+    timeout: Option<Instant>,
     over: bool,
 }
 
@@ -85,7 +85,7 @@
             attempt: 0,
             upstream: "".into(),
             deadline: None,
-            patience: None,
+            timeout: None,
             over: false,
             core,
         };
@@ -170,13 +170,13 @@
         self.attempt = attempt.number;
         self.upstream = attempt.upstream.clone();
         let deadline = Instant::now() + attempt.remaining.duration();
-        let patience = Instant::now() + attempt.patience.duration();
+        let timeout = Instant::now() + attempt.timeout.duration();
         self.deadline = Some(deadline);
-        self.patience = Some(patience);
+        self.timeout = Some(timeout);
         let frame = Frame::Open(self.open(&attempt));
         let call = self.core.links.call(&attempt.upstream, &attempt.address, &frame);
         let (id, attempt) = (self.id, attempt.number);
-        match timeout_at(patience, call).await {
+        match timeout_at(timeout, call).await {
             Ok(Ok((call, welcome))) => {
                 self.call = Some(call);
                 if let Some(welcome) = welcome {
@@ -188,7 +188,7 @@
         }
     }
 
-    /// The patience or the deadline has passed.
+    /// The timeout or the deadline has passed.
     fn late(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
         let event = if self.deadline.is_some_and(|it| it <= Instant::now()) {
@@ -220,16 +220,16 @@
         }
     }
 
-    /// Waits for the next frame, the loss of the link, the patience or the
+    /// Waits for the next frame, the loss of the link, the timeout or the
     /// deadline.
     async fn wait(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
         let Some(call) = &mut self.call else {
             return std::future::pending().await;
         };
-        let latest = self.patience.or(self.deadline).unwrap_or_else(Instant::now);
+        let latest = self.timeout.or(self.deadline).unwrap_or_else(Instant::now);
         let Ok(frame) = timeout_at(latest, call.next()).await else { return self.late() };
-        self.patience = None;
+        self.timeout = None;
         self.apply(match frame {
             Ok(Some(frame)) => Event::Reply { id, attempt, reply: frame.into() },
             Ok(None) | Err(_) => Event::Lost { id, attempt, sent: true },
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -14,7 +14,7 @@
 use crate::{background, http};
 
 /// How long a caller may take to send the headers.
-const HEADERS_PATIENCE: Seconds = Seconds(5);
+const HEADERS_TIMEOUT: Seconds = Seconds(5);
 
 /// The most headers of a request.
 const MAX_HEADERS: usize = 64;
@@ -49,7 +49,7 @@
         };
         let service = HttpServiceConfig::new()
             .set_max_headers(MAX_HEADERS)
-            .set_client_timeout(HEADERS_PATIENCE);
+            .set_client_timeout(HEADERS_TIMEOUT);
         let server = web::HttpServer::new(factory)
             .workers(1)
             .disable_signals()
@@ -75,9 +75,9 @@
     /// drain's time is over. Returns whether everything was finished.
     pub async fn run(self) -> bool {
         self.stop.asked().await;
-        let patience = self.settings.drain_notice_ms + self.settings.drain_ms;
-        let patience = Duration::from_millis(patience);
-        let finished = tokio::time::timeout(patience, self.stop.finished()).await.is_ok();
+        let timeout = self.settings.drain_notice_ms + self.settings.drain_ms;
+        let timeout = Duration::from_millis(timeout);
+        let finished = tokio::time::timeout(timeout, self.stop.finished()).await.is_ok();
         self.server.stop(true).await;
         finished
     }
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -142,7 +142,7 @@
         if !crowded || hinted {
             return request.candidates.pop();
         }
-        let load = |name: &Arc<str>| self.upstreams.get(name).map_or(u64::MAX, |it| it.vitals.load);
+        let load = |name: &Arc<str>| self.upstreams.get(name).map_or(u64::MAX, |it| it.status.load);
         let place =
             (0..request.candidates.len()).min_by_key(|it| load(&request.candidates[*it]))?;
         Some(request.candidates.remove(place))
@@ -157,8 +157,8 @@
         };
         request.phase = Phase::Sent;
         request.tries.push(Try { upstream: name.clone(), sent: now, error: None });
-        upstream.vitals.load += request.ask.weight;
-        upstream.vitals.pool.load += request.ask.weight;
+        upstream.status.load += request.ask.weight;
+        upstream.status.pool.load += request.ask.weight;
         vec![Effect::Send(Attempt {
             number: request.attempt(),
             upstream: name.clone(),
@@ -167,7 +167,7 @@
             weight: request.ask.weight,
             priority: request.priority,
             remaining: now.until(request.deadline),
-            patience: Millis(self.settings.admit_ms).min(now.until(request.deadline)),
+            timeout: Millis(self.settings.admit_ms).min(now.until(request.deadline)),
             generation: request.generation,
             chat: key(&request.ask.workspace, &request.ask.chat),
             home: request.hints.is_empty() && request.home.as_ref() == Some(name),
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -39,7 +39,7 @@
         /// Whether any byte of the request may have reached the sidecar.
         sent: bool,
     },
-    /// The sidecar has said nothing for the attempt's patience.
+    /// The sidecar has said nothing for the attempt's timeout.
     Stalled {
         /// The request.
         id: u64,
@@ -243,7 +243,7 @@
     /// The time left.
     pub remaining: Millis,
     /// How long the sidecar may take to say anything.
-    pub patience: Millis,
+    pub timeout: Millis,
     /// The generation it was decided under.
     pub generation: u64,
     /// The hash of workspace and chat.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 use placement::key;
-use wire::{Broken, Chunk, End, Head, Note, Refused, Vitals};
+use wire::{Broken, Chunk, End, Head, Note, Refused, Status};
 
 use crate::request::Phase;
 use crate::state::State;
@@ -24,7 +24,7 @@
         }
         match reply {
             Reply::Refused(refused) => self.refused(id, &refused, now),
-            Reply::Admitted(admitted) => self.admitted(id, admitted.vitals, now),
+            Reply::Admitted(admitted) => self.admitted(id, admitted.status, now),
             Reply::Head(head) => self.head(id, head, now),
             Reply::Chunk(chunk) => self.chunk(id, chunk, now),
             Reply::End(end) => self.end(id, end, now),
@@ -40,15 +40,15 @@
             .is_some_and(|it| it.attempt() == attempt && it.phase != Phase::Binding)
     }
 
-    fn hear(&mut self, id: u64, vitals: Vitals, now: Millis) {
+    fn hear(&mut self, id: u64, status: Status, now: Millis) {
         let name = self.requests.get(&id).and_then(|it| it.upstream());
         if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
-            upstream.hear(vitals, now);
+            upstream.hear(status, now);
         }
     }
 
     fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
-        self.hear(id, refused.vitals, now);
+        self.hear(id, refused.status, now);
         if !refused.hints.is_empty() {
             self.follow(id, &refused.hints);
         }
@@ -85,8 +85,8 @@
         })
     }
 
-    fn admitted(&mut self, id: u64, vitals: Vitals, now: Millis) -> Vec<Effect> {
-        self.hear(id, vitals, now);
+    fn admitted(&mut self, id: u64, status: Status, now: Millis) -> Vec<Effect> {
+        self.hear(id, status, now);
         if let Some(request) = self.requests.get_mut(&id)
             && request.phase == Phase::Sent
         {
@@ -129,7 +129,7 @@
     }
 
     fn end(&mut self, id: u64, end: End, now: Millis) -> Vec<Effect> {
-        self.hear(id, end.vitals, now);
+        self.hear(id, end.status, now);
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -56,7 +56,7 @@
     }
 
     /// The error of an attempt that may have run, if there was one.
-    pub(crate) fn doubt(&self) -> Option<Kind> {
+    pub(crate) fn uncertain(&self) -> Option<Kind> {
         let mut errors = self.tries.iter().filter_map(|it| it.error);
         errors.find(|kind| kind.row().outcome != Outcome::NotRun)
     }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -140,7 +140,7 @@
 
     fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
-            upstream.hear(welcome.vitals, now);
+            upstream.hear(welcome.status, now);
         }
         Vec::new()
     }
@@ -223,7 +223,7 @@
             return Vec::new();
         };
         let kind = match kind.row().outcome {
-            Outcome::NotRun => request.doubt().unwrap_or(kind),
+            Outcome::NotRun => request.uncertain().unwrap_or(kind),
             Outcome::Unknown | Outcome::Ran => kind,
         };
         let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms);
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use intents::Labels;
-use wire::Vitals;
+use wire::Status;
 
 use crate::{Host, Settings};
 
@@ -23,7 +23,7 @@
     pub(crate) incarnation: u64,
     /// Whether the last that was heard of the connection is good.
     pub(crate) connected: bool,
-    pub(crate) vitals: Vitals,
+    pub(crate) status: Status,
     pub(crate) heard: Option<Millis>,
     pub(crate) failures: u32,
     pub(crate) suspect_until: Millis,
@@ -36,7 +36,7 @@
             labels,
             incarnation: 0,
             connected: false,
-            vitals: Vitals::default(),
+            status: Status::default(),
             heard: None,
             failures: 0,
             suspect_until: Millis::ZERO,
@@ -50,7 +50,7 @@
 
     /// The load it last told of, in tokens.
     pub fn load(&self) -> u64 {
-        self.vitals.load
+        self.status.load
     }
 
     /// The life of the sidecar last met; zero before the first.
@@ -64,7 +64,7 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.host.leaving || self.vitals.leaving
+        self.host.leaving || self.status.leaving
     }
 
     pub(crate) fn is_suspect(&self, now: Millis) -> bool {
@@ -73,12 +73,12 @@
 
     /// Takes what a sidecar says of itself; the word of an earlier life than
     /// known is ignored.
-    pub(crate) fn hear(&mut self, vitals: Vitals, now: Millis) {
-        if vitals.incarnation < self.incarnation {
+    pub(crate) fn hear(&mut self, status: Status, now: Millis) {
+        if status.incarnation < self.incarnation {
             return;
         }
-        self.incarnation = vitals.incarnation;
-        self.vitals = vitals;
+        self.incarnation = status.incarnation;
+        self.status = status;
         self.heard = Some(now);
         self.revive();
     }
@@ -128,7 +128,7 @@
             return Some("suspect");
         }
         let fresh = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
-        let over = !settings.bound.admits(self.vitals.load, weight, self.vitals.pool);
+        let over = !settings.bound.admits(self.status.load, weight, self.status.pool);
         if fresh && over {
             return Some(OVER_BOUND);
         }
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -11,7 +11,7 @@
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use routing::{Ask, Effect, Event, Host, Once, Owner, Reply, Settings, State};
-use wire::{Admitted, Broken, Chunk, End, Head, Refused, Vitals, Welcome};
+use wire::{Admitted, Broken, Chunk, End, Head, Refused, Status, Welcome};
 
 /// The seed of the histories, so that every run is the same.
 const SEED: u64 = 20_261_202;
@@ -249,7 +249,7 @@
                 self.lives[upstream] += u64::from(newer);
                 let welcome = Welcome {
                     name: format!("u{upstream}").into(),
-                    vitals: Vitals { incarnation: self.lives[upstream], load, ..Vitals::default() },
+                    status: Status { incarnation: self.lives[upstream], load, ..Status::default() },
                 };
                 self.state.apply(Event::Met(welcome), self.now);
             }
@@ -429,14 +429,14 @@
 }
 
 fn reply(id: u64, attempt: u32, act: Act, record: &Record) -> Event {
-    let vitals = Vitals { incarnation: 1, ..Vitals::default() };
+    let status = Status { incarnation: 1, ..Status::default() };
     let chunk = |sequence| Reply::Chunk(Chunk { attempt, sequence, bytes: text(id, sequence) });
     let last = record.sent_chunks.saturating_sub(1);
     let reply = match act {
         Act::Refuse(kind) => {
-            Reply::Refused(Refused { kind, retry_after_ms: 5, hints: Vec::new(), vitals })
+            Reply::Refused(Refused { kind, retry_after_ms: 5, hints: Vec::new(), status })
         }
-        Act::Admit => Reply::Admitted(Admitted { vitals }),
+        Act::Admit => Reply::Admitted(Admitted { status }),
         Act::Head => Reply::Head(Head { attempt, status: 200, headers: Vec::new() }),
         Act::Chunk | Act::Repeat => chunk(last),
         Act::Skip => chunk(record.sent_chunks + 1),
@@ -444,7 +444,7 @@
             attempt,
             chunks: record.sent_chunks,
             bytes: (0..record.sent_chunks).map(|it| text(id, it).len() as u64).sum(),
-            vitals,
+            status,
         }),
         Act::Break(kind) => Reply::Broken(Broken { attempt, kind }),
         Act::Strange => Reply::Strange,
--- a/components/sidecar/src/admin.rs
+++ b/components/sidecar/src/admin.rs
@@ -72,15 +72,15 @@
 
 async fn status(pages: web::types::State<Pages>) -> HttpResponse {
     let state = pages.state.lock();
-    let vitals = state.vitals();
+    let status = state.status();
     HttpResponse::Ok().json(&json!({
         "name": &*pages.name,
         "incarnation": state.incarnation(),
-        "load": vitals.load,
-        "pool": vitals.pool,
+        "load": status.load,
+        "pool": status.pool,
         "running": state.running(),
-        "queued": vitals.queued,
-        "leaving": vitals.leaving,
+        "queued": status.queued,
+        "leaving": status.leaving,
     }))
 }
 
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -115,7 +115,7 @@
 
     pub(crate) fn welcome(&self) -> Welcome {
         let state = self.state.lock();
-        Welcome { name: self.settings.name.clone(), vitals: state.vitals() }
+        Welcome { name: self.settings.name.clone(), status: state.status() }
     }
 }
 
@@ -198,8 +198,8 @@
         tasks.spawn_local(listen(core.clone(), self.listener));
         self.stop.asked().await;
         core.apply(Event::Leave);
-        let patience = Duration::from_millis(core.settings.drain_ms);
-        let _ = tokio::time::timeout(patience, self.stop.finished()).await;
+        let timeout = Duration::from_millis(core.settings.drain_ms);
+        let _ = tokio::time::timeout(timeout, self.stop.finished()).await;
         call::settle(&core).await;
         let cut = core.state.lock().in_flight();
         tasks.shutdown().await;
--- a/components/sidecar/src/peers.rs
+++ b/components/sidecar/src/peers.rs
@@ -13,7 +13,7 @@
 use crate::core::Core;
 
 /// How long a report may take.
-const PATIENCE: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reads the platform's list of hosts again and again.
 pub(crate) async fn follow(core: Rc<Core>) {
@@ -46,14 +46,14 @@
 /// Sends the load reports; a silent receiver holds up none but its own.
 pub(crate) async fn report(core: Rc<Core>, mut outbox: UnboundedReceiver<(Peer, Report)>) {
     let hello = Hello { key: core.settings.link_key.clone(), name: core.settings.name.clone() };
-    let links = Rc::new(Links::new(hello, PATIENCE));
+    let links = Rc::new(Links::new(hello, TIMEOUT));
     let mut asking = JoinSet::new();
     while let Some((to, report)) = outbox.recv().await {
         while asking.try_join_next().is_some() {}
         let (core, links) = (core.clone(), links.clone());
         asking.spawn_local(async move {
             let sum = report.sum;
-            let asked = tokio::time::timeout(PATIENCE, ask(&core, &links, &to, report)).await;
+            let asked = tokio::time::timeout(TIMEOUT, ask(&core, &links, &to, report)).await;
             if let Ok(Some(pool)) = asked {
                 core.apply(Event::Pool { pool, sum });
             }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -56,12 +56,12 @@
     /// The upstream's name.
     pub name: Arc<str>,
     /// The state of the sidecar.
-    pub vitals: Vitals,
+    pub status: Status,
 }
 
 /// What a sidecar says of itself with every answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Vitals {
+pub struct Status {
     /// The life that says so; a restart has a higher one.
     pub incarnation: u64,
     /// The load it carries, in tokens.
@@ -123,14 +123,14 @@
     /// first.
     pub hints: Vec<Arc<str>>,
     /// The state of the sidecar.
-    pub vitals: Vitals,
+    pub status: Status,
 }
 
 /// A request was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Admitted {
     /// The state of the sidecar.
-    pub vitals: Vitals,
+    pub status: Status,
 }
 
 /// The head of an answer.
@@ -165,7 +165,7 @@
     /// The number of body bytes sent.
     pub bytes: u64,
     /// The state of the sidecar.
-    pub vitals: Vitals,
+    pub status: Status,
 }
 
 /// An answer that will never be whole.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use codec::{Error, MAX_FRAME, Reader, encode};
 pub use frame::{
-    Admitted, Broken, Chunk, End, Frame, Head, Hello, Note, Open, Refused, Report, Vitals, Welcome,
+    Admitted, Broken, Chunk, End, Frame, Head, Hello, Note, Open, Refused, Report, Status, Welcome,
 };
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use wire::{Chunk, End, Error, Frame, MAX_FRAME, Open, Reader, Report, Vitals, encode};
+use wire::{Chunk, End, Error, Frame, MAX_FRAME, Open, Reader, Report, Status, encode};
 
 /// The seed of the cases, so that every run is the same.
 const SEED: u64 = 20_261_202;
@@ -41,7 +41,7 @@
             Frame::Chunk(Chunk { attempt, sequence, bytes: Bytes::from(bytes) })
         }),
         (any::<u32>(), any::<u64>(), any::<u64>()).prop_map(|(attempt, chunks, bytes)| {
-            Frame::End(End { attempt, chunks, bytes, vitals: Vitals::default() })
+            Frame::End(End { attempt, chunks, bytes, status: Status::default() })
         }),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -36,7 +36,7 @@
 const PLAIN_LATENCY: Duration = Duration::from_millis(2);
 
 /// How long the routers may take to meet an upstream.
-const READY_PATIENCE: Duration = Duration::from_secs(10);
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How many of each there are.
 #[derive(Clone, Copy, Debug)]
@@ -253,7 +253,7 @@
                 }
             }
         };
-        tokio::time::timeout(READY_PATIENCE, ready).await.map_err(|_| Error::NotReady)
+        tokio::time::timeout(READY_TIMEOUT, ready).await.map_err(|_| Error::NotReady)
     }
 }
 
--- a/src/local/traffic.rs
+++ b/src/local/traffic.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use load::{Answer, Caller, Chat, Error, come_back};
+use load::{Answer, Caller, Chat, Error, retry};
 use serde_json::{Value, json};
 use standin::Prompt;
 use tokio::task::JoinSet;
@@ -162,7 +162,7 @@
             stream: !(place + turn).is_multiple_of(3),
         };
         let answer = match Caller::new(url, MESA.0, MESA.1).await {
-            Ok(caller) => come_back(|| caller.chat(&chat)).await,
+            Ok(caller) => retry(|| caller.chat(&chat)).await,
             Err(fault) => Err(fault),
         };
         let answer = match answer {
@@ -195,8 +195,8 @@
     };
     let path = format!("/orders/{place}/confirm");
     let call = || caller.call("pickup", &path, Some(&key), "{}");
-    let first = come_back(call).await.map_err(|it| it.to_string())?;
-    let again = come_back(call).await.map_err(|it| it.to_string())?;
+    let first = retry(call).await.map_err(|it| it.to_string())?;
+    let again = retry(call).await.map_err(|it| it.to_string())?;
     if first.body != again.body || !first.body.contains(&path) {
         return Err(format!("{}: the repeat got another answer", first.request));
     }
--- a/tests/end_to_end/answers.rs
+++ b/tests/end_to_end/answers.rs
@@ -1,6 +1,6 @@
 //! Answers arrive whole and are one's own; keyed calls run once.
 
-use load::come_back;
+use load::retry;
 use tokio::task::JoinSet;
 
 use crate::fleet::{Fleet, Layout, chat, truth};
@@ -17,7 +17,7 @@
         let caller = callers[place % callers.len()].clone();
         tasks.spawn_local(async move {
             let chat = chat(&format!("chat{place}"), 20 + place as u64 % 30, place % 2 == 0);
-            let answer = come_back(|| caller.chat(&chat)).await.expect("a whole answer");
+            let answer = retry(|| caller.chat(&chat)).await.expect("a whole answer");
             assert_eq!(answer.text, truth(&chat));
         });
     }
@@ -44,10 +44,9 @@
             };
             let path = format!("/orders/{place}");
             let first =
-                come_back(|| one.call("pickup", &path, Some(&key), "{}")).await.expect("an answer");
-            let again = come_back(|| other.call("pickup", &path, Some(&key), "{}"))
-                .await
-                .expect("an answer");
+                retry(|| one.call("pickup", &path, Some(&key), "{}")).await.expect("an answer");
+            let again =
+                retry(|| other.call("pickup", &path, Some(&key), "{}")).await.expect("an answer");
             assert!(first.body.contains(&path), "the answer is another's: {}", first.body);
             assert_eq!(first.body, again.body);
         });
--- a/tests/end_to_end/bad_input.rs
+++ b/tests/end_to_end/bad_input.rs
@@ -10,7 +10,7 @@
 
 use crate::fleet::{Fleet, LINK_KEY, Layout, chat, truth};
 
-/// A small fleet with short patience.
+/// A small fleet with short timeouts.
 async fn small() -> Fleet {
     let router = json!({ "body_bytes": 4096, "body_ms": 300 });
     Fleet::start(Layout { routers: 1, engines: 1, services: 1, router, ..Layout::default() }).await
@@ -143,12 +143,12 @@
     let address = fleet.sidecars["engine-1"].address("listen");
     let mut socket = TcpStream::connect(&address).await.expect("it listens");
     socket.write_all(&[0xff; 4096]).await.expect("it reads");
-    let patience = Duration::from_secs(1);
+    let timeout = Duration::from_secs(1);
     let hello = |key: &str| wire::Hello { key: key.into(), name: "test".into() };
-    let wrong = link::Connection::open(&address, hello("a-wrong-link-key"), patience).await;
+    let wrong = link::Connection::open(&address, hello("a-wrong-link-key"), timeout).await;
     assert!(matches!(wrong, Err(link::Error::Key)), "{wrong:?}");
     let (connection, _) =
-        link::Connection::open(&address, hello(LINK_KEY), patience).await.expect("it stands");
+        link::Connection::open(&address, hello(LINK_KEY), timeout).await.expect("it stands");
     let strange = wire::Frame::Pool(placement::Pool::default());
     let mut call = connection.call(&strange).await.expect("it is sent");
     assert!(!matches!(call.next().await, Ok(Some(_))), "a strange frame got an answer");
--- a/tests/end_to_end/failures.rs
+++ b/tests/end_to_end/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use load::{Caller, Error, come_back};
+use load::{Caller, Error, retry};
 use nix::sys::signal::Signal;
 use serde_json::json;
 use standin::{EngineSettings, Fault};
@@ -200,7 +200,7 @@
         let caller = fleet.mesa(router).await;
         streams.spawn_local(async move {
             let chat = chat(&format!("stream{place}"), 40, true);
-            let answer = come_back(|| caller.chat(&chat)).await.expect("a whole answer");
+            let answer = retry(|| caller.chat(&chat)).await.expect("a whole answer");
             assert_eq!(answer.text, truth(&chat));
         });
     }
@@ -288,7 +288,7 @@
         let caller = fleet.mesa(place % 2).await;
         chats.spawn_local(async move {
             let chat = chat(&format!("chat{place}"), 5, true);
-            let answer = come_back(|| caller.chat(&chat)).await.expect("a whole answer");
+            let answer = retry(|| caller.chat(&chat)).await.expect("a whole answer");
             assert_eq!(answer.text, truth(&chat));
             assert_ne!(answer.upstream, "engine-3");
         });
@@ -364,7 +364,7 @@
         let caller = callers[place % 2].clone();
         streams.spawn_local(async move {
             let chat = chat(&format!("many{place}"), 40, true);
-            let answer = come_back(|| caller.chat(&chat)).await.expect("a whole answer");
+            let answer = retry(|| caller.chat(&chat)).await.expect("a whole answer");
             assert_eq!(answer.text, truth(&chat));
         });
     }
--- a/tests/end_to_end/process.rs
+++ b/tests/end_to_end/process.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 /// How long a process may take to end after it was asked to.
-const END_PATIENCE: Duration = Duration::from_secs(30);
+const END_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A running process; it is killed when dropped.
 #[derive(Debug)]
@@ -71,7 +71,7 @@
             if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
                 return status;
             }
-            assert!(started.elapsed() < END_PATIENCE, "the process does not end");
+            assert!(started.elapsed() < END_TIMEOUT, "the process does not end");
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
