Make the tour's first command work

Cause: reading the README as a newcomer, the printed curl line was answered 'Content type error' by the engine: curl says that a body is a form, and the router passed that on though it had read JSON. A chat now goes on as JSON. The laptop binary printed 96 log lines before its summary; it logs errors only.

--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -151,7 +151,8 @@
         weight: prompt.weight,
         deadline: deadline(&request),
     };
-    let template = template(&request, "/v1/chat/completions".to_owned(), body);
+    let mut template = template(&request, "/v1/chat/completions".to_owned(), body);
+    template.say_json();
     relay(&core, ask, template).await
 }
 
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -42,6 +42,14 @@
     pub traceparent: Option<Arc<str>>,
 }
 
+impl Template {
+    /// Says that the body is JSON, whatever the caller said: it was read as such.
+    pub(crate) fn say_json(&mut self) {
+        self.headers.retain(|(name, _)| &**name != "content-type");
+        self.headers.push(("content-type".into(), "application/json".into()));
+    }
+}
+
 /// A request between its arrival and its final answer. Dropping it earlier
 /// means that the caller went away.
 pub(crate) struct Relay {
--- a/src/bin/silverstack-local.rs
+++ b/src/bin/silverstack-local.rs
@@ -45,6 +45,9 @@
     if arguments.version {
         return cli::version(NAME);
     }
+    if let Err(fault) = telemetry::logs(telemetry::Level::Error) {
+        return cli::fail(NAME, fault, cli::FAILED);
+    }
     let size = Size {
         routers: arguments.routers.max(1),
         engines: arguments.engines.max(1),
--- a/tests/end_to_end/bad_input.rs
+++ b/tests/end_to_end/bad_input.rs
@@ -174,3 +174,16 @@
     }
     check_up(&fleet).await;
 }
+
+#[ntex::test]
+async fn a_chat_needs_no_content_type() {
+    let fleet = small().await;
+    let body = json!({
+        "model": "menu-7b",
+        "max_tokens": 2,
+        "messages": [{ "role": "user", "content": "oi" }],
+    });
+    let body = body.to_string();
+    let (status, _) = raw(&fleet, &head(body.len()), body.as_bytes()).await;
+    assert_eq!(status, 200);
+}
