Follow a hint only to where the intents let a chat go

Cause: reading the router anew, a hint from a chat's home was followed to any listed upstream, also one that a newer generation no longer allows, and a home that was full was asked again after its hints. Change: hints pass the same check as the owner of a key; only a home that sent the chat on is asked again.

--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -11,7 +11,7 @@
 use crate::request::{Phase, Request};
 use crate::state::State;
 use crate::upstream::OVER_BOUND;
-use crate::{Ask, Attempt, Decision, Effect, Owner, Policy, Try};
+use crate::{Ask, Attempt, Decision, Effect, Owner, Policy, Try, Upstream};
 
 impl State {
     pub(crate) fn ask(&mut self, ask: Ask, now: Millis) -> Vec<Effect> {
@@ -108,6 +108,13 @@
     }
 
     fn may_own(&self, id: u64, owner: &Owner) -> bool {
+        let lives = |it: &Upstream| it.incarnation <= owner.incarnation;
+        self.upstreams.get(&owner.upstream).is_some_and(lives) && self.may_go(id, &owner.upstream)
+    }
+
+    /// Whether the intents in force let a request go to a listed upstream that
+    /// its candidates may not name.
+    pub(crate) fn may_go(&self, id: u64, upstream: &str) -> bool {
         let (Some(plan), Some(request)) = (&self.plan, self.requests.get(&id)) else {
             return false;
         };
@@ -115,10 +122,9 @@
         let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
             return false;
         };
-        self.upstreams.get(&owner.upstream).is_some_and(|it| {
-            it.incarnation <= owner.incarnation
-                && target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref())
-        })
+        let fits =
+            |it: &Upstream| target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref());
+        self.upstreams.get(upstream).is_some_and(fits)
     }
 
     /// Sends to the next candidate, or gives up.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -50,22 +50,28 @@
     fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
         self.hear(id, refused.status, now);
         if !refused.hints.is_empty() {
-            self.follow(id, &refused.hints);
+            self.follow(id, refused);
         }
         self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
     }
 
-    /// The chat's context is at `hints`: they are next, then the home itself.
-    fn follow(&mut self, id: u64, hints: &[Arc<str>]) {
+    /// The chat's context is elsewhere: those places are next, then the home
+    /// itself if it has room. A hint never leads past the intents.
+    fn follow(&mut self, id: u64, refused: &Refused) {
+        let allowed = |hint: &&Arc<str>| self.may_go(id, hint);
+        let mut hints: Vec<_> = refused.hints.iter().filter(allowed).cloned().collect();
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.hints.is_empty() {
             return;
         }
-        request.hints = hints.to_vec();
+        request.hints.clone_from(&refused.hints);
         request.candidates.retain(|it| !hints.contains(it));
-        let home = request.tries.last().map(|it| it.upstream.clone());
-        let listed = hints.iter().rev().filter(|it| self.upstreams.contains_key(*it));
-        request.candidates.extend(home.into_iter().chain(listed.cloned()));
+        if refused.kind == Kind::Moved {
+            let home = request.tries.last().map(|it| it.upstream.clone());
+            request.candidates.extend(home);
+        }
+        hints.reverse();
+        request.candidates.append(&mut hints);
     }
 
     /// What the chat's first upstream in rank is to be told, if it was answered
--- /dev/null
+++ b/components/routing/tests/hints.rs
@@ -0,0 +1,98 @@
+//! A hint is followed only to where the intents let the request go.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::Kind;
+use intents::{Document, Plan};
+use routing::{Ask, Effect, Event, Host, Reply, Settings, State};
+use wire::{Refused, Status, Welcome};
+
+/// The time of every event.
+const NOW: Millis = Millis(1_000);
+
+fn host(name: &str, model: &str) -> Host {
+    Host {
+        name: name.into(),
+        address: name.into(),
+        domain: "d".into(),
+        labels: BTreeMap::from([("model".into(), model.into())]),
+        leaving: false,
+    }
+}
+
+fn state() -> State {
+    let json = serde_json::json!({
+        "generation": 1,
+        "workspaces": [{ "name": "w", "key_sha256": "0".repeat(64) }],
+        "kinds": [{ "name": "chat", "repeatable": true }],
+        "models": ["m"],
+        "intents": [{ "name": "all", "upstreams": [] }],
+    });
+    let document = Document::parse(&json.to_string()).expect("it parses");
+    let mut state = State::new(Settings::default(), 1);
+    let plan = Plan::compile(document).expect("it is right");
+    state.apply(Event::Configure(Arc::new(plan)), NOW);
+    let hosts = vec![host("one", "m"), host("two", "m"), host("other", "x")];
+    state.apply(Event::Hosts(hosts), NOW);
+    for name in ["one", "two", "other"] {
+        let status = Status { incarnation: 1, ..Status::default() };
+        state.apply(Event::Met(Welcome { name: name.into(), status }), NOW);
+    }
+    state
+}
+
+fn ask() -> Event {
+    Event::Ask(Ask {
+        id: 1,
+        request: "r".into(),
+        workspace: "w".into(),
+        kind: "chat".into(),
+        model: Some("m".into()),
+        chat: "c".into(),
+        once: None,
+        weight: 1,
+        deadline: None,
+    })
+}
+
+fn sent_to(effects: &[Effect]) -> Option<Arc<str>> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send(attempt) => Some(attempt.upstream.clone()),
+        _ => None,
+    })
+}
+
+fn refuse(state: &mut State, attempt: u32, kind: Kind, hints: &[&str]) -> Option<Arc<str>> {
+    let hints = hints.iter().map(|it| Arc::from(*it)).collect();
+    let status = Status { incarnation: 1, ..Status::default() };
+    let reply = Reply::Refused(Refused { kind, retry_after_ms: 1, hints, status });
+    sent_to(&state.apply(Event::Reply { id: 1, attempt, reply }, NOW))
+}
+
+#[test]
+fn a_hint_to_an_upstream_that_does_not_fit_is_passed_over() {
+    let mut state = state();
+    let home = sent_to(&state.apply(ask(), NOW)).expect("it is sent");
+    let next = refuse(&mut state, 1, Kind::Moved, &["other", "nowhere"]);
+    assert_eq!(next.as_ref(), Some(&home), "only the home is left to take it");
+}
+
+#[test]
+fn a_chat_goes_to_its_context_and_then_home() {
+    let mut state = state();
+    let home = sent_to(&state.apply(ask(), NOW)).expect("it is sent");
+    let away = if &*home == "one" { "two" } else { "one" };
+    assert_eq!(refuse(&mut state, 1, Kind::Moved, &[away]).as_deref(), Some(away));
+    assert_eq!(refuse(&mut state, 2, Kind::OverBound, &[]), Some(home));
+}
+
+#[test]
+fn a_home_that_is_full_is_not_asked_again() {
+    let mut state = state();
+    let home = sent_to(&state.apply(ask(), NOW)).expect("it is sent");
+    let away = if &*home == "one" { "two" } else { "one" };
+    assert_eq!(refuse(&mut state, 1, Kind::OverBound, &[away]).as_deref(), Some(away));
+    assert_eq!(refuse(&mut state, 2, Kind::OverBound, &[]), None);
+}
