--- a/components/sidecar/src/call.rs
+++ b/components/sidecar/src/call.rs
@@ -7,6 +7,7 @@
 use admission::{CallId, Effect, Event};
 use errors::Outcome;
 use link::Sink;
+use spdlog::info;
 use telemetry::Span;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, timeout_at};
@@ -25,6 +26,7 @@
 struct Task {
     core: Rc<Core>,
     id: CallId,
+    request: Arc<str>,
     /// Gone once the router is.
     sink: Option<Sink>,
     answer: Answer,
@@ -52,6 +54,7 @@
     let task = Task {
         core: core.clone(),
         id,
+        request: open.request.clone(),
         sink: Some(sink),
         answer: Answer::None,
         came,
@@ -121,7 +124,7 @@
             }
             Effect::Send { frame, .. } => self.write(&frame, false).await,
             Effect::Finish { frame, .. } => {
-                self.count(&frame);
+                self.record(&frame);
                 self.write(&frame, true).await;
                 self.ended = true;
             }
@@ -129,16 +132,25 @@
         }
     }
 
-    /// Counts how the call ended.
-    fn count(&self, frame: &Frame) {
+    /// Counts and logs how the call ended.
+    fn record(&self, frame: &Frame) {
         let error = match frame {
             Frame::Refused(refused) => Some(refused.kind),
             Frame::Broken(broken) => Some(broken.kind),
             _ => None,
         };
-        let outcome = error.map_or(Outcome::Ran, |kind| kind.row().outcome).into();
-        self.core.metrics.request(outcome, error.map(Into::into));
+        let outcome = error.map_or(Outcome::Ran, |kind| kind.row().outcome);
+        let error: Option<&'static str> = error.map(Into::into);
+        let outcome: &'static str = outcome.into();
+        self.core.metrics.request(outcome, error);
         self.span.set("outcome", outcome);
+        let trace = self.traceparent.as_deref().and_then(|it| it.split('-').nth(1));
+        info!("call ended", kv: {
+            request = &*self.request,
+            trace = trace.unwrap_or(""),
+            outcome,
+            error = error.unwrap_or(""),
+        });
     }
 
     async fn write(&mut self, frame: &Frame, last: bool) {
--- a/tests/end_to_end/observe.rs
+++ b/tests/end_to_end/observe.rs
@@ -58,6 +58,9 @@
     let logged = fleet.routers[0].log();
     let line = logged.iter().find(|it| it["kv"]["request"] == *answer.request);
     assert_eq!(line.expect("the request is logged")["kv"]["trace"], router["traceId"]);
+    let logged = fleet.sidecars["engine-1"].log();
+    let line = logged.iter().find(|it| it["kv"]["request"] == *answer.request);
+    assert_eq!(line.expect("the call is logged")["kv"]["trace"], router["traceId"]);
 }
 
 #[ntex::test]
