Bound the notes that wait, and split the choice of an upstream

Cause: reading the router anew, notes of moved chats waited in a queue without a bound; a frozen home takes half a second for each, so under load they would pile up. At most 1,024 wait now, further ones are dropped, which costs a chat its context and no more. Not measured; the bound is by construction.

--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -10,7 +10,7 @@
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
 use spdlog::{error, info};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::Receiver;
 use tokio::task::JoinSet;
 use wire::Frame;
 
@@ -28,7 +28,7 @@
 }
 
 /// Starts the tasks; they end when the stop is finished.
-pub(crate) fn spawn(core: &Rc<Core>, outbox: UnboundedReceiver<Effect>) {
+pub(crate) fn spawn(core: &Rc<Core>, outbox: Receiver<Effect>) {
     let core = core.clone();
     ntex::rt::spawn(async move {
         let mut tasks = JoinSet::new();
@@ -117,7 +117,7 @@
 
 /// Tells first upstreams in rank where chats are; a lost note costs a chat its
 /// context, no more.
-async fn send_notes(core: Rc<Core>, mut outbox: UnboundedReceiver<Effect>) {
+async fn send_notes(core: Rc<Core>, mut outbox: Receiver<Effect>) {
     let timeout = Duration::from_millis(core.settings.connect_ms);
     while let Some(effect) = outbox.recv().await {
         let Effect::Note { upstream, address, note } = effect else { continue };
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -12,7 +12,7 @@
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{Sender, channel};
 use wire::Hello;
 
 use crate::background;
@@ -21,6 +21,9 @@
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
 
+/// The most notes that wait to be sent.
+const MAX_NOTES: usize = 1_024;
+
 /// The state of a router and its edges.
 pub(crate) struct Core {
     pub settings: Arc<settings::Router>,
@@ -29,7 +32,7 @@
     pub stop: process::Stop,
     pub store: Option<platform::Store>,
     pub decisions: RefCell<Decisions>,
-    notes: UnboundedSender<Effect>,
+    notes: Sender<Effect>,
     pub metrics: Metrics,
     pub tracer: Tracer,
     state: RefCell<State>,
@@ -54,7 +57,7 @@
         };
         let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
         let links = Links::new(hello, Duration::from_millis(settings.connect_ms));
-        let (notes, outbox) = unbounded_channel();
+        let (notes, outbox) = channel(MAX_NOTES);
         let metrics = Metrics::new(SERVICE);
         let tracer = match &settings.traces_url {
             Some(url) => Tracer::new(SERVICE, &settings.name, url),
@@ -93,9 +96,10 @@
         effects
     }
 
-    /// Hands a note to the task that sends them; nobody waits for it.
+    /// Hands a note to the task that sends them; nobody waits for it, and it is
+    /// dropped while too many wait.
     pub(crate) fn tell(&self, note: Effect) {
-        let _ = self.notes.send(note);
+        let _ = self.notes.try_send(note);
     }
 
     /// Counts, logs and keeps the decision on a request that has ended.
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -56,48 +56,26 @@
         now: Millis,
     ) -> Choice {
         let fitting = self.fitting(upstreams, intent, ask);
-        let mut open = Vec::with_capacity(fitting.len());
-        let mut objected = Vec::new();
-        let mut lightest: Option<&Upstream> = None;
-        let mut up = Vec::new();
-        for upstream in fitting.iter().map(|place| &upstreams[*place]) {
-            let Some(why) = upstream.objection(ask.weight, settings, now) else {
-                open.push(upstream);
-                up.push(upstream);
-                continue;
-            };
-            objected.push((upstream, why));
-            if why == OVER_BOUND {
-                up.push(upstream);
-            }
-            if why == OVER_BOUND && lightest.is_none_or(|it| upstream.load() < it.load()) {
-                lightest = Some(upstream);
-            }
-        }
-        // Loads are known with a lag: one sidecar is asked before all are
-        // believed to be full.
-        if open.is_empty() {
-            open.extend(lightest);
-        }
+        let fitting = fitting.iter().map(|place| &upstreams[*place]);
+        let sorted = Sorted::new(fitting, ask.weight, settings, now);
         let key = key(&ask.workspace, &ask.chat);
-        let home = top(key, up.into_iter(), 1, |it| (it.name(), 1.0)).pop();
-        let mut best = order(settings.policy, key, &ask.request, open);
-        if settings.policy == Policy::Directory
-            && let Some(home) = home.filter(|_| ask.is_chat())
-        {
+        let home = sorted.home(key).filter(|_| ask.is_chat());
+        let passed = top(key, sorted.objected.iter(), MAX_PASSED, |(it, _)| (it.name(), 1.0));
+        let passed = passed
+            .into_iter()
+            .map(|(it, why)| Passed { upstream: it.name().clone(), why })
+            .collect();
+        let mut best = order(settings.policy, key, &ask.request, sorted.candidates());
+        if let Some(home) = home.filter(|_| settings.policy == Policy::Directory) {
             // The home is asked first even if it is believed to be full: it
             // knows where the chat's context is.
             best.retain(|it| it.name() != home.name());
             best.insert(0, home);
         }
-        let passed = top(key, objected.into_iter(), MAX_PASSED, |(it, _)| (it.name(), 1.0));
         Choice {
             candidates: best.into_iter().rev().map(|it| it.name().clone()).collect(),
-            passed: passed
-                .into_iter()
-                .map(|(it, why)| Passed { upstream: it.name().clone(), why })
-                .collect(),
-            home: home.filter(|_| ask.is_chat()).map(|it| it.name().clone()),
+            passed,
+            home: home.map(|it| it.name().clone()),
         }
     }
 
@@ -113,6 +91,50 @@
     }
 }
 
+/// The fitting upstreams by what speaks against them.
+struct Sorted<'a> {
+    open: Vec<&'a Upstream>,
+    objected: Vec<(&'a Upstream, &'static str)>,
+}
+
+impl<'a> Sorted<'a> {
+    fn new(
+        fitting: impl Iterator<Item = &'a Upstream>,
+        weight: u64,
+        settings: &Settings,
+        now: Millis,
+    ) -> Self {
+        let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
+        for upstream in fitting {
+            match upstream.objection(weight, settings, now) {
+                None => sorted.open.push(upstream),
+                Some(why) => sorted.objected.push((upstream, why)),
+            }
+        }
+        sorted
+    }
+
+    /// Those that are up but believed to be full.
+    fn full(&self) -> impl Iterator<Item = &'a Upstream> {
+        self.objected.iter().filter(|(_, why)| *why == OVER_BOUND).map(|(it, _)| *it)
+    }
+
+    /// The first in rank of those that are up.
+    fn home(&self, key: u64) -> Option<&'a Upstream> {
+        let up = self.open.iter().copied().chain(self.full());
+        top(key, up, 1, |it| (it.name(), 1.0)).pop()
+    }
+
+    /// Those to try. Loads are known with a lag: one sidecar is asked before all
+    /// are believed to be full.
+    fn candidates(self) -> Vec<&'a Upstream> {
+        if !self.open.is_empty() {
+            return self.open;
+        }
+        self.full().min_by_key(|it| it.load()).into_iter().collect()
+    }
+}
+
 /// The best of `open`, the best first.
 fn order<'a>(
     policy: Policy,
