--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use intents::{Document, Plan};
-use platform::Reading;
+use store::Reading;
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
 use spdlog::{error, info};
@@ -46,7 +46,7 @@
 
 async fn follow_hosts(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
-    let Ok(mut hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
+    let Ok(mut hosts) = store::Hosts::new(&core.settings.hosts_url).await else { return };
     let mut connecting = JoinSet::new();
     loop {
         let event = match hosts.read().await {
@@ -66,7 +66,7 @@
     }
 }
 
-fn host(entry: platform::Entry) -> Host {
+fn host(entry: store::Entry) -> Host {
     Host {
         name: entry.name,
         address: entry.address,
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -30,7 +30,7 @@
     pub clock: Clock,
     pub links: Links,
     pub stop: process::Stop,
-    pub store: Option<platform::Store>,
+    pub store: Option<store::Store>,
     pub decisions: RefCell<Decisions>,
     notes: Sender<Effect>,
     pub metrics: Metrics,
@@ -52,7 +52,7 @@
         let mut state = State::new(settings.routing.clone(), started.0);
         state.apply(Event::Configure(plan), started);
         let store = match &settings.store_url {
-            Some(url) => platform::Store::new(url).await.ok(),
+            Some(url) => store::Store::new(url).await.ok(),
             None => None,
         };
         let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
--- a/components/sidecar/src/peers.rs
+++ b/components/sidecar/src/peers.rs
@@ -5,7 +5,7 @@
 
 use admission::{Event, Peer};
 use link::Links;
-use platform::{Entry, Reading};
+use store::{Entry, Reading};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::JoinSet;
 use wire::{Frame, Hello, Report};
@@ -18,7 +18,7 @@
 /// Reads the platform's list of hosts again and again.
 pub(crate) async fn follow(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
-    let Ok(mut hosts) = platform::Hosts::new(&core.settings.hosts_url).await else { return };
+    let Ok(mut hosts) = store::Hosts::new(&core.settings.hosts_url).await else { return };
     loop {
         if let Ok(Reading { entries: Some(entries), bytes }) = hosts.read().await {
             core.metrics.control("hosts", bytes);
