--- /dev/null
+++ b/components/edge/src/store.rs
@@ -0,0 +1,68 @@
+//! The platform's key-value service, as far as a router follows it.
+
+use clock::Millis;
+use futures_util::future::LocalBoxFuture;
+use intents::Document;
+use routing::Host;
+use snafu::Snafu;
+use std::sync::Arc;
+
+/// Something that the service holds or that has changed there.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// The operator's configuration.
+    Configuration(Box<Document>),
+    /// An upstream lives.
+    Upstream {
+        /// The upstream.
+        host: Host,
+        /// Grows with what the upstream says of itself; a lower one is older.
+        sequence: u64,
+    },
+    /// An upstream's entry was removed.
+    Gone(Arc<str>),
+    /// An entry that can't be read.
+    Unreadable {
+        /// Its key.
+        key: Arc<str>,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// A part of what the service told.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// What is held or has changed, in order.
+    pub facts: Vec<Fact>,
+    /// The revision that the facts are of.
+    pub revision: u64,
+}
+
+/// Why the service told nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum Fault {
+    /// The changes since the revision that was asked for are no longer kept.
+    #[snafu(display("the history is gone"))]
+    HistoryGone,
+    /// The service can't be reached, refused or broke off.
+    #[snafu(display("{reason}"))]
+    Unavailable {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// A call under way.
+pub type Reading<'a> = LocalBoxFuture<'a, Result<Batch, Fault>>;
+
+/// The platform's key-value service.
+pub trait Store {
+    /// All that concerns routers, as it is now. The pages of a long answer are
+    /// not of one revision; the batch has the lowest.
+    fn read(&self) -> Reading<'_>;
+
+    /// What has changed after `revision`, as soon as there is something, or
+    /// nothing after `wait`.
+    fn watch(&self, revision: u64, wait: Millis) -> Reading<'_>;
+}
--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -87,6 +87,8 @@
     OverLimit: 429 NotRun false true "the workspace is over its limit";
     /// No configuration is in force yet.
     NoConfiguration: 503 NotRun false true "no configuration is in force yet";
+    /// The configuration may have changed without this router knowing.
+    StaleConfiguration: 503 NotRun false true "the configuration can't be confirmed now";
     /// No upstream fits that is known to be up.
     NoUpstream: 503 NotRun false true "no fitting upstream is available";
     /// The upstream would carry more than its share of the pool.
@@ -125,6 +127,8 @@
     AnswerDropped: 410 Ran false false "the request ran; its answer is no longer kept";
     /// The upstream's answer ended before it was whole.
     Truncated: 502 Ran false false "the answer broke off before it was whole";
+    /// The upstream ran the request and answered with a failure.
+    UpstreamFailed: 502 Ran false false "the upstream failed";
     /// The answer broke a rule of the link.
     Crossed: 502 Ran false false "the answer did not fit the request";
     /// The answer was not whole when the deadline passed.
--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -9,7 +9,7 @@
 use crate::{Error, Labels, Selector};
 
 /// The deadline of a request whose intent sets none, in milliseconds.
-const DEFAULT_DEADLINE_MS: u64 = 60_000;
+pub const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
 /// Everything that operators decide, as one generation.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,13 +37,51 @@
 pub struct Workspace {
     /// The name.
     pub name: Arc<str>,
-    /// SHA-256 of the workspace key, in hexadecimal.
-    pub key_sha256: Arc<str>,
+    /// SHA-256 of the workspace key, in hexadecimal; a list while keys are
+    /// being replaced. A workspace without a key is that of anonymous callers.
+    #[serde(with = "keys")]
+    pub key_sha256: Vec<Arc<str>>,
+    /// Goes before the priority of the intents.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<i32>,
     /// The labels.
     #[serde(default)]
     pub labels: Labels,
 }
 
+/// One digest or a list of them.
+mod keys {
+    use std::sync::Arc;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    #[derive(Serialize, Deserialize)]
+    #[serde(untagged)]
+    enum Keys {
+        One(Arc<str>),
+        Many(Vec<Arc<str>>),
+    }
+
+    pub(super) fn serialize<S: Serializer>(
+        keys: &[Arc<str>],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match keys {
+            [key] => Keys::One(key.clone()).serialize(serializer),
+            keys => Keys::Many(keys.to_vec()).serialize(serializer),
+        }
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<Arc<str>>, D::Error> {
+        Ok(match Keys::deserialize(deserializer)? {
+            Keys::One(key) => vec![key],
+            Keys::Many(keys) => keys,
+        })
+    }
+}
+
 /// A kind of request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,11 +90,38 @@
     pub name: Arc<str>,
     /// Whether the fleet may run such a request again by itself.
     pub repeatable: bool,
+    /// Whether a request that may not be repeated is taken without an
+    /// idempotency key; it then goes to another upstream only if it has not run.
+    #[serde(default)]
+    pub keyless: bool,
+    /// Whether the answer is a stream of events.
+    #[serde(default)]
+    pub events: bool,
+    /// Whether a broken stream may be continued at another upstream.
+    #[serde(default)]
+    pub resumable: bool,
+    /// Whether callers need no key.
+    #[serde(default)]
+    pub anonymous: bool,
+    /// Where callers find it, beside the fleet's own paths.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paths: Vec<Location>,
     /// The labels.
     #[serde(default)]
     pub labels: Labels,
 }
 
+/// A host and a path prefix. Of a host's prefixes the longest that begins the
+/// path counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Location {
+    /// The host, in lower case and without a port.
+    pub host: Arc<str>,
+    /// The prefix; it begins and ends with a slash.
+    pub prefix: Arc<str>,
+}
+
 /// Labels of one upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -96,6 +161,28 @@
     /// The time a request has, in milliseconds.
     #[serde(default = "default_deadline")]
     pub deadline_ms: u64,
+    /// The most upstreams that one request may be sent to; the router's own
+    /// setting, if none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
+    /// The time to an answer, or to its first event, that callers hope for, in
+    /// milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<u64>,
+    /// Shares of the requests that go to further sets of upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+}
+
+/// A share of an intent's requests. The upstreams of the intent itself take
+/// what is left of 100 after all shares.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// Of 100 requests.
+    pub percent: f64,
+    /// Which upstreams.
+    pub upstreams: Vec<Selector>,
 }
 
 fn default_deadline() -> u64 {
--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -5,12 +5,16 @@
 //! [`Plan::compile`] checks a document in full and turns it into a form that
 //! answers [`Plan::find`] by one look-up.
 
+mod digest;
 mod document;
 mod error;
 mod plan;
 mod selector;
 
-pub use document::{Document, Intent, Kind, Upstream, Workspace};
+pub use digest::digest;
+pub use document::{
+    DEFAULT_DEADLINE_MS, Document, Intent, Kind, Location, Share, Upstream, Workspace,
+};
 pub use error::Error;
 pub use plan::{Miss, Plan, Target};
 pub use selector::{Labels, Selector};
--- a/components/intents/src/plan.rs
+++ b/components/intents/src/plan.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 
 use serde::Serialize;
-use sha2::{Digest, Sha256};
 use snafu::ensure;
 use subtle::ConstantTimeEq;
 
+use crate::digest::{self, digest};
 use crate::error::RuleSnafu;
-use crate::{Document, Error, Intent, Labels, Selector};
+use crate::{Document, Error, Intent, Kind, Labels, Selector, Workspace};
 
 /// The label that holds a thing's own name.
 const NAME: &str = "name";
@@ -18,9 +18,6 @@
 /// The label that tells which model an engine serves.
 const MODEL: &str = "model";
 
-/// The length of a SHA-256 digest in hexadecimal.
-const DIGEST_LENGTH: usize = 64;
-
 /// The longest deadline an intent may set, in milliseconds: a day.
 const LONGEST_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
 
@@ -32,6 +29,10 @@
     kinds: HashMap<Arc<str>, usize>,
     models: HashSet<Arc<str>>,
     labels: HashMap<Arc<str>, Labels>,
+    /// The workspace that holds each key, by the key's digest.
+    keys: HashMap<Arc<str>, usize>,
+    /// For each host, the prefixes and their kinds, the longest prefix first.
+    paths: HashMap<Arc<str>, Vec<(Arc<str>, usize)>>,
     /// For each workspace and kind, the matching intents by falling rank.
     matches: Vec<Vec<usize>>,
 }
@@ -43,6 +44,10 @@
     pub intent: &'a Intent,
     /// Whether the fleet may run the request again by itself.
     pub repeatable: bool,
+    /// The kind of request.
+    pub kind: &'a Kind,
+    /// The priority of the workspace, else of the intent.
+    pub priority: i32,
 }
 
 /// Why no intent decided.
@@ -69,8 +74,10 @@
         let models = document.models.iter().cloned().collect();
         let labels =
             document.upstreams.iter().map(|it| (it.name.clone(), it.labels.clone())).collect();
+        let keys = keys(&document);
+        let paths = paths(&document);
         let matches = matches(&document);
-        Ok(Self { document, workspaces, kinds, models, labels, matches })
+        Ok(Self { document, workspaces, kinds, models, labels, keys, paths, matches })
     }
 
     /// The generation of the document.
@@ -86,12 +93,38 @@
     /// Whether `key` is the key of `workspace`; takes the same time for any
     /// wrong key.
     pub fn authenticate(&self, workspace: &str, key: &str) -> bool {
-        let digest = hex(&Sha256::digest(key.as_bytes()));
+        let digest = digest(key);
         let Some(place) = self.workspaces.get(workspace) else {
             return false;
         };
         let expected = &self.document.workspaces[*place].key_sha256;
-        bool::from(digest.as_bytes().ct_eq(expected.as_bytes()))
+        let same = |it: &Arc<str>| bool::from(digest.as_bytes().ct_eq(it.as_bytes()));
+        expected.iter().fold(false, |any, it| any | same(it))
+    }
+
+    /// The workspace that holds `key`. The look-up is by digest, so that its
+    /// time tells nothing about keys.
+    pub fn holder(&self, key: &str) -> Option<&Arc<str>> {
+        let place = self.keys.get(digest(key).as_str())?;
+        Some(&self.document.workspaces[*place].name)
+    }
+
+    /// The workspace of callers without a key: the first that has none.
+    pub fn anonymous(&self) -> Option<&Arc<str>> {
+        let keyless = |it: &&Workspace| it.key_sha256.is_empty();
+        self.document.workspaces.iter().find(keyless).map(|it| &it.name)
+    }
+
+    /// Whether the document names `model`.
+    pub fn offers(&self, model: &str) -> bool {
+        self.models.contains(model)
+    }
+
+    /// The kind of request at `path` of `host`: the one with the longest prefix.
+    pub fn locate(&self, host: &str, path: &str) -> Option<&Kind> {
+        let prefixes = self.paths.get(host)?;
+        let (_, place) = prefixes.iter().find(|(prefix, _)| path.starts_with(&**prefix))?;
+        Some(&self.document.kinds[*place])
     }
 
     /// The intent that decides over a request.
@@ -108,9 +141,10 @@
         if model.is_some_and(|model| !self.models.contains(model)) {
             return Err(Miss::UnknownModel);
         }
-        let workspace = *self.workspaces.get(workspace).ok_or(Miss::NoIntent)?;
+        let place = *self.workspaces.get(workspace).ok_or(Miss::NoIntent)?;
+        let workspace = &self.document.workspaces[place];
         let kind = *self.kinds.get(kind).ok_or(Miss::NoIntent)?;
-        let places = &self.matches[workspace * self.document.kinds.len() + kind];
+        let places = &self.matches[place * self.document.kinds.len() + kind];
         let mut fitting = places
             .iter()
             .map(|place| &self.document.intents[*place])
@@ -121,7 +155,9 @@
         {
             return Err(Miss::Ambiguous(intent.name.clone(), rival.name.clone()));
         }
-        Ok(Target { intent, repeatable: self.document.kinds[kind].repeatable })
+        let kind = &self.document.kinds[kind];
+        let priority = workspace.priority.unwrap_or(intent.priority);
+        Ok(Target { intent, repeatable: kind.repeatable, kind, priority })
     }
 
     /// The labels of an upstream: what its host reports and what operators add.
@@ -139,10 +175,14 @@
     /// Whether an upstream with `labels` in `domain` may take a request for
     /// `model` under this intent.
     pub fn fits(&self, labels: &Labels, domain: &str, model: Option<&str>) -> bool {
+        self.serves(labels, domain, model) && Selector::all(&self.upstreams, labels)
+    }
+
+    /// The same, but for the intent's own selectors of upstreams.
+    pub fn serves(&self, labels: &Labels, domain: &str, model: Option<&str>) -> bool {
         let served = labels.get(MODEL).map(AsRef::as_ref);
         (model.is_none() || served == model)
             && (self.domains.is_empty() || self.domains.iter().any(|it| &**it == domain))
-            && Selector::all(&self.upstreams, labels)
     }
 }
 
@@ -160,14 +200,49 @@
     labels
 }
 
+fn keys(document: &Document) -> HashMap<Arc<str>, usize> {
+    let workspaces = document.workspaces.iter().enumerate();
+    workspaces
+        .flat_map(|(place, it)| it.key_sha256.iter().map(move |key| (key.clone(), place)))
+        .collect()
+}
+
+fn paths(document: &Document) -> HashMap<Arc<str>, Vec<(Arc<str>, usize)>> {
+    let mut paths: HashMap<Arc<str>, Vec<_>> = HashMap::new();
+    for (place, kind) in document.kinds.iter().enumerate() {
+        for path in &kind.paths {
+            paths.entry(path.host.clone()).or_default().push((path.prefix.clone(), place));
+        }
+    }
+    for prefixes in paths.values_mut() {
+        prefixes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+    }
+    paths
+}
+
+/// The places of the kinds that an intent names. Most intents select one kind
+/// by its name, which needs no look at the others.
+fn fitting_kinds(
+    intent: &Intent,
+    kinds: &[Labels],
+    places: &HashMap<Arc<str>, usize>,
+) -> Vec<usize> {
+    if let [Selector::Equals { label, value }] = &*intent.kinds
+        && &**label == NAME
+    {
+        return places.get(value).copied().into_iter().collect();
+    }
+    (0..kinds.len()).filter(|it| Selector::all(&intent.kinds, &kinds[*it])).collect()
+}
+
 fn matches(document: &Document) -> Vec<Vec<usize>> {
     let workspaces: Vec<_> =
         document.workspaces.iter().map(|it| named(&it.name, &it.labels)).collect();
     let kinds: Vec<_> = document.kinds.iter().map(|it| named(&it.name, &it.labels)).collect();
+    let places = index(document.kinds.iter().map(|it| &it.name));
     let mut matches = vec![Vec::new(); workspaces.len() * kinds.len()];
     for (place, intent) in document.intents.iter().enumerate() {
-        let fitting: Vec<_> =
-            (0..kinds.len()).filter(|it| Selector::all(&intent.kinds, &kinds[*it])).collect();
+        let fitting = fitting_kinds(intent, &kinds, &places);
         for (workspace, labels) in workspaces.iter().enumerate() {
             if !Selector::all(&intent.workspaces, labels) {
                 continue;
@@ -190,8 +265,8 @@
     unique("upstreams", document.upstreams.iter().map(|it| &it.name))?;
     unique("intents", document.intents.iter().map(|it| &it.name))?;
     for (place, workspace) in document.workspaces.iter().enumerate() {
-        let key = &workspace.key_sha256;
-        let whole = key.len() == DIGEST_LENGTH && key.bytes().all(is_lower_hex);
+        let digest = |it: &Arc<str>| it.len() == digest::LENGTH && it.bytes().all(is_lower_hex);
+        let whole = workspace.key_sha256.iter().all(digest);
         rule(
             whole,
             &format!("workspaces[{place}].key_sha256"),
@@ -241,11 +316,3 @@
 fn is_lower_hex(byte: u8) -> bool {
     byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte)
 }
-
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/components/intents/tests/matching.rs
+++ b/components/intents/tests/matching.rs
@@ -48,7 +48,8 @@
                 .enumerate()
                 .map(|(place, labels)| Workspace {
                     name: format!("w{place}").into(),
-                    key_sha256: "0".repeat(64).into(),
+                    key_sha256: vec!["0".repeat(64).into()],
+                    priority: None,
                     labels,
                 })
                 .collect(),
@@ -58,6 +59,11 @@
                 .map(|(place, labels)| Kind {
                     name: format!("k{place}").into(),
                     repeatable: true,
+                    keyless: false,
+                    events: false,
+                    resumable: false,
+                    anonymous: false,
+                    paths: Vec::new(),
                     labels,
                 })
                 .collect(),
@@ -76,6 +82,9 @@
                     domains: Vec::new(),
                     priority: 0,
                     deadline_ms: 1,
+                    attempts: None,
+                    objective_ms: None,
+                    split: Vec::new(),
                 })
                 .collect(),
         })
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -5,17 +5,19 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use clock::Millis;
 use intents::{Document, Plan};
-use store::Reading;
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
 use spdlog::{error, info};
+use store::Reading;
 use tokio::sync::mpsc::Receiver;
 use tokio::task::JoinSet;
 use wire::Frame;
 
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
+use crate::feed;
 
 /// How often the file of the intents is looked at.
 const INTENTS_EVERY: Duration = Duration::from_secs(1);
@@ -32,8 +34,15 @@
     let core = core.clone();
     ntex::rt::spawn(async move {
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(follow_hosts(core.clone()));
-        tasks.spawn_local(follow_intents(core.clone()));
+        match &core.settings.direct {
+            Some(direct) => {
+                tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms)));
+            }
+            None => {
+                tasks.spawn_local(follow_hosts(core.clone()));
+                tasks.spawn_local(follow_intents(core.clone()));
+            }
+        }
         tasks.spawn_local(send_notes(core.clone(), outbox));
         core.stop.asked().await;
         tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -6,9 +6,12 @@
 use std::time::Duration;
 
 use clock::{Clock, Millis};
+use edge::Edges;
 use errors::Kind;
 use intents::Plan;
 use link::Links;
+use ntex::client::Client;
+use ntex::time::Seconds;
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
@@ -24,6 +27,15 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
+/// How long an idle connection to an upstream is kept.
+const UPSTREAM_IDLE: Seconds = Seconds(4);
+
+/// What reaches upstreams directly.
+struct Direct {
+    edges: Edges,
+    client: Client,
+}
+
 /// The state of a router and its edges.
 pub(crate) struct Core {
     pub settings: Arc<settings::Router>,
@@ -31,6 +43,8 @@
     pub links: Links,
     pub stop: process::Stop,
     pub store: Option<store::Store>,
+    /// Set where upstreams are reached directly.
+    direct: Option<Direct>,
     pub decisions: RefCell<Decisions>,
     notes: Sender<Effect>,
     pub metrics: Metrics,
@@ -41,16 +55,26 @@
 }
 
 impl Core {
-    /// A router with `plan` in force and its background tasks running.
+    /// A router with `plan` in force, if there is one yet, and its background
+    /// tasks running. `edges` are those of the platform, if it runs on one.
     pub(crate) async fn start(
         settings: Arc<settings::Router>,
-        plan: Arc<Plan>,
+        plan: Option<Arc<Plan>>,
+        edges: Option<Edges>,
         stop: process::Stop,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let started = clock.now();
         let mut state = State::new(settings.routing.clone(), started.0);
-        state.apply(Event::Configure(plan), started);
+        if let Some(plan) = plan {
+            state.apply(Event::Configure(plan), started);
+        }
+        let direct = match edges {
+            Some(edges) => {
+                process::client(UPSTREAM_IDLE).await.ok().map(|client| Direct { edges, client })
+            }
+            None => None,
+        };
         let store = match &settings.store_url {
             Some(url) => store::Store::new(url).await.ok(),
             None => None,
@@ -70,6 +94,7 @@
             links,
             stop,
             store,
+            direct,
             decisions,
             notes,
             metrics,
@@ -96,6 +121,35 @@
         effects
     }
 
+    /// Whether upstreams are reached directly.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.direct.is_some()
+    }
+
+    /// The platform's edges.
+    ///
+    /// # Panics
+    ///
+    /// The router does not run on a platform.
+    pub(crate) fn edges(&self) -> &Edges {
+        &self.direct.as_ref().expect("only called on a platform").edges
+    }
+
+    /// The client that reaches upstreams.
+    ///
+    /// # Panics
+    ///
+    /// The router does not run on a platform.
+    pub(crate) fn client(&self) -> &Client {
+        &self.direct.as_ref().expect("only called on a platform").client
+    }
+
+    /// Whether the configuration is new enough to say that something is
+    /// unknown.
+    pub(crate) fn knows_all(&self) -> bool {
+        self.state.borrow().is_proved(self.settings.routing.unknown_ms, self.clock.now())
+    }
+
     /// Hands a note to the task that sends them; nobody waits for it, and it is
     /// dropped while too many wait.
     pub(crate) fn tell(&self, note: Effect) {
--- /dev/null
+++ b/components/router/src/direct.rs
@@ -0,0 +1,290 @@
+//! One sending of a request straight to its upstream.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use edge::{Header, Sending};
+use errors::Kind;
+use futures_util::StreamExt;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{ClientRequest, ClientResponse};
+use ntex::http::Method;
+use ntex::http::error::PayloadError;
+use routing::{Attempt, Event, Reply};
+use wire::{Chunk, End, Head, Refused, Status};
+
+use crate::core::Core;
+use crate::events::Splitter;
+use crate::relay::Template;
+
+/// Headers that concern one connection only.
+pub(crate) const HOP_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// How much of an answer is kept back until it is whole, so that another
+/// upstream may still be asked. Answers beyond are passed on as they come.
+const MAX_KEPT: usize = 64 * 1024;
+
+/// The end of an attempt without a last reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lost {
+    /// Whether any byte of the request may have reached the upstream.
+    pub sent: bool,
+}
+
+type Answer = Pin<Box<dyn Future<Output = Result<ClientResponse, ClientError>>>>;
+
+enum Stage {
+    /// The head of the answer is waited for.
+    Head(Answer),
+    /// The body comes.
+    Body(ClientResponse),
+    /// Nothing more will come.
+    Over,
+}
+
+/// What has been passed on of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Progress {
+    pub chunks: u64,
+    pub bytes: u64,
+    /// The number of the last event.
+    pub event: Option<u64>,
+}
+
+/// An attempt under way; dropping it closes its connection, which cancels the
+/// request at the upstream.
+pub(crate) struct Call {
+    core: Rc<Core>,
+    request: Arc<str>,
+    upstream: Arc<str>,
+    attempt: u32,
+    stage: Stage,
+    /// Replies that are ready.
+    ready: VecDeque<Reply>,
+    /// The head, until there is something to pass on with it.
+    head: Option<Head>,
+    /// Bytes that are kept back until the answer is whole.
+    kept: BytesMut,
+    /// Set where the answer is a stream of events.
+    events: Option<Splitter>,
+    /// Whether the answer's length is unknown, so that it ends with its
+    /// connection.
+    unframed: bool,
+    progress: Progress,
+}
+
+impl Call {
+    /// Sends the request of `template` as `attempt` says.
+    pub(crate) fn start(
+        core: &Rc<Core>,
+        request: &Arc<str>,
+        attempt: &Attempt,
+        template: &Template,
+        workspace: Option<&str>,
+        progress: Progress,
+    ) -> Self {
+        let sending = Sending {
+            remaining: attempt.remaining,
+            upstream: &attempt.upstream,
+            workspace,
+            priority: template.events.then_some(attempt.priority),
+            warm: attempt.warm.as_deref(),
+            last_event: progress.event.filter(|_| attempt.resume),
+        };
+        let headers = core.edges().dialect.forward(&template.headers, &sending);
+        let url = format!("http://{}{}", attempt.address, template.path);
+        let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
+        let mut builder = core.client().request(method, url).no_decompress();
+        for (name, value) in &headers {
+            builder = builder.header(&**name, &**value);
+        }
+        Self {
+            core: core.clone(),
+            request: request.clone(),
+            upstream: attempt.upstream.clone(),
+            attempt: attempt.number,
+            stage: Stage::Head(send(builder, &template.body)),
+            ready: VecDeque::new(),
+            head: None,
+            kept: BytesMut::new(),
+            events: template.events.then(|| Splitter::after(progress.event)),
+            unframed: false,
+            progress,
+        }
+    }
+
+    /// What has been passed on so far.
+    pub(crate) fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// The next reply.
+    ///
+    /// # Errors
+    ///
+    /// The attempt ended before its last reply.
+    pub(crate) async fn next(&mut self) -> Result<Reply, Lost> {
+        loop {
+            if let Some(reply) = self.ready.pop_front() {
+                return Ok(reply);
+            }
+            match &mut self.stage {
+                Stage::Head(answer) => match answer.await {
+                    Ok(response) => self.open(response)?,
+                    Err(fault) => {
+                        self.stage = Stage::Over;
+                        return Err(lost(&fault));
+                    }
+                },
+                Stage::Body(response) => {
+                    let part = response.next().await;
+                    self.take(part)?;
+                }
+                Stage::Over => return std::future::pending().await,
+            }
+        }
+    }
+
+    /// Reads the head of the answer.
+    fn open(&mut self, response: ClientResponse) -> Result<(), Lost> {
+        self.stage = Stage::Over;
+        let status = response.status().as_u16();
+        let headers: Vec<Header> = response
+            .headers()
+            .iter()
+            .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+            .collect();
+        let told = self.core.edges().dialect.told(status, &headers);
+        if told.id.as_ref().is_some_and(|it| *it != self.request) {
+            return Err(Lost { sent: true });
+        }
+        if let Some(requests) = told.load {
+            self.core.apply(Event::Load { upstream: self.upstream.clone(), requests });
+        }
+        if told.not_run {
+            self.ready.push_back(refused(status));
+            return Ok(());
+        }
+        let success = (200..300).contains(&status);
+        if told.id.is_none() || (success && !told.signed) {
+            return Err(Lost { sent: true });
+        }
+        if !success {
+            self.events = None;
+        }
+        self.unframed = edge::find(&headers, "content-length").is_none()
+            && edge::find(&headers, "transfer-encoding").is_none();
+        let headers = headers.into_iter().filter(|(name, _)| !is_hop(name)).collect();
+        self.head = Some(Head { attempt: self.attempt, status, headers });
+        self.stage = Stage::Body(response);
+        Ok(())
+    }
+
+    /// Takes a part of the body.
+    fn take(&mut self, part: Option<Result<ntex::util::Bytes, PayloadError>>) -> Result<(), Lost> {
+        match part {
+            Some(Ok(bytes)) => self.bytes(&bytes),
+            Some(Err(fault)) if self.is_end(&fault) => self.end(),
+            Some(Err(_)) => {
+                self.stage = Stage::Over;
+                Err(Lost { sent: true })
+            }
+            None => self.end(),
+        }
+    }
+
+    /// Whether the fault is the regular end of an answer without a length.
+    fn is_end(&self, fault: &PayloadError) -> bool {
+        self.unframed && matches!(fault, PayloadError::Incomplete(None))
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) -> Result<(), Lost> {
+        if let Some(events) = &mut self.events {
+            let whole = events.push(bytes).map_err(|_| Lost { sent: true });
+            let whole = whole.inspect_err(|_| self.stage = Stage::Over)?;
+            self.progress.event = self.events.as_ref().and_then(Splitter::last);
+            self.pass(whole);
+            return Ok(());
+        }
+        self.kept.extend_from_slice(bytes);
+        if self.head.is_none() || self.kept.len() > MAX_KEPT {
+            let kept = self.kept.split().freeze();
+            self.pass(kept);
+        }
+        Ok(())
+    }
+
+    /// Passes bytes on, after the head.
+    fn pass(&mut self, bytes: Bytes) {
+        if bytes.is_empty() {
+            return;
+        }
+        self.ready.extend(self.head.take().map(Reply::Head));
+        let chunk = Chunk { attempt: self.attempt, sequence: self.progress.chunks, bytes };
+        self.progress.chunks += 1;
+        self.progress.bytes += chunk.bytes.len() as u64;
+        self.ready.push_back(Reply::Chunk(chunk));
+    }
+
+    fn end(&mut self) -> Result<(), Lost> {
+        self.stage = Stage::Over;
+        if self.events.as_ref().is_some_and(Splitter::is_partial) {
+            return Err(Lost { sent: true });
+        }
+        let kept = self.kept.split().freeze();
+        self.pass(kept);
+        self.ready.extend(self.head.take().map(Reply::Head));
+        self.ready.push_back(Reply::End(End {
+            attempt: self.attempt,
+            chunks: self.progress.chunks,
+            bytes: self.progress.bytes,
+            status: Status::default(),
+        }));
+        Ok(())
+    }
+}
+
+/// Whether a header concerns one connection only.
+pub(crate) fn is_hop(name: &str) -> bool {
+    HOP_HEADERS.contains(&name)
+}
+
+fn send(request: ClientRequest, body: &Bytes) -> Answer {
+    if body.is_empty() {
+        return Box::pin(request.send());
+    }
+    Box::pin(request.send_body(ntex::util::Bytes::copy_from_slice(body)))
+}
+
+fn refused(status: u16) -> Reply {
+    let kind = if status == 421 { Kind::Leaving } else { Kind::QueueFull };
+    let (hints, status) = (Vec::new(), Status::default());
+    Reply::Refused(Refused { kind, retry_after_ms: 0, hints, status })
+}
+
+/// Only a connection that never stood proves that nothing was sent. A kept
+/// connection that ends without an answer is reported as disconnected, too, but
+/// without a fault of the system.
+fn lost(fault: &ClientError) -> Lost {
+    let unsent = match fault {
+        ClientError::Connect(ConnectError::Disconnected(reason)) => reason.is_some(),
+        ClientError::Connect(_) | ClientError::Url(_) | ClientError::Request(_) => true,
+        _ => false,
+    };
+    Lost { sent: !unsent }
+}
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -105,6 +105,8 @@
         headers,
         body,
         traceparent: header(request, "traceparent").map(Into::into),
+        events: false,
+        anonymous: false,
     }
 }
 
@@ -270,18 +272,18 @@
     }
 }
 
-async fn ready(core: Shared) -> HttpResponse {
+pub(crate) async fn ready(core: Shared) -> HttpResponse {
     if core.is_ready() {
         return HttpResponse::Ok().body("ready\n");
     }
     HttpResponse::ServiceUnavailable().body("not ready\n")
 }
 
-async fn status(core: Shared) -> HttpResponse {
+pub(crate) async fn status(core: Shared) -> HttpResponse {
     HttpResponse::Ok().json(&core.status())
 }
 
-async fn metrics(core: Shared) -> HttpResponse {
+pub(crate) async fn metrics(core: Shared) -> HttpResponse {
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(core.metrics.render())
 }
 
--- /dev/null
+++ b/components/router/src/ingress.rs
@@ -0,0 +1,208 @@
+//! Callers that speak a platform's dialect.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use edge::{Header, Intake, Part};
+use errors::{Answer, Kind};
+use futures_util::stream;
+use ntex::http::StatusCode;
+use ntex::web::types::{Payload, State};
+use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
+use routing::Ask;
+use std::rc::Rc;
+
+use crate::core::Core;
+use crate::direct::is_hop;
+use crate::relay::{Relay, Step, Template};
+use crate::{body, http};
+
+/// The load of one request: upstreams that are reached directly are compared
+/// by requests.
+const WEIGHT: u64 = 1;
+
+type Shared = State<Rc<Core>>;
+
+/// The pages for operators and the platform.
+pub(crate) fn operators(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/ready", web::get().to(http::ready))
+        .route("/readyz", web::get().to(http::ready))
+        .route("/status", web::get().to(http::status))
+        .route("/metrics", web::get().to(http::metrics));
+}
+
+/// Takes any request of a caller.
+pub(crate) async fn serve(
+    request: HttpRequest,
+    mut payload: Payload,
+    core: Shared,
+) -> HttpResponse {
+    let headers = headers(&request);
+    let intake = core.edges().dialect.read(&headers);
+    let (number, own_id) = core.number();
+    let id = intake.id.clone().unwrap_or(own_id);
+    let declared = edge::find(&headers, "content-length").and_then(|it| it.parse().ok());
+    let body = match body::read(&mut payload, declared, &core.settings).await {
+        Ok(body) => body,
+        Err(kind) => return refuse(&core, kind, &id),
+    };
+    let target = match Target::find(&core, &request, &intake) {
+        Ok(target) => target,
+        Err(kind) => return refuse(&core, kind, &id),
+    };
+    let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
+    let template = Template {
+        method: request.method().as_str().into(),
+        path: path.into(),
+        headers: headers.into_iter().filter(|(name, _)| !is_hop(name)).collect(),
+        body,
+        traceparent: None,
+        events: target.events,
+        anonymous: target.anonymous,
+    };
+    let ask = Ask {
+        id: number,
+        chat: chat(&intake.prompt).unwrap_or_else(|| id.clone()),
+        request: id,
+        workspace: target.workspace,
+        kind: target.kind,
+        model: target.model,
+        once: None,
+        weight: WEIGHT,
+        deadline: intake.remaining,
+    };
+    answer(&core, ask, template).await
+}
+
+/// What keeps the requests together that share most of their prompt: the last
+/// part that is not of one request alone.
+fn chat(prompt: &[Part]) -> Option<Arc<str>> {
+    let shared = prompt.len().checked_sub(2)?;
+    Some(prompt[shared].id.clone())
+}
+
+/// Who asks for what.
+struct Target {
+    workspace: Arc<str>,
+    anonymous: bool,
+    kind: Arc<str>,
+    events: bool,
+    model: Option<Arc<str>>,
+}
+
+impl Target {
+    fn find(core: &Core, request: &HttpRequest, intake: &Intake) -> Result<Self, Kind> {
+        let plan = core.plan().ok_or(Kind::NoConfiguration)?;
+        let unknown = |kind| if core.knows_all() { kind } else { Kind::StaleConfiguration };
+        let host = host(request);
+        let kind = plan.locate(&host, request.path()).ok_or(Kind::NotFound).map_err(unknown)?;
+        let holder = intake.key.as_deref().and_then(|key| plan.holder(key));
+        let caller = match holder {
+            Some(workspace) => Some(workspace),
+            None if kind.anonymous => plan.anonymous(),
+            None => None,
+        };
+        let workspace = caller.ok_or(Kind::Unauthorized).map_err(unknown)?;
+        let model = intake.model.clone().filter(|it| kind.events && plan.offers(it));
+        Ok(Self {
+            workspace: workspace.clone(),
+            anonymous: holder.is_none(),
+            kind: kind.name.clone(),
+            events: kind.events,
+            model,
+        })
+    }
+}
+
+/// The host that the caller asked for, without a port.
+fn host(request: &HttpRequest) -> String {
+    let header = request.headers().get("host").and_then(|it| it.to_str().ok());
+    let host = header.or_else(|| request.uri().host()).unwrap_or("");
+    host.split(':').next().unwrap_or("").to_ascii_lowercase()
+}
+
+fn headers(request: &HttpRequest) -> Vec<Header> {
+    let all = request.headers().iter();
+    all.filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+        .collect()
+}
+
+fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
+    core.reject(id, kind);
+    failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms, ""))
+}
+
+/// An answer of the fleet's own.
+fn failure(core: &Core, answer: &Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.kind.row().status);
+    let mut builder = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    for (name, value) in core.edges().dialect.own(&answer.request_id) {
+        builder.header(&*name, &*value);
+    }
+    if let Some(after) = answer.retry_after_ms {
+        builder.header("retry-after", format!("{}.{:03}", after / 1_000, after % 1_000));
+    }
+    if matches!(answer.kind, Kind::TooLarge | Kind::SlowBody) {
+        builder.force_close();
+    }
+    close_if_stopping(core, &mut builder);
+    builder.content_type("application/json").body(answer.to_json())
+}
+
+/// A router that is being stopped asks callers for a new connection, which
+/// leads to another router.
+fn close_if_stopping(core: &Core, builder: &mut HttpResponseBuilder) {
+    if core.stop.is_asked() {
+        builder.force_close();
+    }
+}
+
+async fn answer(core: &Shared, ask: Ask, template: Template) -> HttpResponse {
+    let events = template.events;
+    let mut relay = Relay::start(core.get_ref().clone(), ask, template);
+    let head = match relay.next().await {
+        Step::Head(head, _) => head,
+        Step::Failed(answer) | Step::Cut(answer) => return failure(core, &answer),
+        Step::Bytes(_) | Step::Finished => {
+            unreachable!("the reducer gives a head first")
+        }
+    };
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &head.headers {
+        builder.header(&**name, &**value);
+    }
+    close_if_stopping(core, &mut builder);
+    if events {
+        let parts = stream::unfold(Some(Box::new(relay)), part);
+        return builder.streaming(Box::pin(parts));
+    }
+    let mut whole = Vec::new();
+    loop {
+        match relay.next().await {
+            Step::Bytes(bytes) => whole.extend_from_slice(&bytes),
+            Step::Finished => return builder.body(whole),
+            Step::Failed(answer) | Step::Cut(answer) => return failure(core, &answer),
+            Step::Head(..) => {}
+        }
+    }
+}
+
+type Chunk = Result<ntex::util::Bytes, std::io::Error>;
+
+/// The next part of a stream; one that will not be whole breaks its connection.
+async fn part(relay: Option<Box<Relay>>) -> Option<(Chunk, Option<Box<Relay>>)> {
+    let mut relay = relay?;
+    match relay.next().await {
+        Step::Bytes(bytes) => Some((Ok(copy(&bytes)), Some(relay))),
+        Step::Finished => None,
+        Step::Failed(_) | Step::Cut(_) | Step::Head(..) => {
+            Some((Err(std::io::Error::other("the answer broke off")), None))
+        }
+    }
+}
+
+fn copy(bytes: &Bytes) -> ntex::util::Bytes {
+    ntex::util::Bytes::copy_from_slice(bytes)
+}
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -7,15 +7,39 @@
 use bytes::Bytes;
 use clock::Millis;
 use errors::Answer;
-use link::Call;
 use routing::{Ask, Attempt, Decision, Effect, Event, Owner};
 use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 use wire::{Frame, Head, Open};
 
 use crate::core::Core;
+use crate::direct::{self, Progress};
 use crate::key;
 
+/// An attempt under way.
+enum Call {
+    /// Through the sidecar.
+    Link(link::Call),
+    /// Straight to the upstream.
+    Direct(Box<direct::Call>),
+}
+
+impl Call {
+    /// What happened to attempt `attempt` of request `id` next.
+    async fn next(&mut self, id: u64, attempt: u32) -> Event {
+        match self {
+            Self::Link(call) => match call.next().await {
+                Ok(Some(frame)) => Event::Reply { id, attempt, reply: frame.into() },
+                Ok(None) | Err(_) => Event::Lost { id, attempt, sent: true },
+            },
+            Self::Direct(call) => match call.next().await {
+                Ok(reply) => Event::Reply { id, attempt, reply },
+                Err(lost) => Event::Lost { id, attempt, sent: lost.sent },
+            },
+        }
+    }
+}
+
 /// What the caller gets next.
 #[derive(Debug)]
 pub(crate) enum Step {
@@ -40,6 +64,10 @@
     pub body: Bytes,
     /// The trace context that came with the request.
     pub traceparent: Option<Arc<str>>,
+    /// Whether the answer is a stream of events; of concern to direct sendings.
+    pub events: bool,
+    /// Whether the caller has no workspace of its own.
+    pub anonymous: bool,
 }
 
 impl Template {
@@ -65,6 +93,8 @@
     came: Millis,
     effects: VecDeque<Effect>,
     call: Option<Call>,
+    /// What earlier attempts have passed on of the answer.
+    progress: Progress,
     attempt: u32,
     upstream: Arc<str>,
     deadline: Option<Instant>,
@@ -90,6 +120,7 @@
             came: core.clock.now(),
             effects: VecDeque::new(),
             call: None,
+            progress: Progress::default(),
             attempt: 0,
             upstream: "".into(),
             deadline: None,
@@ -146,7 +177,7 @@
             Effect::Finish => return Some(self.end(Step::Finished)),
             Effect::Fail(answer) => return Some(self.end(Step::Failed(answer))),
             Effect::Cut(answer) => return Some(self.end(Step::Cut(answer))),
-            Effect::Cancel => self.call = None,
+            Effect::Cancel => self.hang_up(),
             Effect::Bind { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
             Effect::Note { .. } => self.core.tell(effect),
@@ -173,20 +204,43 @@
         self.apply(Event::Bound { id: self.id, owner });
     }
 
+    /// Gives up the current attempt.
+    fn hang_up(&mut self) {
+        if let Some(Call::Direct(call)) = self.call.take() {
+            self.progress = call.progress();
+        }
+    }
+
+    /// Sends straight to the upstream; faults come with the replies.
+    fn send_direct(&mut self, attempt: &Attempt) {
+        let workspace = (!self.template.anonymous).then(|| self.workspace.clone());
+        self.call = Some(Call::Direct(Box::new(direct::Call::start(
+            &self.core,
+            &self.request,
+            attempt,
+            &self.template,
+            workspace.as_deref(),
+            self.progress,
+        ))));
+    }
+
     async fn send(&mut self, attempt: Attempt) {
-        self.call = None;
+        self.hang_up();
         self.attempt = attempt.number;
         self.upstream = attempt.upstream.clone();
         let deadline = Instant::now() + attempt.remaining.duration();
         let timeout = Instant::now() + attempt.timeout.duration();
         self.deadline = Some(deadline);
         self.timeout = Some(timeout);
+        if self.core.is_direct() {
+            return self.send_direct(&attempt);
+        }
         let frame = Frame::Open(self.open(&attempt));
         let call = self.core.links.call(&attempt.upstream, &attempt.address, &frame);
         let (id, attempt) = (self.id, attempt.number);
         match timeout_at(timeout, call).await {
             Ok(Ok((call, welcome))) => {
-                self.call = Some(call);
+                self.call = Some(Call::Link(call));
                 if let Some(welcome) = welcome {
                     self.core.apply(Event::Met(welcome));
                 }
@@ -236,12 +290,11 @@
             return std::future::pending().await;
         };
         let latest = self.timeout.or(self.deadline).unwrap_or_else(Instant::now);
-        let Ok(frame) = timeout_at(latest, call.next()).await else { return self.late() };
+        let Ok(event) = timeout_at(latest, call.next(id, attempt)).await else {
+            return self.late();
+        };
         self.timeout = None;
-        self.apply(match frame {
-            Ok(Some(frame)) => Event::Reply { id, attempt, reply: frame.into() },
-            Ok(None) | Err(_) => Event::Lost { id, attempt, sent: true },
-        });
+        self.apply(event);
     }
 }
 
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -1,17 +1,21 @@
 //! The router as a whole: start, serve, stop.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::http::HttpServiceConfig;
+use edge::Connect;
+use ntex::http::{HttpService, HttpServiceConfig};
 use ntex::time::Seconds;
 use ntex::{SharedCfg, web};
 use snafu::ResultExt;
+use spdlog::error;
+use tokio::sync::OnceCell;
 
 use crate::core::Core;
 use crate::error::{BindSnafu, Error, SocketSnafu};
-use crate::{background, http};
+use crate::{background, http, ingress};
 
 /// How long a caller may take to send the headers.
 const HEADERS_TIMEOUT: Seconds = Seconds(5);
@@ -22,6 +26,39 @@
 /// How long a stop waits for the last bytes to be written.
 const LAST_BYTES: Seconds = Seconds(2);
 
+/// How long a caller's idle connection is kept. Callers of the platform stop
+/// using one before the limit that the configuration sets, 15 s on its sites.
+const IDLE: Seconds = Seconds(30);
+
+thread_local! {
+    /// The state that the two listeners of one thread share.
+    static CORE: Rc<OnceCell<Rc<Core>>> = Rc::new(OnceCell::new());
+}
+
+/// What both listeners need to make the shared state.
+#[derive(Clone)]
+struct Shared {
+    settings: Arc<settings::Router>,
+    connect: Connect,
+    stop: process::Stop,
+}
+
+impl Shared {
+    /// The state of this thread, made by the listener that comes first.
+    async fn core(&self) -> Rc<Core> {
+        let edges = match (self.connect)().await {
+            Ok(edges) => Some(edges),
+            Err(fault) => {
+                error!("the platform's edges can't be made", kv: { fault });
+                None
+            }
+        };
+        let cell = CORE.with(Rc::clone);
+        let start = || Core::start(self.settings.clone(), None, edges, self.stop.clone());
+        cell.get_or_init(start).await.clone()
+    }
+}
+
 /// A router that serves.
 #[derive(Debug)]
 pub struct Router {
@@ -44,7 +81,8 @@
         let stop = process::Stop::new();
         let (shared, asked) = (settings.clone(), stop.clone());
         let factory = async move || {
-            let core = Core::start(shared.clone(), plan.clone(), asked.clone()).await;
+            let plan = Some(plan.clone());
+            let core = Core::start(shared.clone(), plan, None, asked.clone()).await;
             web::App::new().state(core).configure(http::routes)
         };
         let service = HttpServiceConfig::new()
@@ -61,6 +99,51 @@
         Ok(Self { settings, address, server, stop })
     }
 
+    /// Binds the sockets and starts to serve on a platform, whose store brings
+    /// the configuration and the upstreams.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be listened on.
+    pub fn start_direct(
+        settings: settings::Router,
+        operators: &str,
+        connect: Connect,
+    ) -> Result<Self, Error> {
+        let settings = Arc::new(settings);
+        let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
+        let (operators, _) = process::bind(operators).context(BindSnafu)?;
+        let stop = process::Stop::new();
+        let shared = Shared { settings: settings.clone(), connect, stop: stop.clone() };
+        let (for_callers, for_operators) = (shared.clone(), shared);
+        let service = HttpServiceConfig::new()
+            .set_max_headers(MAX_HEADERS)
+            .set_client_timeout(HEADERS_TIMEOUT)
+            .set_keepalive(IDLE);
+        let config: SharedCfg = SharedCfg::new("router").add(service).into();
+        let operators_config = config.clone();
+        let server = ntex::server::build()
+            .workers(1)
+            .disable_signals()
+            .shutdown_timeout(LAST_BYTES)
+            .listen("callers", listener, async move |service| {
+                service.config(config.clone());
+                let core = for_callers.core().await;
+                HttpService::new(
+                    web::App::new().state(core).default_service(web::to(ingress::serve)),
+                )
+            })
+            .context(SocketSnafu)?
+            .listen("operators", operators, async move |service| {
+                service.config(operators_config.clone());
+                let core = for_operators.core().await;
+                HttpService::new(web::App::new().state(core).configure(ingress::operators))
+            })
+            .context(SocketSnafu)?
+            .run();
+        Ok(Self { settings, address, server, stop })
+    }
+
     /// Where callers connect.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -11,7 +11,10 @@
 use crate::request::{Phase, Request};
 use crate::state::State;
 use crate::upstream::OVER_BOUND;
-use crate::{Ask, Attempt, Decision, Effect, Owner, Policy, Try, Upstream};
+use crate::{Ask, Attempt, Budget, Decision, Effect, Owner, Path, Policy, Try, Upstream};
+
+/// The label that names the pool an upstream belongs to.
+const POOL: &str = "service";
 
 impl State {
     pub(crate) fn ask(&mut self, ask: Ask, now: Millis) -> Vec<Effect> {
@@ -30,10 +33,13 @@
                 return self.refuse(&ask, Kind::AmbiguousIntent, &detail, now);
             }
         };
-        if !target.repeatable && ask.once.is_none() {
+        if !target.repeatable && !target.kind.keyless && ask.once.is_none() {
             return self.refuse(&ask, Kind::KeyMissing, "", now);
         }
-        let Choice { candidates, passed, home } =
+        if !target.kind.anonymous && !self.is_proved(self.settings.current_ms, now) {
+            return self.refuse(&ask, Kind::StaleConfiguration, "", now);
+        }
+        let Choice { candidates, passed, home, first } =
             self.index.choose(&self.upstreams, target.intent, &ask, &self.settings, now);
         let allowed = Millis(target.intent.deadline_ms);
         let id = ask.id;
@@ -45,21 +51,38 @@
                 came: now,
                 phase: Phase::Sent,
                 repeatable: target.repeatable,
-                priority: target.intent.priority,
+                resumable: target.kind.resumable,
+                attempts: target.intent.attempts.unwrap_or(self.settings.max_attempts),
+                pool: self.pool(candidates.last()),
+                priority: target.priority,
                 intent: target.intent.name.clone(),
                 generation: plan.generation(),
                 candidates,
                 passed,
                 home: home.filter(|_| self.settings.policy == Policy::Directory),
+                first,
                 hints: Vec::new(),
                 tries: Vec::new(),
             },
         );
-        self.budget.earn();
+        self.budget(id).earn();
         self.hops.earn();
         self.start(id, now)
     }
 
+    /// The pool of an upstream: the retry budget is kept for each.
+    fn pool(&self, upstream: Option<&Arc<str>>) -> Arc<str> {
+        let upstream = upstream.and_then(|it| self.upstreams.get(it));
+        upstream.and_then(|it| it.labels.get(POOL)).cloned().unwrap_or_default()
+    }
+
+    /// The retry budget of a request's pool.
+    pub(crate) fn budget(&mut self, id: u64) -> &mut Budget {
+        let pool = self.requests.get(&id).map(|it| it.pool.clone()).unwrap_or_default();
+        let (share, burst) = (self.settings.retry_share, self.settings.retry_burst);
+        self.budgets.entry(pool).or_insert_with(|| Budget::new(share, burst))
+    }
+
     /// The first attempt: at the owner for a call with a key, else at the best
     /// candidate.
     fn start(&mut self, id: u64, now: Millis) -> Vec<Effect> {
@@ -161,10 +184,19 @@
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return Vec::new();
         };
-        request.phase = Phase::Sent;
-        request.tries.push(Try { upstream: name.clone(), sent: now, error: None });
-        upstream.status.load += request.ask.weight;
-        upstream.status.pool.load += request.ask.weight;
+        let resume = request.is_answering();
+        if !resume {
+            request.phase = Phase::Sent;
+        }
+        request.tries.push(Try { upstream: name.clone(), sent: now, error: None, over: false });
+        upstream.take(request.ask.weight);
+        let upstream = &self.upstreams[name];
+        let first = request.first.as_ref().filter(|it| *it != name && request.tries.len() == 1);
+        let warm = first.and_then(|it| self.upstreams.get(it));
+        let timeout = match self.settings.path {
+            Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
+            Path::Direct => now.until(request.deadline),
+        };
         vec![Effect::Send(Attempt {
             number: request.attempt(),
             upstream: name.clone(),
@@ -173,10 +205,12 @@
             weight: request.ask.weight,
             priority: request.priority,
             remaining: now.until(request.deadline),
-            timeout: Millis(self.settings.admit_ms).min(now.until(request.deadline)),
+            timeout,
             generation: request.generation,
             chat: key(&request.ask.workspace, &request.ask.chat),
             home: request.hints.is_empty() && request.home.as_ref() == Some(name),
+            warm: warm.map(|it| it.host.address.clone()),
+            resume,
         })]
     }
 
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -5,11 +5,11 @@
 
 use clock::Millis;
 use indexmap::IndexMap;
-use intents::Intent;
-use placement::{key, top};
+use intents::{Intent, Selector};
+use placement::{Pool, key, top};
 
-use crate::upstream::OVER_BOUND;
-use crate::{Ask, Passed, Policy, Settings, Upstream};
+use crate::upstream::{OVER_BOUND, SUSPECT};
+use crate::{Ask, Passed, Path, Policy, Settings, Upstream};
 
 /// The most upstreams that one request may be tried at.
 const MAX_CANDIDATES: usize = 16;
@@ -17,11 +17,14 @@
 /// The most upstreams that were passed over and are told in a decision.
 const MAX_PASSED: usize = 8;
 
+/// The places of the draw for a split, in hundredths of a percent.
+const HUNDREDTHS: u64 = 10_000;
+
 /// The upstreams known, by name; the index relies on their places.
 pub(crate) type Upstreams = IndexMap<Arc<str>, Upstream>;
 
-/// An intent's name and the model that is asked for.
-type Question = (Arc<str>, Option<Arc<str>>);
+/// An intent's name, the model that is asked for and the place of the share.
+type Question = (Arc<str>, Option<Arc<str>>, Option<usize>);
 
 /// The upstreams that fit each intent and model, so that a request does not
 /// look at all of them. It is emptied when upstreams or intents change.
@@ -37,8 +40,11 @@
     pub candidates: Vec<Arc<str>>,
     /// The best of those that were passed over.
     pub passed: Vec<Passed>,
-    /// The first in rank of those that are up, whatever their load.
+    /// The first in rank of those that are up, whatever their load; it keeps
+    /// the chat's directory entry.
     pub home: Option<Arc<str>>,
+    /// The same, whether there is a directory or not.
+    pub first: Option<Arc<str>>,
 }
 
 impl Index {
@@ -59,13 +65,19 @@
         let fitting = fitting.iter().map(|place| &upstreams[*place]);
         let sorted = Sorted::new(fitting, ask.weight, settings, now);
         let key = key(&ask.workspace, &ask.chat);
+        let first = sorted.home(key).filter(|_| ask.is_chat()).map(|it| it.name().clone());
         let home = sorted.home(key).filter(|_| ask.is_chat());
         let passed = top(key, sorted.objected.iter(), MAX_PASSED, |(it, _)| (it.name(), 1.0));
         let passed = passed
             .into_iter()
             .map(|(it, why)| Passed { upstream: it.name().clone(), why })
             .collect();
-        let mut best = order(settings.policy, key, &ask.request, sorted.candidates());
+        let policy = if settings.path == Path::Direct && !ask.is_chat() {
+            Policy::Lightest
+        } else {
+            settings.policy
+        };
+        let mut best = order(policy, key, &ask.request, sorted.candidates(settings.path));
         if let Some(home) = home.filter(|_| settings.policy == Policy::Directory) {
             // The home is asked first even if it is believed to be full: it
             // knows where the chat's context is.
@@ -76,21 +88,40 @@
             candidates: best.into_iter().rev().map(|it| it.name().clone()).collect(),
             passed,
             home: home.map(|it| it.name().clone()),
+            first,
         }
     }
 
     fn fitting(&mut self, upstreams: &Upstreams, intent: &Intent, ask: &Ask) -> Arc<[usize]> {
         let model = ask.model.as_deref();
-        let fits = |it: &Upstream| intent.fits(&it.labels, &it.host.domain, model);
+        let share = share(intent, &ask.request);
+        let selectors = share.map_or(&intent.upstreams, |place| &intent.split[place].upstreams);
+        let fits = |it: &Upstream| {
+            intent.serves(&it.labels, &it.host.domain, model)
+                && Selector::all(selectors, &it.labels)
+        };
         let find = || {
             let places = upstreams.values().enumerate().filter(|(_, it)| fits(it));
             places.map(|(place, _)| place).collect()
         };
-        let question = (intent.name.clone(), ask.model.clone());
+        let question = (intent.name.clone(), ask.model.clone(), share);
         self.fitting.entry(question).or_insert_with(find).clone()
     }
 }
 
+/// The share of a split intent that a request falls into, if not the rest.
+fn share(intent: &Intent, request: &str) -> Option<usize> {
+    if intent.split.is_empty() {
+        return None;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "the remainder is small")]
+    let mut place = (key("", request) % HUNDREDTHS) as f64 / 100.0;
+    intent.split.iter().position(|it| {
+        place -= it.percent;
+        place < 0.0
+    })
+}
+
 /// The fitting upstreams by what speaks against them.
 struct Sorted<'a> {
     open: Vec<&'a Upstream>,
@@ -99,14 +130,15 @@
 
 impl<'a> Sorted<'a> {
     fn new(
-        fitting: impl Iterator<Item = &'a Upstream>,
+        fitting: impl Iterator<Item = &'a Upstream> + Clone,
         weight: u64,
         settings: &Settings,
         now: Millis,
     ) -> Self {
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
+        let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone()));
         for upstream in fitting {
-            match upstream.objection(weight, settings, now) {
+            match upstream.objection(weight, pool, settings, now) {
                 None => sorted.open.push(upstream),
                 Some(why) => sorted.objected.push((upstream, why)),
             }
@@ -127,14 +159,32 @@
 
     /// Those to try. Loads are known with a lag: one sidecar is asked before all
     /// are believed to be full.
-    fn candidates(self) -> Vec<&'a Upstream> {
+    fn candidates(self, path: Path) -> Vec<&'a Upstream> {
         if !self.open.is_empty() {
             return self.open;
         }
-        self.full().min_by_key(|it| it.load()).into_iter().collect()
+        let least = self.full().min_by_key(|it| it.load());
+        match path {
+            Path::Sidecar => least.into_iter().collect(),
+            Path::Direct => least.map_or_else(|| self.suspects(), |it| vec![it]),
+        }
+    }
+
+    /// Those that failed lately: better than none where nobody else can say
+    /// whether they are back.
+    fn suspects(&self) -> Vec<&'a Upstream> {
+        self.objected.iter().filter(|(_, why)| *why == SUSPECT).map(|(it, _)| *it).collect()
     }
 }
 
+/// The load of all that fit, as far as this router knows.
+fn pool<'a>(fitting: impl Iterator<Item = &'a Upstream>) -> Pool {
+    fitting.filter(|it| !it.is_leaving()).fold(Pool::default(), |pool, it| Pool {
+        load: pool.load + it.load(),
+        members: pool.members + 1,
+    })
+}
+
 /// The best of `open`, the best first.
 fn order<'a>(
     policy: Policy,
@@ -149,7 +199,10 @@
         Policy::Random => ranked(placement::key("", request), open),
         Policy::Ranked | Policy::Directory => ranked(key, open),
         Policy::Lightest => {
-            open.sort_by_key(|it| it.load());
+            let draw = placement::key("", request);
+            open.sort_by_cached_key(|it| {
+                (it.load(), placement::score(draw, it.name(), 1.0).to_bits())
+            });
             open.truncate(MAX_CANDIDATES);
             open
         }
--- a/components/routing/src/decision.rs
+++ b/components/routing/src/decision.rs
@@ -55,4 +55,7 @@
     pub sent: Millis,
     /// Why it failed, if it did.
     pub error: Option<Kind>,
+    /// Whether it is no longer under way.
+    #[serde(skip)]
+    pub(crate) over: bool,
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -74,6 +74,18 @@
     },
     /// A configuration came.
     Configure(Arc<Plan>),
+    /// The configuration in force was the newest at `at`.
+    Current {
+        /// When it was known to be.
+        at: Millis,
+    },
+    /// An upstream told its load with an answer.
+    Load {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// Requests that run and wait there.
+        requests: u64,
+    },
     /// The router is to stop.
     Drain,
 }
@@ -250,6 +262,11 @@
     pub chat: u64,
     /// Whether the sidecar is asked for where the chat is.
     pub home: bool,
+    /// Where the chat's context is known to be warm, if that is another
+    /// upstream: its address.
+    pub warm: Option<Arc<str>>,
+    /// Whether the upstream is to go on with an answer that another one began.
+    pub resume: bool,
 }
 
 impl Effect {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub use budget::Budget;
 pub use decision::{Decision, Passed, Try};
 pub use event::{Ask, Attempt, Effect, Event, Host, Once, Owner, Reply};
-pub use settings::{Policy, Settings};
+pub use placement::Bound;
+pub use settings::{Path, Policy, Settings};
 pub use state::State;
 pub use upstream::Upstream;
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -9,7 +9,10 @@
 
 use crate::request::Phase;
 use crate::state::State;
-use crate::{Effect, Reply};
+use crate::{Effect, Path, Reply};
+
+/// The lowest HTTP status of a failure of the upstream.
+const FAILURES: u16 = 500;
 
 impl State {
     pub(crate) fn reply(
@@ -42,7 +45,8 @@
 
     fn hear(&mut self, id: u64, status: Status, now: Millis) {
         let name = self.requests.get(&id).and_then(|it| it.upstream());
-        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
+        let told = self.settings.path == Path::Sidecar;
+        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)).filter(|_| told) {
             upstream.hear(status, now);
         }
     }
@@ -105,13 +109,51 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
-        if head.attempt != request.attempt() || request.is_answering() {
+        if head.attempt != request.attempt() {
             return self.cut(id, Kind::Crossed, now);
         }
+        if request.is_answering() {
+            // The caller keeps the head of the upstream that began the answer.
+            let resumed = request.resumable && request.attempt() > 1;
+            return if resumed { Vec::new() } else { self.cut(id, Kind::Crossed, now) };
+        }
+        if head.status >= FAILURES && request.repeatable && self.settings.path == Path::Direct {
+            return self.failed(id, head, now);
+        }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+        if let Some(upstream) = request.upstream().cloned() {
+            self.alive(&upstream);
+        }
         vec![Effect::Head(head)]
     }
 
+    /// The upstream ran the request and failed. Another one may do better; if
+    /// none may be asked, the caller gets the failure.
+    fn failed(&mut self, id: u64, head: Head, now: Millis) -> Vec<Effect> {
+        if self.may_try_elsewhere(id, Kind::UpstreamFailed, now) {
+            self.mark(id, Kind::UpstreamFailed);
+            let mut effects = vec![Effect::Cancel];
+            effects.extend(self.attempt(id, now));
+            return effects;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+        }
+        vec![Effect::Head(head)]
+    }
+
+    /// Notes why the current attempt failed.
+    fn mark(&mut self, id: u64, kind: Kind) {
+        self.release(id);
+        let last = self.requests.get_mut(&id).and_then(|it| it.tries.last_mut());
+        if let Some(last) = last {
+            last.error = Some(kind);
+        }
+    }
+
     fn chunk(&mut self, id: u64, chunk: Chunk, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
@@ -159,7 +201,7 @@
         if broken.attempt != request.attempt() {
             return self.cut(id, Kind::Crossed, now);
         }
-        if request.is_answering() {
+        if request.is_answering() && !request.resumable {
             let kind = if broken.kind.row().outcome == Outcome::Ran {
                 broken.kind
             } else {
@@ -179,15 +221,26 @@
         };
         let (answering, upstream) = (request.is_answering(), request.upstream().cloned());
         if let Some(upstream) = upstream {
-            self.suspect(&upstream, now);
+            self.blame(&upstream, sent, now);
         }
         if answering {
-            return self.fail(id, Kind::Truncated, 0, "", now);
+            return self.try_elsewhere(id, Kind::Truncated, 0, now);
         }
         let kind = if sent { Kind::LinkLost } else { Kind::Unreachable };
         self.try_elsewhere(id, kind, 0, now)
     }
 
+    /// One broken connection says little about an upstream that is reached
+    /// directly: it is left alone only when the next one breaks too, or none can
+    /// be opened.
+    fn blame(&mut self, upstream: &Arc<str>, sent: bool, now: Millis) {
+        let first = match self.upstreams.get_mut(upstream) {
+            Some(it) if it.failures == 0 && sent && self.settings.path == Path::Direct => it,
+            _ => return self.suspect(upstream, now),
+        };
+        first.failures = 1;
+    }
+
     /// A sidecar that says nothing is frozen or cut off; the request may still
     /// run there.
     pub(crate) fn stalled(&mut self, id: u64, attempt: u32, now: Millis) -> Vec<Effect> {
@@ -229,14 +282,15 @@
     }
 
     /// Whether the budget for going on after `kind` has something left.
-    fn may_go_on(&mut self, kind: Kind) -> bool {
+    fn may_go_on(&mut self, id: u64, kind: Kind) -> bool {
         match kind {
+            _ if self.settings.path == Path::Direct => self.budget(id).spend(),
             // Following a chat to its context is not a retry.
             Kind::Moved => true,
             Kind::OverBound | Kind::QueueFull | Kind::WouldMiss | Kind::Leaving => {
                 self.hops.spend()
             }
-            _ => self.budget.spend(),
+            _ => self.budget(id).spend(),
         }
     }
 
@@ -249,24 +303,29 @@
     /// After an attempt that gave nothing to the caller: the next candidate if
     /// that is safe and allowed, else the final answer.
     fn try_elsewhere(&mut self, id: u64, kind: Kind, after: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return Vec::new();
-        };
-        if let Some(last) = request.tries.last_mut() {
-            last.error = Some(kind);
+        self.mark(id, kind);
+        if self.may_try_elsewhere(id, kind, now) {
+            return self.attempt(id, now);
         }
+        self.fail(id, kind, after, "", now)
+    }
+
+    /// Whether the request may be sent to another upstream after `kind`; if so,
+    /// a retry is taken from the budget.
+    fn may_try_elsewhere(&mut self, id: u64, kind: Kind, now: Millis) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
         let row = kind.row();
         let safe = match row.outcome {
+            _ if request.is_answering() => request.resumable,
             Outcome::NotRun => row.elsewhere,
             Outcome::Unknown => request.repeatable && request.once().is_none(),
-            Outcome::Ran => false,
+            Outcome::Ran => request.repeatable && kind == Kind::UpstreamFailed,
         };
-        let allowed = request.attempt() < self.settings.max_attempts
-            && request.deadline > now
-            && !request.candidates.is_empty();
-        if safe && allowed && self.may_go_on(kind) {
-            return self.attempt(id, now);
-        }
-        self.fail(id, kind, after, "", now)
+        let most = request.attempts.min(self.settings.max_attempts);
+        let allowed =
+            request.attempt() < most && request.deadline > now && !request.candidates.is_empty();
+        safe && allowed && self.may_go_on(id, kind)
     }
 }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -28,6 +28,12 @@
     pub deadline: Millis,
     pub phase: Phase,
     pub repeatable: bool,
+    /// Whether a broken answer may be continued at another upstream.
+    pub resumable: bool,
+    /// The most upstreams that it may be sent to.
+    pub attempts: u32,
+    /// The pool whose retry budget it draws on.
+    pub pool: Arc<str>,
     pub priority: i32,
     pub intent: Arc<str>,
     pub generation: u64,
@@ -36,6 +42,8 @@
     pub passed: Vec<Passed>,
     /// The chat's first upstream in rank, which keeps its directory entry.
     pub home: Option<Arc<str>>,
+    /// The first in rank, where the chat's context is warm if anywhere.
+    pub first: Option<Arc<str>>,
     /// Where the home said that the chat's context is.
     pub hints: Vec<Arc<str>>,
     pub tries: Vec<Try>,
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -19,12 +19,31 @@
     Directory,
 }
 
+/// How a router reaches its upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Path {
+    /// Through the sidecar on the upstream's host, which has the last word.
+    #[default]
+    Sidecar,
+    /// Directly: the router knows its own requests and what answers tell.
+    Direct,
+}
+
 /// The settings of the reducer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// How an upstream is chosen.
     pub policy: Policy,
+    /// How upstreams are reached.
+    pub path: Path,
+    /// How old the proof may be that the configuration in force is the newest,
+    /// in milliseconds; callers with a key are refused beyond it. Zero asks for
+    /// no proof.
+    pub current_ms: u64,
+    /// The same for an answer that something is unknown to the configuration.
+    pub unknown_ms: u64,
     /// The load bound, as far as the router applies it beforehand.
     pub bound: Bound,
     /// How long a sidecar's word on its load counts, in milliseconds.
@@ -61,6 +80,9 @@
     fn default() -> Self {
         Self {
             policy: Policy::default(),
+            path: Path::default(),
+            current_ms: 0,
+            unknown_ms: 0,
             bound: Bound::default(),
             fresh_ms: 300,
             max_attempts: 4,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -12,7 +12,11 @@
 
 use crate::choice::{Index, Upstreams};
 use crate::request::Request;
-use crate::{Budget, Decision, Effect, Event, Host, Settings, Upstream};
+use crate::{Budget, Decision, Effect, Event, Host, Path, Settings, Upstream};
+
+/// The life of an upstream that is reached directly: its name stands for one
+/// start only.
+const DIRECT_LIFE: u64 = 1;
 
 /// Everything that a router knows.
 #[derive(Debug)]
@@ -22,18 +26,19 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) index: Index,
     pub(crate) requests: HashMap<u64, Request>,
-    /// Retries after faults.
-    pub(crate) budget: Budget,
+    /// Retries after faults, for each pool of upstreams.
+    pub(crate) budgets: HashMap<Arc<str>, Budget>,
     /// Hops after refusals over load, which did not run.
     pub(crate) hops: Budget,
     pub(crate) draining: bool,
+    /// When the configuration in force was last known to be the newest.
+    pub(crate) current: Option<Millis>,
     pub(crate) random: ChaCha8Rng,
 }
 
 impl State {
     /// A router that knows nothing yet; `seed` decides its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let budget = Budget::new(settings.retry_share, settings.retry_burst);
         let hops = Budget::new(settings.hop_share, settings.hop_burst);
         Self {
             settings,
@@ -41,9 +46,10 @@
             upstreams: Upstreams::new(),
             index: Index::default(),
             requests: HashMap::new(),
-            budget,
+            budgets: HashMap::new(),
             hops,
             draining: false,
+            current: None,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -67,9 +73,16 @@
     /// upstream is up, and the router is not stopping.
     pub fn is_ready(&self, now: Millis) -> bool {
         let up = self.upstreams.values().any(|upstream| upstream.is_up(now));
+        let up = up || self.settings.path == Path::Direct;
         self.plan.is_some() && up && !self.draining
     }
 
+    /// Whether the configuration in force is proved to have been the newest in
+    /// the last `within` milliseconds; zero asks for no proof.
+    pub fn is_proved(&self, within: u64, now: Millis) -> bool {
+        within == 0 || self.current.is_some_and(|at| at.until(now).0 <= within)
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
@@ -89,6 +102,8 @@
             Event::Alive { upstream } => self.alive(&upstream),
             Event::Missed { upstream } => self.missed(&upstream, now),
             Event::Configure(plan) => self.configure(plan),
+            Event::Current { at } => self.prove(at),
+            Event::Load { upstream, requests } => self.load(&upstream, requests),
             Event::Drain => self.drain(),
         }
     }
@@ -107,6 +122,18 @@
         Vec::new()
     }
 
+    fn prove(&mut self, at: Millis) -> Vec<Effect> {
+        self.current = self.current.max(Some(at));
+        Vec::new()
+    }
+
+    fn load(&mut self, upstream: &str, requests: u64) -> Vec<Effect> {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.tell(requests);
+        }
+        Vec::new()
+    }
+
     fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
         self.index.clear();
         let mut known = std::mem::take(&mut self.upstreams);
@@ -119,6 +146,10 @@
                 .swap_remove(&host.name)
                 .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
             upstream.list(host, labels);
+            if self.settings.path == Path::Direct {
+                upstream.connected = true;
+                upstream.incarnation = DIRECT_LIFE;
+            }
             self.upstreams.insert(upstream.host.name.clone(), upstream);
         }
         self.connects(now)
@@ -145,7 +176,7 @@
         Vec::new()
     }
 
-    fn alive(&mut self, upstream: &str) -> Vec<Effect> {
+    pub(crate) fn alive(&mut self, upstream: &str) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.revive();
         }
@@ -169,6 +200,21 @@
         if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
     }
 
+    /// The current attempt is over: its load is no longer at its upstream. A
+    /// sidecar tells its load itself.
+    pub(crate) fn release(&mut self, id: u64) {
+        if self.settings.path != Path::Direct {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(last) = request.tries.last_mut().filter(|it| !it.over) else { return };
+        last.over = true;
+        let weight = request.ask.weight;
+        if let Some(upstream) = self.upstreams.get_mut(&last.upstream) {
+            upstream.release(weight);
+        }
+    }
+
     /// Takes the request out and records its decision.
     pub(crate) fn close(
         &mut self,
@@ -177,6 +223,7 @@
         detail: &str,
         now: Millis,
     ) -> Vec<Effect> {
+        self.release(id);
         let Some(mut request) = self.requests.remove(&id) else {
             return Vec::new();
         };
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -4,6 +4,7 @@
 
 use clock::Millis;
 use intents::Labels;
+use placement::Pool;
 use wire::Status;
 
 use crate::{Host, Settings};
@@ -11,6 +12,9 @@
 /// The most doublings of the time that a failing upstream is left alone.
 const MAX_DOUBLINGS: u32 = 16;
 
+/// Why an upstream is passed over that failed lately.
+pub(crate) const SUSPECT: &str = "suspect";
+
 /// Why an upstream is passed over whose bound leaves no room.
 pub(crate) const OVER_BOUND: &str = "over the load bound";
 
@@ -24,6 +28,8 @@
     /// Whether the last that was heard of the connection is good.
     pub(crate) connected: bool,
     pub(crate) status: Status,
+    /// This router's own load there, where it is reached directly.
+    pub(crate) own: u64,
     pub(crate) heard: Option<Millis>,
     pub(crate) failures: u32,
     pub(crate) suspect_until: Millis,
@@ -37,6 +43,7 @@
             incarnation: 0,
             connected: false,
             status: Status::default(),
+            own: 0,
             heard: None,
             failures: 0,
             suspect_until: Millis::ZERO,
@@ -83,6 +90,25 @@
         self.revive();
     }
 
+    /// Takes the load that an answer told; it may be older than this router's
+    /// latest requests.
+    pub(crate) fn tell(&mut self, requests: u64) {
+        self.status.load = requests.max(self.own);
+    }
+
+    /// Counts a request that is sent there.
+    pub(crate) fn take(&mut self, weight: u64) {
+        self.own += weight;
+        self.status.load += weight;
+        self.status.pool.load += weight;
+    }
+
+    /// Counts a request that has ended there.
+    pub(crate) fn release(&mut self, weight: u64) {
+        self.own = self.own.saturating_sub(weight);
+        self.status.load = self.status.load.saturating_sub(weight).max(self.own);
+    }
+
     /// The connection is good.
     pub(crate) fn revive(&mut self) {
         self.connected = true;
@@ -118,6 +144,7 @@
     pub(crate) fn objection(
         &self,
         weight: u64,
+        pool: Option<Pool>,
         settings: &Settings,
         now: Millis,
     ) -> Option<&'static str> {
@@ -125,10 +152,12 @@
             return Some("leaving");
         }
         if self.is_suspect(now) {
-            return Some("suspect");
+            return Some(SUSPECT);
         }
-        let fresh = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
-        let over = !settings.bound.admits(self.status.load, weight, self.status.pool);
+        let told = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
+        let fresh = pool.is_some() || told;
+        let pool = pool.unwrap_or(self.status.pool);
+        let over = !settings.bound.admits(self.status.load, weight, pool);
         if fresh && over {
             return Some(OVER_BOUND);
         }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -13,5 +13,5 @@
 pub use check::Check;
 pub use error::Error;
 pub use load::{load, parse};
-pub use router::Router;
+pub use router::{Direct, Router};
 pub use sidecar::{Service, Sidecar};
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -51,6 +51,49 @@
     /// The decisions' settings.
     #[serde(default)]
     pub routing: routing::Settings,
+    /// The router's own failure domain, if it is known.
+    #[serde(default)]
+    pub domain: Arc<str>,
+    /// Set where a platform's adapter makes the settings: upstreams are reached
+    /// directly, and the platform's store takes the place of the list of hosts
+    /// and of the file of the intents.
+    #[serde(skip)]
+    pub direct: Option<Direct>,
+}
+
+/// The settings of a router without sidecars.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Direct {
+    /// Where operators and the platform ask for `/metrics` and whether the
+    /// router is ready: IP number and port.
+    pub operators: Arc<str>,
+    /// How long to wait between two looks at the platform's store, in
+    /// milliseconds.
+    pub look_ms: u64,
+}
+
+impl Router {
+    /// The settings of a router that reaches its upstreams directly.
+    pub fn direct(name: &Arc<str>, listen: &Arc<str>, domain: &Arc<str>, direct: Direct) -> Self {
+        Self {
+            name: name.clone(),
+            listen: listen.clone(),
+            link_key: Arc::default(),
+            hosts_url: Arc::default(),
+            store_url: None,
+            intents: Arc::default(),
+            hosts_every_ms: defaults::hosts_every_ms(),
+            body_bytes: defaults::body_bytes(),
+            body_ms: defaults::body_ms(),
+            connect_ms: defaults::connect_ms(),
+            drain_ms: defaults::drain_ms(),
+            drain_notice_ms: defaults::drain_notice_ms(),
+            traces_url: None,
+            routing: routing::Settings::default(),
+            domain: domain.clone(),
+            direct: Some(direct),
+        }
+    }
 }
 
 mod defaults {
--- a/src/bin/silverstack-local.rs
+++ b/src/bin/silverstack-local.rs
@@ -45,7 +45,7 @@
     if arguments.version {
         return cli::version(NAME);
     }
-    if let Err(fault) = telemetry::logs(telemetry::Level::Error) {
+    if let Err(fault) = telemetry::logs(telemetry::Level::Error, telemetry::Stream::Error) {
         return cli::fail(NAME, fault, cli::FAILED);
     }
     let size = Size {
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -1,24 +1,73 @@
 //! The router on an entry host.
+//!
+//! With `--settings FILE` it runs on its own settings and reaches upstreams
+//! through their sidecars. Where the environment names the settings file of a
+//! platform, it runs on that platform and reaches upstreams directly.
 
+use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 
+use futures_util::FutureExt;
 use router::Router;
 use silverstack::cli;
+use spdlog::info;
+use telemetry::Stream;
 
 /// The program's name.
 const NAME: &str = "silverstack-router";
 
+/// The variable with the path of a platform's settings file.
+const PLATFORM_SETTINGS: &str = "SILVERSTACK_SETTINGS";
+
 #[ntex::main]
 async fn main() -> ExitCode {
+    match std::env::var_os(PLATFORM_SETTINGS) {
+        Some(path) => on_platform(Path::new(&path)).await,
+        None => on_own_settings().await,
+    }
+}
+
+async fn on_own_settings() -> ExitCode {
     let settings = match cli::begin::<settings::Router>(NAME) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    let router = match Router::start(settings) {
-        Ok(router) => router,
-        Err(fault) => return cli::fail(NAME, fault, cli::USAGE),
+    match Router::start(settings) {
+        Ok(router) => {
+            process::announce(&[("listen", router.address().to_string())]);
+            serve(router).await
+        }
+        Err(fault) => cli::fail(NAME, fault, cli::USAGE),
+    }
+}
+
+async fn on_platform(path: &Path) -> ExitCode {
+    let read = |named: Option<&Path>| {
+        platform::read(named.unwrap_or(path)).map_err(|fault| fault.to_string())
     };
-    process::announce(&[("listen", router.address().to_string())]);
+    let settings = match cli::begin_with(NAME, Stream::Output, read) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let Some(direct) = settings.router.direct.clone() else {
+        return cli::fail(NAME, "the settings name no way to upstreams", cli::USAGE);
+    };
+    let own = settings.router.clone();
+    info!("router starts", kv: { name = &*own.name, domain = &*own.domain, listen = &*own.listen });
+    let connect: edge::Connect = Arc::new(move || {
+        let settings = settings.clone();
+        async move { settings.connect().await }.boxed_local()
+    });
+    match Router::start_direct(own, &direct.operators, connect) {
+        Ok(router) => serve(router).await,
+        Err(fault) => cli::fail(NAME, fault, cli::USAGE),
+    }
+}
+
+async fn serve(router: Router) -> ExitCode {
     cli::stop_on_signal(router.stop());
-    ExitCode::from(if router.run().await { cli::OK } else { cli::CUT })
+    let whole = router.run().await;
+    info!("router stopped", kv: { whole });
+    ExitCode::from(if whole { cli::OK } else { cli::CUT })
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,14 +1,14 @@
 //! Command lines and exit codes.
 
 use std::fmt::Display;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use gumdrop::Options;
 use process::Stop;
 use serde::de::DeserializeOwned;
 use settings::Check;
-use telemetry::Level;
+use telemetry::{Level, Stream};
 
 /// Everything went well.
 pub const OK: u8 = 0;
@@ -46,19 +46,36 @@
 ///
 /// The exit code, where the process has nothing more to do.
 pub fn begin<T: Check + DeserializeOwned>(program: &str) -> Result<T, ExitCode> {
+    begin_with(program, Stream::Error, |path| {
+        let Some(path) = path else {
+            return Err("--settings FILE is needed".to_owned());
+        };
+        settings::load(path).map_err(|fault| fault.to_string())
+    })
+}
+
+/// The same, with another way to read the settings; `read` gets the path that
+/// the command line names, if it names one.
+///
+/// # Errors
+///
+/// The exit code, where the process has nothing more to do.
+pub fn begin_with<T>(
+    program: &str,
+    stream: Stream,
+    read: impl FnOnce(Option<&Path>) -> Result<T, String>,
+) -> Result<T, ExitCode> {
     let arguments = Arguments::parse_args_default_or_exit();
     if arguments.version {
         return Err(version(program));
     }
-    let Some(path) = &arguments.settings else {
-        return Err(fail(program, "--settings FILE is needed", USAGE));
-    };
-    let settings = settings::load(path).map_err(|fault| fail(program, fault, USAGE))?;
+    let settings =
+        read(arguments.settings.as_deref()).map_err(|fault| fail(program, fault, USAGE))?;
     let level = level(&arguments.log).map_err(|fault| fail(program, fault, USAGE))?;
     if arguments.check {
         return Err(ExitCode::from(OK));
     }
-    telemetry::logs(level).map_err(|fault| fail(program, fault, FAILED))?;
+    telemetry::logs(level, stream).map_err(|fault| fail(program, fault, FAILED))?;
     Ok(settings)
 }
 
