End a broken stream with its connection, and take no unframed answer for whole

Cause: after an error in a streamed body the server library writes an answer of its own into the stream; and the client library takes an answer without a length for empty. Ruled out: a reset taken for an end (the client gave no error at all).

--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -35,6 +35,9 @@
     "expect",
 ];
 
+/// Statuses of answers that have no body.
+const NO_BODY: [u16; 2] = [204, 304];
+
 /// How much of an answer is kept back until it is whole, so that another
 /// upstream may still be asked. Answers beyond are passed on as they come.
 const MAX_KEPT: usize = 64 * 1024;
@@ -82,9 +85,6 @@
     kept: BytesMut,
     /// Set where the answer is a stream of events.
     events: Option<Splitter>,
-    /// Whether the answer's length is unknown, so that it ends with its
-    /// connection.
-    unframed: bool,
     progress: Progress,
 }
 
@@ -123,7 +123,6 @@
             head: None,
             kept: BytesMut::new(),
             events: template.events.then(|| Splitter::after(progress.event)),
-            unframed: false,
             progress,
         }
     }
@@ -187,8 +186,9 @@
         if !success {
             self.events = None;
         }
-        self.unframed = edge::find(&headers, "content-length").is_none()
-            && edge::find(&headers, "transfer-encoding").is_none();
+        if is_unframed(status, &headers) {
+            return Err(Lost { sent: true });
+        }
         let headers = headers.into_iter().filter(|(name, _)| !is_hop(name)).collect();
         self.head = Some(Head { attempt: self.attempt, status, headers });
         self.stage = Stage::Body(response);
@@ -199,7 +199,6 @@
     fn take(&mut self, part: Option<Result<ntex::util::Bytes, PayloadError>>) -> Result<(), Lost> {
         match part {
             Some(Ok(bytes)) => self.bytes(&bytes),
-            Some(Err(fault)) if self.is_end(&fault) => self.end(),
             Some(Err(_)) => {
                 self.stage = Stage::Over;
                 Err(Lost { sent: true })
@@ -208,11 +207,6 @@
         }
     }
 
-    /// Whether the fault is the regular end of an answer without a length.
-    fn is_end(&self, fault: &PayloadError) -> bool {
-        self.unframed && matches!(fault, PayloadError::Incomplete(None))
-    }
-
     fn bytes(&mut self, bytes: &[u8]) -> Result<(), Lost> {
         if let Some(events) = &mut self.events {
             let whole = events.push(bytes).map_err(|_| Lost { sent: true });
@@ -264,6 +258,14 @@
     HOP_HEADERS.contains(&name)
 }
 
+/// Whether an answer's body ends with its connection. The client takes such a
+/// body for empty, so that the answer can't be had through it.
+fn is_unframed(status: u16, headers: &[Header]) -> bool {
+    !NO_BODY.contains(&status)
+        && edge::find(headers, "content-length").is_none()
+        && edge::find(headers, "transfer-encoding").is_none()
+}
+
 fn send(request: ClientRequest, body: &Bytes) -> Answer {
     if body.is_empty() {
         return Box::pin(request.send());
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -7,6 +7,7 @@
 use errors::{Answer, Kind};
 use futures_util::stream;
 use ntex::http::StatusCode;
+use ntex::io::IoRef;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::Ask;
@@ -72,7 +73,7 @@
         weight: WEIGHT,
         deadline: intake.remaining,
     };
-    answer(&core, ask, template).await
+    answer(&core, &request, ask, template).await
 }
 
 /// What keeps the requests together that share most of their prompt: the last
@@ -158,7 +159,12 @@
     }
 }
 
-async fn answer(core: &Shared, ask: Ask, template: Template) -> HttpResponse {
+async fn answer(
+    core: &Shared,
+    request: &HttpRequest,
+    ask: Ask,
+    template: Template,
+) -> HttpResponse {
     let events = template.events;
     let mut relay = Relay::start(core.get_ref().clone(), ask, template);
     let head = match relay.next().await {
@@ -175,7 +181,8 @@
     }
     close_if_stopping(core, &mut builder);
     if events {
-        let parts = stream::unfold(Some(Box::new(relay)), part);
+        let connection = request.io().cloned();
+        let parts = stream::unfold(Some((Box::new(relay), connection)), part);
         return builder.streaming(Box::pin(parts));
     }
     let mut whole = Vec::new();
@@ -191,13 +198,21 @@
 
 type Chunk = Result<ntex::util::Bytes, std::io::Error>;
 
-/// The next part of a stream; one that will not be whole breaks its connection.
-async fn part(relay: Option<Box<Relay>>) -> Option<(Chunk, Option<Box<Relay>>)> {
-    let mut relay = relay?;
+/// A stream on its way, and the caller's connection.
+type Rest = Option<(Box<Relay>, Option<IoRef>)>;
+
+/// The next part of a stream. One that will not be whole ends with its
+/// connection: the server would write an answer of its own into the stream
+/// otherwise.
+async fn part(rest: Rest) -> Option<(Chunk, Rest)> {
+    let (mut relay, connection) = rest?;
     match relay.next().await {
-        Step::Bytes(bytes) => Some((Ok(copy(&bytes)), Some(relay))),
+        Step::Bytes(bytes) => Some((Ok(copy(&bytes)), Some((relay, connection)))),
         Step::Finished => None,
         Step::Failed(_) | Step::Cut(_) | Step::Head(..) => {
+            if let Some(connection) = connection {
+                connection.close();
+            }
             Some((Err(std::io::Error::other("the answer broke off")), None))
         }
     }
