--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -3,9 +3,11 @@
 mod announce;
 mod bind;
 mod client;
+mod hangup;
 mod stop;
 
 pub use announce::announce;
 pub use bind::{Error, bind};
 pub use client::client;
+pub use hangup::Hangup;
 pub use stop::Stop;
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -43,6 +43,7 @@
                 tasks.spawn_local(follow_intents(core.clone()));
             }
         }
+        tasks.spawn_local(follow_settings(core.clone()));
         tasks.spawn_local(send_notes(core.clone(), outbox));
         core.stop.asked().await;
         tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
@@ -75,6 +76,17 @@
     }
 }
 
+/// Puts the decisions' settings in force whenever the file was read again. The
+/// others take a restart.
+async fn follow_settings(core: Rc<Core>) {
+    let mut changes = core.reload.clone();
+    while changes.changed().await.is_ok() {
+        let routing = changes.borrow_and_update().routing.clone();
+        info!("settings in force", kv: { name = &*core.settings.name });
+        core.apply(Event::Settings(Box::new(routing)));
+    }
+}
+
 fn host(entry: store::Entry) -> Host {
     Host {
         name: entry.name,
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,6 +16,7 @@
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::watch;
 use wire::Hello;
 
 use crate::background;
@@ -42,6 +43,8 @@
     pub clock: Clock,
     pub links: Links,
     pub stop: process::Stop,
+    /// The settings as they were read last.
+    pub reload: watch::Receiver<settings::Router>,
     pub store: Option<store::Store>,
     /// Set where upstreams are reached directly.
     direct: Option<Direct>,
@@ -62,6 +65,7 @@
         plan: Option<Arc<Plan>>,
         edges: Option<Edges>,
         stop: process::Stop,
+        reload: watch::Receiver<settings::Router>,
     ) -> Rc<Self> {
         let clock = Clock::new();
         let started = clock.now();
@@ -93,6 +97,7 @@
             clock,
             links,
             stop,
+            reload,
             store,
             direct,
             decisions,
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -11,7 +11,7 @@
 use ntex::{SharedCfg, web};
 use snafu::ResultExt;
 use spdlog::error;
-use tokio::sync::OnceCell;
+use tokio::sync::{OnceCell, watch};
 
 use crate::core::Core;
 use crate::error::{BindSnafu, Error, SocketSnafu};
@@ -41,6 +41,7 @@
     settings: Arc<settings::Router>,
     connect: Connect,
     stop: process::Stop,
+    reload: watch::Receiver<settings::Router>,
 }
 
 impl Shared {
@@ -54,7 +55,9 @@
             }
         };
         let cell = CORE.with(Rc::clone);
-        let start = || Core::start(self.settings.clone(), None, edges, self.stop.clone());
+        let (settings, stop, reload) =
+            (self.settings.clone(), self.stop.clone(), self.reload.clone());
+        let start = || Core::start(settings, None, edges, stop, reload);
         cell.get_or_init(start).await.clone()
     }
 }
@@ -66,6 +69,7 @@
     address: SocketAddr,
     server: ntex::server::Server,
     stop: process::Stop,
+    reload: watch::Sender<settings::Router>,
 }
 
 impl Router {
@@ -79,10 +83,12 @@
         let settings = Arc::new(settings);
         let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
         let stop = process::Stop::new();
-        let (shared, asked) = (settings.clone(), stop.clone());
+        let reload = watch::Sender::new((*settings).clone());
+        let (shared, asked, changes) = (settings.clone(), stop.clone(), reload.subscribe());
         let factory = async move || {
             let plan = Some(plan.clone());
-            let core = Core::start(shared.clone(), plan, None, asked.clone()).await;
+            let core =
+                Core::start(shared.clone(), plan, None, asked.clone(), changes.clone()).await;
             web::App::new().state(core).configure(http::routes)
         };
         let service = HttpServiceConfig::new()
@@ -96,7 +102,7 @@
             .listen(listener)
             .context(SocketSnafu)?
             .run();
-        Ok(Self { settings, address, server, stop })
+        Ok(Self { settings, address, server, stop, reload })
     }
 
     /// Binds the sockets and starts to serve on a platform, whose store brings
@@ -114,7 +120,13 @@
         let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
         let (operators, _) = process::bind(operators).context(BindSnafu)?;
         let stop = process::Stop::new();
-        let shared = Shared { settings: settings.clone(), connect, stop: stop.clone() };
+        let reload = watch::Sender::new((*settings).clone());
+        let shared = Shared {
+            settings: settings.clone(),
+            connect,
+            stop: stop.clone(),
+            reload: reload.subscribe(),
+        };
         let (for_callers, for_operators) = (shared.clone(), shared);
         let service = HttpServiceConfig::new()
             .set_max_headers(MAX_HEADERS)
@@ -141,7 +153,7 @@
             })
             .context(SocketSnafu)?
             .run();
-        Ok(Self { settings, address, server, stop })
+        Ok(Self { settings, address, server, stop, reload })
     }
 
     /// Where callers connect.
@@ -154,6 +166,11 @@
         self.stop.clone()
     }
 
+    /// What takes settings that were read again.
+    pub fn reload(&self) -> watch::Sender<settings::Router> {
+        self.reload.clone()
+    }
+
     /// Serves until a stop was asked for and nothing is in flight, or the
     /// drain's time is over. Returns whether everything was finished.
     pub async fn run(self) -> bool {
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -7,7 +7,7 @@
 use intents::{Labels, Plan};
 use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Refused, Welcome};
 
-use crate::Decision;
+use crate::{Decision, Settings};
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -72,6 +72,8 @@
         /// The upstream.
         upstream: Arc<str>,
     },
+    /// The operator changed the settings.
+    Settings(Box<Settings>),
     /// A configuration came.
     Configure(Arc<Plan>),
     /// The configuration in force was the newest at `at`.
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -101,6 +101,7 @@
             Event::Met(welcome) => self.met(&welcome, now),
             Event::Alive { upstream } => self.alive(&upstream),
             Event::Missed { upstream } => self.missed(&upstream, now),
+            Event::Settings(settings) => self.set(*settings),
             Event::Configure(plan) => self.configure(plan),
             Event::Current { at } => self.prove(at),
             Event::Load { upstream, requests } => self.load(&upstream, requests),
@@ -108,6 +109,14 @@
         }
     }
 
+    /// Requests under way keep what was decided on them.
+    fn set(&mut self, settings: Settings) -> Vec<Effect> {
+        self.settings = settings;
+        self.budgets.clear();
+        self.index.clear();
+        Vec::new()
+    }
+
     /// A lower or equal generation changes nothing.
     fn configure(&mut self, plan: Arc<Plan>) -> Vec<Effect> {
         let current = self.plan.as_ref().map_or(0, |it| it.generation());
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -145,6 +145,11 @@
         Ok(Self { settings, state, listener, address, admin, stop, metrics })
     }
 
+    /// The settings that it runs with.
+    pub fn settings(&self) -> &settings::Sidecar {
+        &self.settings
+    }
+
     /// Where routers connect.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -29,12 +29,14 @@
 }
 
 async fn on_own_settings() -> ExitCode {
-    let settings = match cli::begin::<settings::Router>(NAME) {
-        Ok(settings) => settings,
+    let (settings, path) = match cli::begin::<settings::Router>(NAME) {
+        Ok(begun) => begun,
         Err(code) => return code,
     };
     match Router::start(settings) {
         Ok(router) => {
+            let read = move || settings::load(&path).map_err(|fault| fault.to_string());
+            cli::reload_on_signal(router.reload(), read);
             process::announce(&[("listen", router.address().to_string())]);
             serve(router).await
         }
@@ -43,10 +45,9 @@
 }
 
 async fn on_platform(path: &Path) -> ExitCode {
-    let read = |named: Option<&Path>| {
-        platform::read(named.unwrap_or(path)).map_err(|fault| fault.to_string())
-    };
-    let settings = match cli::begin_with(NAME, Stream::Output, read) {
+    let read = |path: &Path| platform::read(path).map_err(|fault| fault.to_string());
+    let read_first = |named: Option<&Path>| read(named.unwrap_or(path));
+    let settings = match cli::begin_with(NAME, Stream::Output, read_first) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
@@ -60,7 +61,12 @@
         async move { settings.connect().await }.boxed_local()
     });
     match Router::start_direct(own, &direct.operators, connect) {
-        Ok(router) => serve(router).await,
+        Ok(router) => {
+            let path = path.to_owned();
+            let read = move || read(&path).map(|it| it.router);
+            cli::reload_on_signal(router.reload(), read);
+            serve(router).await
+        }
         Err(fault) => cli::fail(NAME, fault, cli::USAGE),
     }
 }
--- a/src/bin/silverstack-sidecar.rs
+++ b/src/bin/silverstack-sidecar.rs
@@ -4,14 +4,15 @@
 
 use sidecar::Sidecar;
 use silverstack::cli;
+use tokio::sync::watch;
 
 /// The program's name.
 const NAME: &str = "silverstack-sidecar";
 
 #[ntex::main]
 async fn main() -> ExitCode {
-    let settings = match cli::begin::<settings::Sidecar>(NAME) {
-        Ok(settings) => settings,
+    let (settings, path) = match cli::begin::<settings::Sidecar>(NAME) {
+        Ok(begun) => begun,
         Err(code) => return code,
     };
     let sidecar = match Sidecar::bind(settings) {
@@ -21,6 +22,9 @@
     let (listen, admin) = (sidecar.address().to_string(), sidecar.admin_address().to_string());
     process::announce(&[("listen", listen), ("admin", admin)]);
     cli::stop_on_signal(sidecar.stop());
+    // A sidecar takes new settings at its next start; a fault is told at once.
+    let (reload, _) = watch::channel(sidecar.settings().clone());
+    cli::reload_on_signal(reload, move || settings::load(&path).map_err(|it| it.to_string()));
     match sidecar.run().await {
         Ok(0) => ExitCode::from(cli::OK),
         Ok(_) => ExitCode::from(cli::CUT),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,10 +5,12 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use process::Stop;
+use process::{Hangup, Stop};
 use serde::de::DeserializeOwned;
 use settings::Check;
+use spdlog::{error, info};
 use telemetry::{Level, Stream};
+use tokio::sync::watch;
 
 /// Everything went well.
 pub const OK: u8 = 0;
@@ -40,17 +42,18 @@
 }
 
 /// Reads the command line and the settings of a process of the fleet, and
-/// starts its log.
+/// starts its log. Returns the settings and where they were read.
 ///
 /// # Errors
 ///
 /// The exit code, where the process has nothing more to do.
-pub fn begin<T: Check + DeserializeOwned>(program: &str) -> Result<T, ExitCode> {
+pub fn begin<T: Check + DeserializeOwned>(program: &str) -> Result<(T, PathBuf), ExitCode> {
     begin_with(program, Stream::Error, |path| {
         let Some(path) = path else {
             return Err("--settings FILE is needed".to_owned());
         };
-        settings::load(path).map_err(|fault| fault.to_string())
+        let settings = settings::load(path).map_err(|fault| fault.to_string())?;
+        Ok((settings, path.to_owned()))
     })
 }
 
@@ -79,6 +82,30 @@
     Ok(settings)
 }
 
+/// Reads the settings again at each SIGHUP and hands them to `reload`; settings
+/// with a fault are logged and change nothing.
+pub fn reload_on_signal<T: Send + Sync + 'static>(
+    reload: watch::Sender<T>,
+    read: impl Fn() -> Result<T, String> + 'static,
+) {
+    ntex::rt::spawn(async move {
+        let mut signals = match Hangup::listen() {
+            Ok(signals) => signals,
+            Err(fault) => return error!("SIGHUP can't be heard", kv: { fault = fault.to_string() }),
+        };
+        while signals.next().await.is_some() {
+            match read() {
+                Ok(settings) => {
+                    info!("settings read again");
+                    let _ = reload.send(settings);
+                }
+                Err(fault) => error!("settings refused", kv: { fault }),
+            }
+        }
+    })
+    .detach();
+}
+
 /// Asks for a planned stop at the first SIGTERM or SIGINT.
 pub fn stop_on_signal(stop: Stop) {
     ntex::rt::spawn(async move {
