Copy what is warm elsewhere, by the longest part known to be read

A router now remembers which upstreams have read which parts, and sends along where to copy from. Ruled out: full caches (no request was preempted).

--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -213,6 +213,7 @@
         model: Some(format!("model-{}", id % MODELS as u64).into()),
         chat: format!("chat-{id}").into(),
         once: None,
+        shared: Vec::new(),
         weight: 1_000,
         deadline: None,
     }
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -263,6 +263,7 @@
             model: Some("model-0".into()),
             chat: format!("chat-{chat}").into(),
             once: None,
+            shared: Vec::new(),
             weight: self.random.random_range(load.least..=load.greatest),
             deadline: None,
         };
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -28,8 +28,9 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
-/// How long an idle connection to an upstream is kept.
-const UPSTREAM_IDLE: Seconds = Seconds(4);
+/// How long an idle connection to an upstream is kept. Upstreams of the sites
+/// close theirs after 10 s, as their answers say.
+const UPSTREAM_IDLE: Seconds = Seconds(8);
 
 /// What reaches upstreams directly.
 struct Direct {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -150,6 +150,7 @@
         model: Some(prompt.model),
         chat: prompt.chat,
         once: None,
+        shared: Vec::new(),
         weight: prompt.weight,
         deadline: deadline(&request),
     };
@@ -178,6 +179,7 @@
         model: None,
         chat,
         once,
+        shared: Vec::new(),
         weight: PLAIN_WEIGHT,
         deadline: deadline(&request),
     };
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -65,6 +65,7 @@
     let ask = Ask {
         id: number,
         chat: chat(&intake.prompt).unwrap_or_else(|| id.clone()),
+        shared: shared(&intake.prompt),
         request: id,
         workspace: target.workspace,
         kind: target.kind,
@@ -83,6 +84,16 @@
     Some(prompt[shared].id.clone())
 }
 
+/// The parts of the prompt that others may share, each hashed with all before.
+fn shared(prompt: &[Part]) -> Vec<u64> {
+    let parts = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+    let hash = |before: &mut u64, part: &Part| {
+        *before = placement::key(&before.to_string(), &part.id);
+        Some(*before)
+    };
+    parts.iter().scan(0, hash).collect()
+}
+
 /// Who asks for what.
 struct Target {
     workspace: Arc<str>,
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -7,10 +7,11 @@
 use intents::Miss;
 use placement::key;
 
-use crate::choice::Choice;
+use crate::choice::{Choice, Upstreams};
 use crate::request::{Phase, Request};
 use crate::state::State;
 use crate::upstream::OVER_BOUND;
+use crate::warmth::Warmth;
 use crate::{Ask, Attempt, Budget, Decision, Effect, Owner, Path, Policy, Try, Upstream};
 
 /// The label that names the pool an upstream belongs to.
@@ -191,8 +192,7 @@
         request.tries.push(Try { upstream: name.clone(), sent: now, error: None, over: false });
         upstream.take(request.ask.weight);
         let upstream = &self.upstreams[name];
-        let first = request.first.as_ref().filter(|it| *it != name && request.tries.len() == 1);
-        let warm = first.and_then(|it| self.upstreams.get(it));
+        let warm = source(&self.warmth, &self.upstreams, request, name);
         let timeout = match self.settings.path {
             Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
             Path::Direct => now.until(request.deadline),
@@ -209,7 +209,7 @@
             generation: request.generation,
             chat: key(&request.ask.workspace, &request.ask.chat),
             home: request.hints.is_empty() && request.home.as_ref() == Some(name),
-            warm: warm.map(|it| it.host.address.clone()),
+            warm,
             resume,
         })]
     }
@@ -226,6 +226,7 @@
             model: None,
             chat: seed.into(),
             once: None,
+            shared: Vec::new(),
             weight: 1,
             deadline: None,
         };
@@ -256,3 +257,30 @@
         vec![Effect::Fail(answer), Effect::Record(Arc::new(decision))]
     }
 }
+
+/// The address of an upstream from which `name` may copy what it lacks of the
+/// prompt; none where `name` has read all of it before.
+///
+/// The longest part counts that is known to be warm anywhere. A chat that is
+/// sent past its first upstream in rank finds its context there, even if other
+/// routers sent all its earlier requests.
+fn source(
+    warmth: &Warmth,
+    upstreams: &Upstreams,
+    request: &Request,
+    name: &Arc<str>,
+) -> Option<Arc<str>> {
+    let address = |it: &Arc<str>| upstreams.get(it).map(|it| it.host.address.clone());
+    let first = request.first.as_ref().filter(|it| *it != name);
+    for (depth, part) in request.ask.shared.iter().rev().enumerate() {
+        if warmth.places(*part).any(|it| it == name) {
+            return None;
+        }
+        let known = warmth.places(*part).find_map(address);
+        let source = known.or_else(|| first.filter(|_| depth == 0).and_then(address));
+        if source.is_some() {
+            return source;
+        }
+    }
+    None
+}
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -107,6 +107,9 @@
     pub model: Option<Arc<str>>,
     /// What keeps a chat together.
     pub chat: Arc<str>,
+    /// The parts of the prompt that other requests may share, each with all
+    /// parts before it as one hash, the shortest first.
+    pub shared: Vec<u64>,
     /// The idempotency key, if there is one.
     pub once: Option<Once>,
     /// The load that the request brings, in tokens.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod state;
 mod upstream;
+mod warmth;
 
 pub use budget::Budget;
 pub use decision::{Decision, Passed, Try};
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -125,6 +125,7 @@
         };
         request.phase = Phase::Answering { chunks: 0, bytes: 0 };
         if let Some(upstream) = request.upstream().cloned() {
+            self.warmth.note(&request.ask.shared, &upstream);
             self.alive(&upstream);
         }
         vec![Effect::Head(head)]
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::choice::{Index, Upstreams};
 use crate::request::Request;
+use crate::warmth::Warmth;
 use crate::{Budget, Decision, Effect, Event, Host, Path, Settings, Upstream};
 
 /// The life of an upstream that is reached directly: its name stands for one
@@ -31,6 +32,8 @@
     /// Hops after refusals over load, which did not run.
     pub(crate) hops: Budget,
     pub(crate) draining: bool,
+    /// Where parts of prompts are warm; kept for direct upstreams only.
+    pub(crate) warmth: Warmth,
     /// When the configuration in force was last known to be the newest.
     pub(crate) current: Option<Millis>,
     pub(crate) random: ChaCha8Rng,
@@ -49,6 +52,7 @@
             budgets: HashMap::new(),
             hops,
             draining: false,
+            warmth: Warmth::default(),
             current: None,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -52,6 +52,7 @@
         model: Some("m".into()),
         chat: "c".into(),
         once: None,
+        shared: Vec::new(),
         weight: 1,
         deadline: None,
     })
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -289,6 +289,7 @@
             model: (!once).then(|| "m".into()),
             chat: format!("c{chat}").into(),
             once: once.then_some(key),
+            shared: Vec::new(),
             weight: 100,
             deadline: None,
         };
