--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -55,7 +55,7 @@
     ///
     /// The runtime can't make a client.
     pub async fn new(base: &str, workspace: &str, key: &str) -> Result<Self, Error> {
-        let client = process::client(KEEP_ALIVE).await.map_err(broken)?;
+        let client = process::client(KEEP_ALIVE, ntex::time::Millis::ZERO).await.map_err(broken)?;
         Ok(Self { client, base: base.to_owned(), token: format!("{workspace}:{key}") })
     }
 
--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -8,6 +8,6 @@
 
 pub use announce::announce;
 pub use bind::{Error, bind};
-pub use client::client;
+pub use client::{CONNECT_TIMEOUT, client};
 pub use hangup::Hangup;
 pub use stop::Stop;
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -75,9 +75,10 @@
             state.apply(Event::Configure(plan), started);
         }
         let direct = match edges {
-            Some(edges) => {
-                process::client(UPSTREAM_IDLE).await.ok().map(|client| Direct { edges, client })
-            }
+            Some(edges) => process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT)
+                .await
+                .ok()
+                .map(|client| Direct { edges, client }),
             None => None,
         };
         let store = match &settings.store_url {
@@ -174,10 +175,15 @@
             trace,
             workspace = &*decision.workspace,
             kind = &*decision.kind,
+            generation = decision.generation,
+            proof_ms = or_none(decision.proof_ms),
             upstream,
             outcome,
+            status = or_none(decision.status),
             error = error.unwrap_or(""),
+            detail = &*decision.detail,
             attempts = decision.tries.len(),
+            tries = tries(decision),
             ms = decision.came.until(decision.ended).0,
         });
         self.decisions.borrow_mut().keep(decision.clone());
@@ -187,7 +193,13 @@
     pub(crate) fn reject(&self, request: &str, kind: Kind) {
         let error: &'static str = kind.into();
         self.metrics.request(kind.row().outcome.into(), Some(error));
-        info!("request refused", kv: { request, error });
+        let state = self.state.borrow();
+        info!("request refused", kv: {
+            request,
+            error,
+            generation = state.plan().map_or(0, |it| it.generation()),
+            proof_ms = or_none(state.proof_ms(self.clock.now())),
+        });
     }
 
     /// A number for a new request, and the id that others see: the router, its
@@ -234,3 +246,21 @@
         })
     }
 }
+
+/// A number for the log, or the word `none`.
+fn or_none(number: Option<impl Into<u64>>) -> String {
+    number.map_or_else(|| "none".to_owned(), |it| it.into().to_string())
+}
+
+/// The attempts as one word each: where, when after the request came, the load
+/// believed to be there, where the prompt's cache was to be copied from, and
+/// why it failed.
+fn tries(decision: &Decision) -> String {
+    let one = |it: &routing::Try| {
+        let error: &'static str = it.error.map_or("ok", Into::into);
+        let warm = it.warm.as_deref().unwrap_or("-");
+        let after = decision.came.until(it.sent).0;
+        format!("{}@{after}ms,load={},copy={warm},{error}", it.upstream, it.load)
+    };
+    decision.tries.iter().map(one).collect::<Vec<_>>().join(" ")
+}
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -50,6 +50,8 @@
                 deadline: now + ask.deadline.map_or(allowed, |it| it.min(allowed)),
                 ask,
                 came: now,
+                proof_ms: self.proof_ms(now),
+                status: None,
                 phase: Phase::Sent,
                 repeatable: target.repeatable,
                 resumable: target.kind.resumable,
@@ -189,10 +191,18 @@
         if !resume {
             request.phase = Phase::Sent;
         }
-        request.tries.push(Try { upstream: name.clone(), sent: now, error: None, over: false });
+        let load = upstream.load();
         upstream.take(request.ask.weight);
         let upstream = &self.upstreams[name];
         let warm = source(&self.warmth, &self.upstreams, request, name);
+        request.tries.push(Try {
+            upstream: name.clone(),
+            sent: now,
+            load,
+            warm: warm.clone(),
+            error: None,
+            over: false,
+        });
         let timeout = match self.settings.path {
             Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
             Path::Direct => now.until(request.deadline),
@@ -245,6 +255,8 @@
             model: ask.model.clone(),
             intent: None,
             generation: self.plan.as_ref().map_or(0, |it| it.generation()),
+            proof_ms: self.proof_ms(now),
+            status: None,
             came: now,
             ended: now,
             passed: Vec::new(),
--- a/components/routing/src/decision.rs
+++ b/components/routing/src/decision.rs
@@ -21,6 +21,9 @@
     pub intent: Option<Arc<str>>,
     /// The generation it was decided under.
     pub generation: u64,
+    /// How long before the decision that generation was known to be the newest,
+    /// in milliseconds; none where no proof is kept.
+    pub proof_ms: Option<u64>,
     /// When the request came.
     pub came: Millis,
     /// When it got its final answer.
@@ -29,6 +32,8 @@
     pub passed: Vec<Passed>,
     /// The attempts, in order.
     pub tries: Vec<Try>,
+    /// The HTTP status of the answer that was passed on.
+    pub status: Option<u16>,
     /// What is known about the run.
     pub outcome: Outcome,
     /// The error, if there was one.
@@ -53,6 +58,10 @@
     pub upstream: Arc<str>,
     /// When it was sent.
     pub sent: Millis,
+    /// The load that was believed to be there, this request left out.
+    pub load: u64,
+    /// The address that a copy of the prompt's cache was to come from.
+    pub warm: Option<Arc<str>>,
     /// Why it failed, if it did.
     pub error: Option<Kind>,
     /// Whether it is no longer under way.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -124,6 +124,7 @@
             return Vec::new();
         };
         request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+        request.status = Some(head.status);
         if let Some(upstream) = request.upstream().cloned() {
             self.warmth.note(&request.ask.shared, &upstream);
             self.alive(&upstream);
@@ -142,6 +143,7 @@
         }
         if let Some(request) = self.requests.get_mut(&id) {
             request.phase = Phase::Answering { chunks: 0, bytes: 0 };
+            request.status = Some(head.status);
         }
         vec![Effect::Head(head)]
     }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -25,6 +25,10 @@
 pub(crate) struct Request {
     pub ask: Ask,
     pub came: Millis,
+    /// How old the proof was that the configuration in force is the newest.
+    pub proof_ms: Option<u64>,
+    /// The status of the answer that was passed on.
+    pub status: Option<u16>,
     pub deadline: Millis,
     pub phase: Phase,
     pub repeatable: bool,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -87,6 +87,11 @@
         within == 0 || self.current.is_some_and(|at| at.until(now).0 <= within)
     }
 
+    /// How long ago the configuration in force was known to be the newest.
+    pub fn proof_ms(&self, now: Millis) -> Option<u64> {
+        self.current.map(|at| at.until(now).0)
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
@@ -252,6 +257,8 @@
             model: request.ask.model,
             intent: Some(request.intent),
             generation: request.generation,
+            proof_ms: request.proof_ms,
+            status: request.status,
             came: request.came,
             ended: now,
             passed: request.passed,
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -176,7 +176,7 @@
             Service::Engine => ENGINE_KEEP_ALIVE,
             Service::Plain => Seconds::ZERO,
         };
-        let client = process::client(keep_alive)
+        let client = process::client(keep_alive, process::CONNECT_TIMEOUT)
             .await
             .map_err(|fault| Error::Client { reason: fault.to_string() })?;
         let tracer = match &self.settings.traces_url {
--- a/components/store/src/hosts.rs
+++ b/components/store/src/hosts.rs
@@ -62,7 +62,7 @@
     ///
     /// The runtime can't make a client.
     pub async fn new(base: &str) -> Result<Self, Error> {
-        let client = process::client(KEEP_ALIVE).await.map_err(silent)?;
+        let client = process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(silent)?;
         Ok(Self { client, url: format!("{base}/v1/hosts").into(), tag: None })
     }
 
--- a/components/store/src/store.rs
+++ b/components/store/src/store.rs
@@ -30,7 +30,7 @@
     ///
     /// The runtime can't make a client.
     pub async fn new(base: &str) -> Result<Self, Error> {
-        let client = process::client(KEEP_ALIVE).await.map_err(silent)?;
+        let client = process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(silent)?;
         Ok(Self { client, base: base.into() })
     }
 
--- a/components/telemetry/src/trace.rs
+++ b/components/telemetry/src/trace.rs
@@ -129,7 +129,7 @@
 }
 
 async fn send(mut spans: Receiver<SpanData>, url: String, resource: ResourceAttributesWithSchema) {
-    let Ok(client) = process::client(KEEP_ALIVE).await else { return };
+    let Ok(client) = process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await else { return };
     let mut batch = Vec::new();
     while spans.recv_many(&mut batch, BATCH).await > 0 {
         let _ = tokio::time::timeout(LINGER, fill(&mut spans, &mut batch)).await;
