--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -142,7 +142,7 @@
 
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
     core.reject(id, kind);
-    failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms, ""))
+    failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms(kind), ""))
 }
 
 /// An answer of the fleet's own.
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -1,5 +1,6 @@
 //! What an operator may set about a router's decisions.
 
+use errors::Kind;
 use placement::Bound;
 use serde::{Deserialize, Serialize};
 
@@ -74,6 +75,9 @@
     /// When a refused caller is told to come back at the earliest, in
     /// milliseconds.
     pub retry_after_ms: u64,
+    /// The same where the configuration can't be confirmed, which lasts as long
+    /// as an outage of the store.
+    pub stale_retry_after_ms: u64,
 }
 
 impl Default for Settings {
@@ -96,6 +100,18 @@
             connects: 64,
             decisions: 4_096,
             retry_after_ms: 250,
+            stale_retry_after_ms: 3_000,
+        }
+    }
+}
+
+impl Settings {
+    /// When a caller that is refused for `kind` is told to come back at the
+    /// earliest, in milliseconds.
+    pub fn retry_after_ms(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::StaleConfiguration => self.stale_retry_after_ms,
+            _ => self.retry_after_ms,
         }
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -293,7 +293,7 @@
             Outcome::NotRun => request.uncertain().unwrap_or(kind),
             Outcome::Unknown | Outcome::Ran => kind,
         };
-        let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms);
+        let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms(kind));
         let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
         let first = if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
         let mut effects = vec![first];
