--- a/components/admission/tests/stateful.rs
+++ b/components/admission/tests/stateful.rs
@@ -16,7 +16,7 @@
 const SEED: u64 = 20_261_202;
 
 /// The bound of the tests.
-const BOUND: Bound = Bound { multiple: 1.25, floor: 40, margin: 0.0 };
+const BOUND: Bound = Bound { multiple: 1.25, floor: 40, margin: 0.0, extra: 0 };
 
 /// The slots of the tests.
 const SLOTS: usize = 3;
--- a/components/experiment/src/placement.rs
+++ b/components/experiment/src/placement.rs
@@ -32,7 +32,7 @@
 /// Ten minutes of three workspaces whose chats return after two and a half
 /// minutes on the mean.
 pub fn run(policy: Policy, scene: Scene, margin: f64, seed: u64) -> Outcome {
-    let bound = Bound { multiple: 1.25, floor: 4_000, margin };
+    let bound = Bound { multiple: 1.25, floor: 4_000, margin, extra: 0 };
     let churn = Churn { every_ms: 60_000, gone_ms: 10_000, list_lag_ms: 1_000 };
     let setup = Setup {
         seed,
--- a/components/experiment/src/surge.rs
+++ b/components/experiment/src/surge.rs
@@ -79,7 +79,7 @@
 /// Ten workspaces for a minute; for 20 s of it, one sends eleven times as much
 /// in six chats, so that hashing alone would pile it up.
 pub fn run(variant: Variant) -> Outcome {
-    let bound = Bound { multiple: 1.25, floor: FLOOR, margin: variant.margin };
+    let bound = Bound { multiple: 1.25, floor: FLOOR, margin: variant.margin, extra: 0 };
     let setup = Setup {
         seed: variant.seed,
         routers: 3,
--- a/components/placement/src/bound.rs
+++ b/components/placement/src/bound.rs
@@ -17,7 +17,7 @@
 /// weight `w` may join an upstream that carries `l` when
 ///
 /// ```text
-/// l + w <= max(floor, c * (1 - margin) * (L + w) / n)
+/// l + w <= max(floor, c * (1 - margin) * (L + w) / n + extra)
 /// ```
 ///
 /// `L` is known with a lag. The `margin` is for what may end meanwhile, so that
@@ -36,6 +36,10 @@
     /// `margin`: the share of the multiple that is kept back, below one.
     #[serde(default = "default_margin")]
     pub margin: f64,
+    /// `extra`: what an upstream may carry beyond the multiple, in the unit of
+    /// the weights.
+    #[serde(default)]
+    pub extra: u64,
 }
 
 /// The margin that kept the multiple in the experiment on a tenfold surge.
@@ -47,7 +51,7 @@
 
 impl Default for Bound {
     fn default() -> Self {
-        Self { multiple: 1.25, floor: 8_000, margin: DEFAULT_MARGIN }
+        Self { multiple: 1.25, floor: 8_000, margin: DEFAULT_MARGIN, extra: 0 }
     }
 }
 
@@ -63,7 +67,7 @@
         )]
         let share =
             (self.multiple * (1.0 - self.margin) * (pool.load + weight) as f64 / members) as u64;
-        share.max(self.floor)
+        share.saturating_add(self.extra).max(self.floor)
     }
 
     /// Whether an upstream that carries `load` may take `weight` more.
--- a/components/placement/tests/rendezvous.rs
+++ b/components/placement/tests/rendezvous.rs
@@ -43,7 +43,7 @@
         total in 0..100_000_u64,
         members in 1..50_u32,
     ) {
-        let bound = Bound { multiple: 1.25, floor: 3_000, margin: 0.0 };
+        let bound = Bound { multiple: 1.25, floor: 3_000, margin: 0.0, extra: 0 };
         // 1.25 as 5 / 4, in whole numbers.
         let share = 5 * (total + weight) / (4 * u64::from(members));
         let naive = load == 0 || load + weight <= share.max(3_000);
