Give only what is missing after an outage time to come back

Now only what is missing from the first answer after an outage is held, and a look comes when its time is over.

--- /dev/null
+++ b/components/routing/src/directory.rs
@@ -0,0 +1,90 @@
+//! The upstreams that the platform lists, and what of the list is believed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+
+use crate::Host;
+
+/// How long after an outage of the store upstreams are still taken to live whose
+/// entries are missing. An entry lapses when its upstream can't renew it; those
+/// that live are back within about two seconds, as the platform says.
+pub const RETURN: Millis = Millis(2_000);
+
+/// The upstreams that the store lists.
+#[derive(Debug, Default)]
+pub struct Directory {
+    hosts: BTreeMap<Arc<str>, Entry>,
+    /// When the store came back, until what it then said has been taken.
+    returned: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    host: Host,
+    sequence: u64,
+    /// When an entry that was missing after an outage is taken to be gone.
+    gone_at: Option<Millis>,
+}
+
+impl Directory {
+    /// The store answers again after it did not. What is missing from its first
+    /// answer may have lapsed; what goes later has really gone.
+    pub fn came_back(&mut self, now: Millis) {
+        self.returned = Some(now);
+    }
+
+    /// The first answer after an outage has been taken.
+    pub fn settle(&mut self) {
+        self.returned = None;
+    }
+
+    /// Takes an entry; one that is older than known changes nothing. Returns
+    /// whether anything has changed.
+    pub fn put(&mut self, host: Host, sequence: u64) -> bool {
+        let known = self.hosts.get(&host.name);
+        if known.is_some_and(|it| it.sequence > sequence && it.gone_at.is_none()) {
+            return false;
+        }
+        let changed = known.is_none_or(|it| it.host != host);
+        self.hosts.insert(host.name.clone(), Entry { host, sequence, gone_at: None });
+        changed
+    }
+
+    /// Takes the removal of an entry. Returns whether anything has changed.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let Some(returned) = self.returned else {
+            return self.hosts.remove(name).is_some();
+        };
+        if let Some(entry) = self.hosts.get_mut(name) {
+            entry.gone_at = Some(returned + RETURN);
+        }
+        false
+    }
+
+    /// Takes a whole list: what is not in it was removed. Returns whether
+    /// anything has changed.
+    pub fn keep_only(&mut self, names: &[Arc<str>]) -> bool {
+        let missing: Vec<_> = self.hosts.keys().filter(|it| !names.contains(it)).cloned().collect();
+        missing.iter().fold(false, |changed, name| self.remove(name) | changed)
+    }
+
+    /// Lets go of entries whose time to come back is over. Returns whether there
+    /// were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let before = self.hosts.len();
+        self.hosts.retain(|_, it| it.gone_at.is_none_or(|at| at > now));
+        self.hosts.len() != before
+    }
+
+    /// When the next entry's time to come back is over.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.hosts.values().filter_map(|it| it.gone_at).min()
+    }
+
+    /// The upstreams that are taken to live.
+    pub fn hosts(&self) -> Vec<Host> {
+        self.hosts.values().map(|it| it.host.clone()).collect()
+    }
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod choice;
 mod decision;
+mod directory;
 mod event;
 mod reply;
 mod request;
@@ -18,6 +19,7 @@
 
 pub use budget::Budget;
 pub use decision::{Decision, Passed, Try};
+pub use directory::{Directory, RETURN};
 pub use event::{Ask, Attempt, Effect, Event, Host, Once, Owner, Reply};
 pub use placement::Bound;
 pub use settings::{Path, Policy, Settings};
