Let what an answer told of load fade

What was told now halves in 700 ms; a router counts its own requests. A test of the reducer, seen failing without the fading, and seven more of the direct path.

--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -191,7 +191,7 @@
         if !resume {
             request.phase = Phase::Sent;
         }
-        let load = upstream.load();
+        let load = upstream.load_at(self.settings.path, now);
         upstream.take(request.ask.weight);
         let upstream = &self.upstreams[name];
         let warm = source(&self.warmth, &self.upstreams, request, name);
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -77,7 +77,14 @@
         } else {
             settings.policy
         };
-        let mut best = order(policy, key, &ask.request, sorted.candidates(settings.path));
+        let mut best = order(
+            policy,
+            key,
+            &ask.request,
+            sorted.candidates(settings.path, now),
+            settings.path,
+            now,
+        );
         if let Some(home) = home.filter(|_| settings.policy == Policy::Directory) {
             // The home is asked first even if it is believed to be full: it
             // knows where the chat's context is.
@@ -136,7 +143,7 @@
         now: Millis,
     ) -> Self {
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
-        let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone()));
+        let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone(), now));
         for upstream in fitting {
             match upstream.objection(weight, pool, settings, now) {
                 None => sorted.open.push(upstream),
@@ -159,11 +166,11 @@
 
     /// Those to try. Loads are known with a lag: one sidecar is asked before all
     /// are believed to be full.
-    fn candidates(self, path: Path) -> Vec<&'a Upstream> {
+    fn candidates(self, path: Path, now: Millis) -> Vec<&'a Upstream> {
         if !self.open.is_empty() {
             return self.open;
         }
-        let least = self.full().min_by_key(|it| it.load());
+        let least = self.full().min_by_key(|it| it.load_at(path, now));
         match path {
             Path::Sidecar => least.into_iter().collect(),
             Path::Direct => least.map_or_else(|| self.suspects(), |it| vec![it]),
@@ -178,9 +185,9 @@
 }
 
 /// The load of all that fit, as far as this router knows.
-fn pool<'a>(fitting: impl Iterator<Item = &'a Upstream>) -> Pool {
+fn pool<'a>(fitting: impl Iterator<Item = &'a Upstream>, now: Millis) -> Pool {
     fitting.filter(|it| !it.is_leaving()).fold(Pool::default(), |pool, it| Pool {
-        load: pool.load + it.load(),
+        load: pool.load + it.load_at(Path::Direct, now),
         members: pool.members + 1,
     })
 }
@@ -191,6 +198,8 @@
     key: u64,
     request: &str,
     mut open: Vec<&'a Upstream>,
+    path: Path,
+    now: Millis,
 ) -> Vec<&'a Upstream> {
     let ranked = |key, open: Vec<&'a Upstream>| {
         top(key, open.into_iter(), MAX_CANDIDATES, |it| (it.name(), 1.0))
@@ -201,7 +210,7 @@
         Policy::Lightest => {
             let draw = placement::key("", request);
             open.sort_by_cached_key(|it| {
-                (it.load(), placement::score(draw, it.name(), 1.0).to_bits())
+                (it.load_at(path, now), placement::score(draw, it.name(), 1.0).to_bits())
             });
             open.truncate(MAX_CANDIDATES);
             open
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -113,7 +113,7 @@
             Event::Settings(settings) => self.set(*settings),
             Event::Configure(plan) => self.configure(plan),
             Event::Current { at } => self.prove(at),
-            Event::Load { upstream, requests } => self.load(&upstream, requests),
+            Event::Load { upstream, requests } => self.load(&upstream, requests, now),
             Event::Drain => self.drain(),
         }
     }
@@ -145,9 +145,9 @@
         Vec::new()
     }
 
-    fn load(&mut self, upstream: &str, requests: u64) -> Vec<Effect> {
+    fn load(&mut self, upstream: &str, requests: u64, now: Millis) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.tell(requests);
+            upstream.tell(requests, now);
         }
         Vec::new()
     }
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -7,7 +7,11 @@
 use placement::Pool;
 use wire::Status;
 
-use crate::{Host, Settings};
+use crate::{Host, Path, Settings};
+
+/// After how long half of the requests that an upstream told of have ended, in
+/// milliseconds. Streams of the sites take 0.5 to 1 s.
+const HALF_LIFE_MS: f64 = 700.0;
 
 /// The most doublings of the time that a failing upstream is left alone.
 const MAX_DOUBLINGS: u32 = 16;
@@ -30,6 +34,8 @@
     pub(crate) status: Status,
     /// This router's own load there, where it is reached directly.
     pub(crate) own: u64,
+    /// The load of all other routers there, as an answer told last, and when.
+    others: (u64, Millis),
     pub(crate) heard: Option<Millis>,
     pub(crate) failures: u32,
     pub(crate) suspect_until: Millis,
@@ -44,6 +50,7 @@
             connected: false,
             status: Status::default(),
             own: 0,
+            others: (0, Millis::ZERO),
             heard: None,
             failures: 0,
             suspect_until: Millis::ZERO,
@@ -90,10 +97,20 @@
         self.revive();
     }
 
-    /// Takes the load that an answer told; it may be older than this router's
-    /// latest requests.
-    pub(crate) fn tell(&mut self, requests: u64) {
-        self.status.load = requests.max(self.own);
+    /// The load to reckon with at `now`. A sidecar's word stands until the next
+    /// one. What an answer told of other routers' requests fades, since these
+    /// end without this router hearing of it; its own it counts itself.
+    pub(crate) fn load_at(&self, path: Path, now: Millis) -> u64 {
+        let (others, told) = self.others;
+        match path {
+            Path::Sidecar => self.status.load,
+            Path::Direct => self.own + fade(others, told.until(now)),
+        }
+    }
+
+    /// Takes the load that an answer told.
+    pub(crate) fn tell(&mut self, requests: u64, now: Millis) {
+        self.others = (requests.saturating_sub(self.own), now);
     }
 
     /// Counts a request that is sent there.
@@ -106,7 +123,6 @@
     /// Counts a request that has ended there.
     pub(crate) fn release(&mut self, weight: u64) {
         self.own = self.own.saturating_sub(weight);
-        self.status.load = self.status.load.saturating_sub(weight).max(self.own);
     }
 
     /// The connection is good.
@@ -157,10 +173,21 @@
         let told = self.heard.is_some_and(|heard| heard.until(now).0 <= settings.fresh_ms);
         let fresh = pool.is_some() || told;
         let pool = pool.unwrap_or(self.status.pool);
-        let over = !settings.bound.admits(self.status.load, weight, pool);
+        let load = self.load_at(settings.path, now);
+        let over = !settings.bound.admits(load, weight, pool);
         if fresh && over {
             return Some(OVER_BOUND);
         }
         None
     }
 }
+
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "loads and ages stay far below 2^53"
+)]
+fn fade(load: u64, age: Millis) -> u64 {
+    (load as f64 * 0.5_f64.powf(age.0 as f64 / HALF_LIFE_MS)).round() as u64
+}
--- /dev/null
+++ b/components/routing/tests/direct.rs
@@ -0,0 +1,211 @@
+//! What a router decides that reaches its upstreams directly.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::Kind;
+use intents::{Document, Plan};
+use routing::{Ask, Bound, Effect, Event, Host, Path, Policy, Reply, Settings, State};
+use serde_json::json;
+use wire::{Head, Refused, Status};
+
+const NOW: Millis = Millis(1_000_000);
+
+fn settings() -> Settings {
+    Settings {
+        path: Path::Direct,
+        policy: Policy::Ranked,
+        bound: Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 2 },
+        current_ms: 3_000,
+        retry_share: 0.0,
+        retry_burst: 2.0,
+        ..Settings::default()
+    }
+}
+
+fn plan() -> Arc<Plan> {
+    let kind = |name: &str, repeatable: bool| json!({ "name": name, "repeatable": repeatable, "keyless": true, "resumable": name == "stream" });
+    let intent = |name: &str, service: &str| {
+        let equals =
+            |label: &str, value: &str| json!([{ "op": "equals", "label": label, "value": value }]);
+        json!({
+            "name": name, "kinds": equals("name", name), "upstreams": equals("service", service),
+            "deadline_ms": 5_000, "attempts": 2,
+        })
+    };
+    let document = json!({
+        "generation": 1,
+        "workspaces": [{ "name": "w", "key_sha256": "0".repeat(64) }],
+        "models": ["m"],
+        "kinds": [kind("safe", true), kind("unsafe", false), kind("stream", true)],
+        "intents": [intent("safe", "plain"), intent("unsafe", "plain"), intent("stream", "engine")],
+    });
+    let document = Document::parse(&document.to_string()).expect("a document");
+    Arc::new(Plan::compile(document).expect("a plan"))
+}
+
+fn host(name: &str, service: &str) -> Host {
+    Host {
+        name: name.into(),
+        address: format!("{name}:1").into(),
+        domain: "d".into(),
+        labels: [("service", service), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
+        leaving: false,
+    }
+}
+
+fn router(settings: Settings) -> State {
+    let mut state = State::new(settings, 1);
+    state.apply(Event::Configure(plan()), NOW);
+    state.apply(Event::Current { at: NOW }, NOW);
+    let engines = (0..4).map(|it| host(&format!("engine-{it}"), "engine"));
+    let plain = (0..2).map(|it| host(&format!("plain-{it}"), "plain"));
+    state.apply(Event::Hosts(engines.chain(plain).collect()), NOW);
+    state
+}
+
+fn ask(id: u64, kind: &str, chat: &str) -> Event {
+    Event::Ask(Ask {
+        id,
+        request: format!("r-{id}").into(),
+        workspace: "w".into(),
+        kind: kind.into(),
+        model: (kind == "stream").then(|| "m".into()),
+        chat: chat.into(),
+        shared: Vec::new(),
+        once: None,
+        weight: 1,
+        deadline: None,
+    })
+}
+
+/// Where the effects send a request.
+fn sent(effects: &[Effect]) -> Option<Arc<str>> {
+    effects.iter().find_map(|it| match it {
+        Effect::Send(attempt) => Some(attempt.upstream.clone()),
+        _ => None,
+    })
+}
+
+/// The kind of error that the effects end a request with.
+fn failed(effects: &[Effect]) -> Option<Kind> {
+    effects.iter().find_map(|it| match it {
+        Effect::Fail(answer) | Effect::Cut(answer) => Some(answer.kind),
+        _ => None,
+    })
+}
+
+fn refused() -> Reply {
+    let (hints, status) = (Vec::new(), Status::default());
+    Reply::Refused(Refused { kind: Kind::QueueFull, retry_after_ms: 0, hints, status })
+}
+
+#[test]
+fn a_chat_stays_at_its_upstream_until_the_bound() {
+    let mut state = router(settings());
+    let first = sent(&state.apply(ask(1, "stream", "chat"), NOW)).expect("a place");
+    let places: Vec<_> =
+        (2..8).map(|id| sent(&state.apply(ask(id, "stream", "chat"), NOW)).unwrap()).collect();
+    let stayed = places.iter().take_while(|it| **it == first).count() + 1;
+    // Four upstreams, L requests: at most max(4, 2 L / 4 + 2) at each.
+    assert_eq!(stayed, 4);
+    assert_ne!(places[3], first);
+}
+
+#[test]
+fn what_an_answer_told_of_load_fades() {
+    let loaded = || {
+        let mut state = router(settings());
+        for engine in 0..4 {
+            let upstream: Arc<str> = format!("engine-{engine}").into();
+            state.apply(Event::Load { upstream, requests: 40 }, NOW);
+        }
+        state
+    };
+    let held = |state: &mut State, start: u64, now: Millis| {
+        state.apply(Event::Current { at: now }, now);
+        let mut places = (start..start + 100)
+            .map(|id| sent(&state.apply(ask(id, "stream", "chat"), now)).unwrap());
+        let first = places.next().unwrap();
+        1 + places.take_while(|it| *it == first).count()
+    };
+    // The mean is 40: twice that and two more may be at one, 40 are there.
+    assert!(held(&mut loaded(), 100, NOW) > 30);
+    // Ten seconds later nothing is left of it.
+    assert!(held(&mut loaded(), 100, NOW + Millis(10_000)) <= 6);
+}
+
+#[test]
+fn callers_are_refused_without_a_proof_of_the_configuration() {
+    let mut state = router(settings());
+    assert!(sent(&state.apply(ask(1, "safe", "r-1"), NOW + Millis(3_000))).is_some());
+    let late = state.apply(ask(2, "safe", "r-2"), NOW + Millis(3_001));
+    assert_eq!(failed(&late), Some(Kind::StaleConfiguration));
+    state.apply(Event::Current { at: NOW + Millis(3_000) }, NOW + Millis(3_010));
+    // A proof that comes late does not make an older one count again.
+    state.apply(Event::Current { at: NOW }, NOW + Millis(3_020));
+    assert!(sent(&state.apply(ask(3, "safe", "r-3"), NOW + Millis(6_000))).is_some());
+}
+
+#[test]
+fn what_may_have_run_is_told_as_such_whatever_comes_after() {
+    let mut state = router(settings());
+    state.apply(ask(1, "safe", "r-1"), NOW);
+    let again = state.apply(Event::Lost { id: 1, attempt: 1, sent: true }, NOW);
+    assert!(sent(&again).is_some());
+    let end = state.apply(Event::Reply { id: 1, attempt: 2, reply: refused() }, NOW);
+    assert_eq!(failed(&end), Some(Kind::LinkLost));
+
+    state.apply(ask(2, "unsafe", "r-2"), NOW);
+    let end = state.apply(Event::Lost { id: 2, attempt: 1, sent: true }, NOW);
+    assert_eq!((sent(&end), failed(&end).map(|it| it.row().status)), (None, Some(502)));
+}
+
+#[test]
+fn the_retry_budget_of_one_service_is_no_others() {
+    let mut state = router(settings());
+    let lose = |state: &mut State, id: u64, kind: &str| {
+        state.apply(ask(id, kind, &format!("c-{id}")), NOW);
+        sent(&state.apply(Event::Reply { id, attempt: 1, reply: refused() }, NOW)).is_some()
+    };
+    let plain: Vec<_> = (1..5).map(|id| lose(&mut state, id, "unsafe")).collect();
+    assert_eq!(plain, [true, true, false, false]);
+    assert!(lose(&mut state, 10, "stream"));
+}
+
+#[test]
+fn no_more_upstreams_are_asked_than_the_route_allows() {
+    let mut state = router(Settings { retry_burst: 100.0, ..settings() });
+    state.apply(ask(1, "stream", "chat"), NOW);
+    assert!(
+        sent(&state.apply(Event::Reply { id: 1, attempt: 1, reply: refused() }, NOW)).is_some()
+    );
+    let end = state.apply(Event::Reply { id: 1, attempt: 2, reply: refused() }, NOW);
+    assert_eq!((sent(&end), failed(&end)), (None, Some(Kind::QueueFull)));
+}
+
+#[test]
+fn a_failure_is_passed_on_when_no_other_upstream_may_be_asked() {
+    let mut state = router(settings());
+    let head = |attempt| Reply::Head(Head { attempt, status: 500, headers: Vec::new() });
+    state.apply(ask(1, "unsafe", "r-1"), NOW);
+    let effects = state.apply(Event::Reply { id: 1, attempt: 1, reply: head(1) }, NOW);
+    assert!(matches!(&effects[..], [Effect::Head(head)] if head.status == 500));
+    state.apply(ask(2, "safe", "r-2"), NOW);
+    let effects = state.apply(Event::Reply { id: 2, attempt: 1, reply: head(1) }, NOW);
+    assert!(sent(&effects).is_some());
+    let effects = state.apply(Event::Reply { id: 2, attempt: 2, reply: head(2) }, NOW);
+    assert!(matches!(&effects[..], [Effect::Head(head)] if head.status == 500));
+}
+
+#[test]
+fn one_broken_connection_does_not_make_an_upstream_suspect_but_two_do() {
+    let mut state = router(settings());
+    let upstream = sent(&state.apply(ask(1, "stream", "chat"), NOW)).expect("a place");
+    let up = |state: &State| state.upstreams().any(|it| it.name() == &upstream && it.is_up(NOW));
+    state.apply(Event::Lost { id: 1, attempt: 1, sent: true }, NOW);
+    assert!(up(&state));
+    state.apply(ask(2, "stream", "chat"), NOW);
+    state.apply(Event::Lost { id: 2, attempt: 1, sent: true }, NOW);
+    assert!(!up(&state));
+}
