--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -27,6 +27,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The key-value service.
     pub store: Rc<dyn Store>,
+    /// The path at which the platform asks whether a router is ready.
+    pub ready: &'static str,
 }
 
 impl std::fmt::Debug for Edges {
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -25,9 +25,9 @@
 type Shared = State<Rc<Core>>;
 
 /// The pages for operators and the platform.
-pub(crate) fn operators(config: &mut web::ServiceConfig) {
+pub(crate) fn operators(config: &mut web::ServiceConfig, ready: &str) {
     config
-        .route("/v1/ready", web::get().to(http::ready))
+        .route(ready, web::get().to(http::ready))
         .route("/readyz", web::get().to(http::ready))
         .route("/status", web::get().to(http::status))
         .route("/metrics", web::get().to(http::metrics));
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -149,7 +149,9 @@
             .listen("operators", operators, async move |service| {
                 service.config(operators_config.clone());
                 let core = for_operators.core().await;
-                HttpService::new(web::App::new().state(core).configure(ingress::operators))
+                let ready = core.edges().ready;
+                let pages = move |config: &mut _| ingress::operators(config, ready);
+                HttpService::new(web::App::new().state(core).configure(pages))
             })
             .context(SocketSnafu)?
             .run();
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -17,12 +17,9 @@
 /// The program's name.
 const NAME: &str = "silverstack-router";
 
-/// The variable with the path of a platform's settings file.
-const PLATFORM_SETTINGS: &str = "SILVERSTACK_SETTINGS";
-
 #[ntex::main]
 async fn main() -> ExitCode {
-    match std::env::var_os(PLATFORM_SETTINGS) {
+    match std::env::var_os(platform::SETTINGS) {
         Some(path) => on_platform(Path::new(&path)).await,
         None => on_own_settings().await,
     }
