--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,7 +16,7 @@
 use spdlog::info;
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Sender, channel};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use wire::Hello;
 
 use crate::background;
@@ -32,6 +32,10 @@
 /// close theirs after 10 s, as their answers say.
 const UPSTREAM_IDLE: Seconds = Seconds(8);
 
+/// How long a request waits for the first configuration. A router that starts
+/// has it after 60 to 140 ms on the sites.
+const FIRST_PLAN: Duration = Duration::from_millis(300);
+
 /// What reaches upstreams directly.
 struct Direct {
     edges: Edges,
@@ -54,6 +58,8 @@
     pub metrics: Metrics,
     pub tracer: Tracer,
     state: RefCell<State>,
+    /// Tells those that wait for the first configuration.
+    first_plan: Notify,
     started: Millis,
     requests: Cell<u64>,
 }
@@ -107,6 +113,7 @@
             metrics,
             tracer,
             state: RefCell::new(state),
+            first_plan: Notify::new(),
             started,
             requests: Cell::new(0),
         });
@@ -114,10 +121,24 @@
         core
     }
 
+    /// Waits for the first configuration, for as long as one usually takes to
+    /// come at a start; returns whether there is one.
+    pub(crate) async fn configured(&self) -> bool {
+        if self.plan().is_some() {
+            return true;
+        }
+        let _ = tokio::time::timeout(FIRST_PLAN, self.first_plan.notified()).await;
+        self.plan().is_some()
+    }
+
     /// Takes an event to the reducer and returns the effects that concern one
     /// request; the end of a drain is carried out here.
     pub(crate) fn apply(&self, event: Event) -> Vec<Effect> {
+        let configures = matches!(event, Event::Configure(_));
         let mut effects = self.state.borrow_mut().apply(event, self.clock.now());
+        if configures {
+            self.first_plan.notify_waiters();
+        }
         effects.retain(|effect| match effect {
             Effect::Drained => {
                 self.stop.finish();
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -88,6 +88,7 @@
         let now = self.core.clock.now();
         let mut changed = false;
         let mut names = Vec::new();
+        let mut newest: Option<Box<Document>> = None;
         for fact in batch.facts {
             match fact {
                 Fact::Upstream { host, sequence } => {
@@ -95,12 +96,20 @@
                     changed |= self.directory.put(host, sequence);
                 }
                 Fact::Gone(name) => changed |= self.directory.remove(&name),
-                Fact::Configuration(document) => self.configure(*document, batch.revision),
+                Fact::Configuration(document) => {
+                    let known = newest.as_ref().map_or(0, |it| it.generation);
+                    if document.generation > known {
+                        newest = Some(document);
+                    }
+                }
                 Fact::Unreadable { key, reason } => {
                     warn!("an entry can't be read", kv: { key = &*key, reason });
                 }
             }
         }
+        if let Some(document) = newest {
+            self.configure(*document, batch.revision);
+        }
         if whole {
             changed |= self.directory.keep_only(&names);
         }
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -48,6 +48,9 @@
         Ok(body) => body,
         Err(kind) => return refuse(&core, kind, &id),
     };
+    if !core.configured().await {
+        return refuse(&core, Kind::NoConfiguration, &id);
+    }
     let target = match Target::find(&core, &request, &intake) {
         Ok(target) => target,
         Err(kind) => return refuse(&core, kind, &id),
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -23,6 +23,23 @@
     router.until("ready", || router.is_ready());
 }
 
+#[test]
+fn a_request_that_comes_before_the_first_configuration_waits_for_it() {
+    let upstream = plain();
+    let router = Router::start_bare(&own_host(), |store| {
+        store.set_mode(Mode::Busy);
+        store.put(&upstream.key(), &upstream.entry("ready", 1));
+        store.put("op/config", &configuration(1));
+    });
+    router.until("noticed", || router.has_logged("the store does not answer"));
+    // Requests come before and after the store is back; the looks go on.
+    let caller = |_| router.ask("GET /safe/x", &[], "").unwrap().status;
+    assert_eq!(caller(0), 503);
+    router.store.set_mode(Mode::Up);
+    let statuses: Vec<_> = (0..3).map(caller).collect();
+    assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+}
+
 #[test]
 fn a_change_is_in_force_soon_and_an_older_one_never() {
     let upstream = plain();
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -122,7 +122,8 @@
 
     fn answer(&self, request: &Request) -> Option<(u16, Value)> {
         self.lock().calls += 1;
-        match self.lock().mode {
+        let mode = self.lock().mode;
+        match mode {
             Mode::Up => {}
             Mode::Busy => return Some((503, json!({}))),
             Mode::Silent => {
