--- a/components/router/src/events.rs
+++ b/components/events/src/splitter.rs
@@ -4,6 +4,7 @@
 //! the rest of the answer may then come from another upstream.
 
 use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
 
 /// What ends an event.
 const END: &[u8] = b"\n\n";
@@ -16,34 +17,36 @@
 
 /// Takes bytes in and gives whole events out.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     rest: BytesMut,
     /// The number of the last event that was passed on.
     last: Option<u64>,
 }
 
 /// Events that can't be part of the answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Fault {
     /// An event is missing.
+    #[snafu(display("an event is missing"))]
     Gap,
     /// An event is too large.
+    #[snafu(display("an event is too large"))]
     TooLarge,
 }
 
 impl Splitter {
     /// A splitter for an answer whose events up to `last` were passed on.
-    pub(crate) fn after(last: Option<u64>) -> Self {
+    pub fn after(last: Option<u64>) -> Self {
         Self { rest: BytesMut::new(), last }
     }
 
     /// The number of the last event that was passed on.
-    pub(crate) fn last(&self) -> Option<u64> {
+    pub fn last(&self) -> Option<u64> {
         self.last
     }
 
     /// Whether there is a part of an event.
-    pub(crate) fn is_partial(&self) -> bool {
+    pub fn is_partial(&self) -> bool {
         !self.rest.is_empty()
     }
 
@@ -53,7 +56,7 @@
     /// # Errors
     ///
     /// A gap in the numbers, or an event that is too large.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
         let scanned = self.rest.len().saturating_sub(END.len() - 1);
         self.rest.extend_from_slice(bytes);
         let Some(whole) = last_end(&self.rest[scanned..]).map(|it| it + scanned) else {
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use edge::{Header, Sending};
 use errors::Kind;
+use events::Splitter;
 use futures_util::StreamExt;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{ClientRequest, ClientResponse};
@@ -17,7 +18,6 @@
 use wire::{Chunk, End, Head, Refused, Status};
 
 use crate::core::Core;
-use crate::events::Splitter;
 use crate::relay::Template;
 
 /// Headers that concern one connection only.
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -10,7 +10,6 @@
 mod decisions;
 mod direct;
 mod error;
-mod events;
 mod feed;
 mod http;
 mod ingress;
