Announce routers in the store, and divide the retry budget among them

Cause: each router held an eighth of the fixed part of the retry budget, which thirty of them would overdraw; the grown sites have 24 and 30. The count never goes down within a router's life, as leases lapse in outages.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -10,7 +10,7 @@
 mod store;
 
 pub use dialect::{Dialect, Header, Headers, Intake, Part, Sending, Told, find};
-pub use store::{Batch, Fact, Fault, Reading, Store};
+pub use store::{Batch, Fact, Fault, Lease, Reading, Store};
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -21,6 +21,10 @@
     },
     /// An upstream's entry was removed.
     Gone(Arc<str>),
+    /// A router of the fleet has announced itself.
+    Router(Arc<str>),
+    /// A router's announcement was removed or has lapsed.
+    RouterGone(Arc<str>),
     /// An entry that can't be read.
     Unreadable {
         /// Its key.
@@ -56,6 +60,10 @@
 /// A call under way.
 pub type Reading<'a> = LocalBoxFuture<'a, Result<Batch, Fault>>;
 
+/// A lease of the service: what is written with it is removed with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease(pub u64);
+
 /// The platform's key-value service.
 pub trait Store {
     /// All that concerns routers, as it is now. The pages of a long answer are
@@ -65,4 +73,14 @@
     /// What has changed after `revision`, as soon as there is something, or
     /// nothing after `wait`.
     fn watch(&self, revision: u64, wait: Millis) -> Reading<'_>;
+
+    /// Announces router `name` with a lease that lasts for `ttl` after its last
+    /// renewal.
+    fn announce(&self, name: Arc<str>, ttl: Millis) -> LocalBoxFuture<'_, Result<Lease, Fault>>;
+
+    /// Renews a lease; `false` means that it is over.
+    fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<bool, Fault>>;
+
+    /// Ends a lease.
+    fn end(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), Fault>>;
 }
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -36,6 +36,7 @@
         let mut tasks = JoinSet::new();
         if let Some(direct) = &core.settings.direct {
             tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms)));
+            tasks.spawn_local(feed::announce(core.clone()));
         } else {
             tasks.spawn_local(follow_hosts(core.clone()));
             tasks.spawn_local(follow_intents(core.clone()));
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -4,14 +4,15 @@
 //! changed since the last one, and proves that the configuration in force was
 //! the newest when the look began.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use clock::Millis;
-use edge::{Batch, Fact, Fault};
+use edge::{Batch, Fact, Fault, Lease};
 use intents::{Document, Plan};
 use routing::{Directory, Event};
-use spdlog::{info, warn};
+use spdlog::{debug, info, warn};
 
 use crate::core::Core;
 
@@ -23,7 +24,15 @@
 
 /// Follows the store until the process stops.
 pub(crate) async fn follow(core: Rc<Core>, look: Millis) {
-    let mut feed = Feed { core, directory: Directory::default(), revision: None, lost: false };
+    let mut feed = Feed {
+        core,
+        directory: Directory::default(),
+        routers: BTreeSet::new(),
+        most_routers: ASSUMED_ROUTERS,
+        revision: None,
+        lost: false,
+    };
+    feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
     loop {
         let started = feed.core.clock.now();
         let pause = match feed.look().await {
@@ -40,9 +49,55 @@
     }
 }
 
+/// How many routers there are taken to be at least: when all start at once, the
+/// first looks see few of them. The sites have four, and seven with all spares.
+const ASSUMED_ROUTERS: usize = 8;
+
+/// How long an announcement lasts after its last renewal.
+const ANNOUNCED: Millis = Millis(20_000);
+
+/// How often it is renewed.
+const RENEWED: Millis = Millis(6_000);
+
+/// Announces this router in the store, and renews that until a stop is asked
+/// for; then the announcement is taken back.
+pub(crate) async fn announce(core: Rc<Core>) {
+    let store = core.edges().store.clone();
+    let mut lease = None;
+    while !core.stop.is_asked() {
+        match keep(&core, lease).await {
+            Ok(kept) => lease = Some(kept),
+            Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
+        }
+        let pause = if lease.is_some() { RENEWED } else { PAUSE };
+        let _ = tokio::time::timeout(pause.duration(), core.stop.asked()).await;
+    }
+    if let Some(lease) = lease
+        && let Err(fault) = store.end(lease).await
+    {
+        // It lapses by itself a little later.
+        debug!("announcement not taken back", kv: { reason = fault.to_string() });
+    }
+}
+
+/// Renews the announcement, or makes it anew where its lease is over.
+async fn keep(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
+    let store = &core.edges().store;
+    if let Some(lease) = lease
+        && store.renew(lease).await?
+    {
+        return Ok(lease);
+    }
+    store.announce(core.settings.name.clone(), ANNOUNCED).await
+}
+
 struct Feed {
     core: Rc<Core>,
     directory: Directory,
+    /// The routers that have announced themselves, this one included.
+    routers: BTreeSet<Arc<str>>,
+    /// The most routers that were counted.
+    most_routers: usize,
     /// The revision up to which all changes were taken.
     revision: Option<u64>,
     /// Whether the last look failed.
@@ -96,6 +151,12 @@
                     changed |= self.directory.put(host, sequence);
                 }
                 Fact::Gone(name) => changed |= self.directory.remove(&name),
+                Fact::Router(name) => {
+                    self.routers.insert(name);
+                }
+                Fact::RouterGone(name) => {
+                    self.routers.remove(&name);
+                }
                 Fact::Configuration(document) => {
                     let known = newest.as_ref().map_or(0, |it| it.generation);
                     if document.generation > known {
@@ -107,6 +168,7 @@
                 }
             }
         }
+        self.count_routers();
         if let Some(document) = newest {
             self.configure(*document, batch.revision);
         }
@@ -126,6 +188,19 @@
         self.revision = Some(batch.revision);
     }
 
+    /// Tells the reducer among how many routers the retry budget is divided.
+    /// Announcements lapse in an outage of the store while their routers live:
+    /// the count goes down only with a restart.
+    fn count_routers(&mut self) {
+        let routers = self.routers.len();
+        if routers <= self.most_routers {
+            return;
+        }
+        self.most_routers = routers;
+        info!("routers counted", kv: { routers });
+        self.core.apply(Event::Routers(routers));
+    }
+
     fn configure(&self, document: Document, revision: u64) {
         let generation = document.generation;
         match Plan::compile(document) {
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -82,7 +82,7 @@
     /// The retry budget of a request's pool.
     pub(crate) fn budget(&mut self, id: u64) -> &mut Budget {
         let pool = self.requests.get(&id).map(|it| it.pool.clone()).unwrap_or_default();
-        let (share, burst) = (self.settings.retry_share, self.settings.retry_burst);
+        let (share, burst) = (self.settings.retry_share, self.burst());
         self.budgets.entry(pool).or_insert_with(|| Budget::new(share, burst))
     }
 
--- a/components/routing/src/budget.rs
+++ b/components/routing/src/budget.rs
@@ -15,6 +15,12 @@
         Self { share, burst, saved: burst }
     }
 
+    /// Changes how much may be saved up.
+    pub fn limit(&mut self, burst: f64) {
+        self.burst = burst;
+        self.saved = self.saved.min(burst);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.share).min(self.burst);
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -81,6 +81,8 @@
         /// When it was known to be.
         at: Millis,
     },
+    /// So many routers were counted, this one included.
+    Routers(usize),
     /// An upstream told its load with an answer.
     Load {
         /// The upstream.
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -31,6 +31,8 @@
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
     /// Hops after refusals over load, which did not run.
     pub(crate) hops: Budget,
+    /// Among how many routers the retry budget is divided.
+    pub(crate) routers: usize,
     pub(crate) draining: bool,
     /// Where parts of prompts are warm; kept for direct upstreams only.
     pub(crate) warmth: Warmth,
@@ -51,6 +53,7 @@
             requests: HashMap::new(),
             budgets: HashMap::new(),
             hops,
+            routers: 1,
             draining: false,
             warmth: Warmth::default(),
             current: None,
@@ -113,6 +116,7 @@
             Event::Settings(settings) => self.set(*settings),
             Event::Configure(plan) => self.configure(plan),
             Event::Current { at } => self.prove(at),
+            Event::Routers(count) => self.divide(count),
             Event::Load { upstream, requests } => self.load(&upstream, requests, now),
             Event::Drain => self.drain(),
         }
@@ -145,6 +149,22 @@
         Vec::new()
     }
 
+    /// The fixed part of the retry budget is divided among the routers.
+    fn divide(&mut self, routers: usize) -> Vec<Effect> {
+        self.routers = routers.max(1);
+        let burst = self.burst();
+        for budget in self.budgets.values_mut() {
+            budget.limit(burst);
+        }
+        Vec::new()
+    }
+
+    /// This router's part of the fixed retry budget.
+    #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
+    pub(crate) fn burst(&self) -> f64 {
+        self.settings.retry_burst / self.routers as f64
+    }
+
     fn load(&mut self, upstream: &str, requests: u64, now: Millis) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.tell(requests, now);
--- a/components/routing/tests/direct.rs
+++ b/components/routing/tests/direct.rs
@@ -173,6 +173,22 @@
     assert!(lose(&mut state, 10, "stream"));
 }
 
+#[test]
+fn the_retry_budget_is_divided_among_the_routers() {
+    let mut state = router(Settings { retry_burst: 12.0, ..settings() });
+    state.apply(Event::Routers(4), NOW);
+    let again = |state: &mut State, id: u64| {
+        state.apply(ask(id, "unsafe", &format!("c-{id}")), NOW);
+        sent(&state.apply(Event::Reply { id, attempt: 1, reply: refused() }, NOW)).is_some()
+    };
+    assert_eq!((1..20).filter(|id| again(&mut state, *id)).count(), 3);
+    // More routers take from what was saved up.
+    let mut state = router(Settings { retry_burst: 12.0, ..settings() });
+    assert!(again(&mut state, 100));
+    state.apply(Event::Routers(12), NOW);
+    assert_eq!((1..20).filter(|id| again(&mut state, *id)).count(), 1);
+}
+
 #[test]
 fn no_more_upstreams_are_asked_than_the_route_allows() {
     let mut state = router(Settings { retry_burst: 100.0, ..settings() });
--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -71,6 +71,21 @@
     router.until("gone", || all_go_to(&router, &one));
 }
 
+#[test]
+fn a_router_announces_itself_until_it_stops() {
+    let [one, two] = pair();
+    let mut router = Router::start(&configuration(1), &[&one, &two]);
+    let announced = || router.store.holds("silverstack/routers/front-1");
+    router.until("announced", announced);
+    for number in 0..9 {
+        router.store.put(&format!("silverstack/routers/other-{number}"), &serde_json::json!({}));
+    }
+    router.until("counted", || router.log().iter().any(|it| it["kv"]["routers"] == 10));
+    router.signal(nix::sys::signal::Signal::SIGTERM);
+    router.until("taken back", || !router.store.holds("silverstack/routers/front-1"));
+    assert!(router.ended().success());
+}
+
 #[test]
 fn looks_at_the_store_keep_a_pace() {
     let [one, two] = pair();
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -95,6 +95,11 @@
         state.history.clear();
     }
 
+    /// Whether a key is there.
+    pub fn holds(&self, key: &str) -> bool {
+        self.lock().items.contains_key(key)
+    }
+
     /// How many calls have come.
     pub fn calls(&self) -> usize {
         self.lock().calls
@@ -139,7 +144,27 @@
             let number = |name| request.query(name).and_then(|it| it.parse().ok()).unwrap_or(0);
             return Some(self.watch(&prefix, number("after"), number("waitMs")));
         }
-        Some((404, json!({})))
+        Some(self.lease(request))
+    }
+
+    /// Leases are granted and never lapse.
+    fn lease(&self, request: &Request) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        if request.target == "/v1/kv-lease" {
+            return (200, json!({ "lease": 7, "ttlMs": body["ttlMs"] }));
+        }
+        if request.target == "/v1/kv-txn" {
+            let key = body["writes"][0]["privateKey"].as_str().expect("one write").to_owned();
+            self.put(&key, &json!("a router"));
+            return (200, json!({ "revision": self.lock().revision }));
+        }
+        if request.target == "/v1/kv-lease-end/7" {
+            let announced = |key: &&String| key.starts_with("silverstack/");
+            let keys: Vec<_> = self.lock().items.keys().filter(announced).cloned().collect();
+            keys.iter().for_each(|key| self.remove(key));
+            return (200, json!({}));
+        }
+        (if request.target == "/v1/kv-keep/7" { 200 } else { 404 }, json!({}))
     }
 
     fn range(&self, prefix: &str) -> Value {
