--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -161,7 +161,9 @@
         if request.target == "/v1/kv-lease-end/7" {
             let announced = |key: &&String| key.starts_with("silverstack/");
             let keys: Vec<_> = self.lock().items.keys().filter(announced).cloned().collect();
-            keys.iter().for_each(|key| self.remove(key));
+            for key in &keys {
+                self.remove(key);
+            }
             return (200, json!({}));
         }
         (if request.target == "/v1/kv-keep/7" { 200 } else { 404 }, json!({}))
