Test that a caller's leaving is noticed while its upstream says nothing

Change: a stand-in that stalls after one event, and a test. It passed at its first run: the library notices the leaving by itself, and nothing was mended. Conclusion: proved, kept.

--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -202,8 +202,14 @@
 
 /// The usual headers of a request, and further ones.
 pub fn headers<'a>(further: &[(&'a str, &'a str)]) -> Vec<(&'a str, &'a str)> {
-    let mut headers = vec![("Host", HOST), ("Deadline-Remaining", "4000")];
-    for (name, value) in [("Authorization", "Bearer key-one"), ("Attempt-Identifier", "id-1")] {
+    let usual = [
+        ("Host", HOST),
+        ("Deadline-Remaining", "4000"),
+        ("Authorization", "Bearer key-one"),
+        ("Attempt-Identifier", "id-1"),
+    ];
+    let mut headers = Vec::new();
+    for (name, value) in usual {
         if !further.iter().any(|(it, _)| it.eq_ignore_ascii_case(name)) {
             headers.push((name, value));
         }
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -36,6 +36,8 @@
     Events(u64, u64, u64),
     /// The same, but the connection breaks inside the event after the last one.
     Broken(u64, u64),
+    /// One event, then nothing until the caller leaves.
+    Stalled,
 }
 
 #[derive(Debug, Default)]
@@ -174,6 +176,14 @@
             Act::Events(from, to, gap_ms) => {
                 self.events(writer, &id, *from..=*to, *gap_ms) && send(writer, "0\r\n\r\n")
             }
+            Act::Stalled => {
+                self.events(writer, &id, 1..=1, 0);
+                let mut byte = [0];
+                let ended = std::io::Read::read(writer, &mut byte);
+                self.state.lock().expect("no stand-in panics").left +=
+                    usize::from(!matches!(ended, Ok(1)));
+                false
+            }
             Act::Broken(from, to) => {
                 self.events(writer, &id, *from..=*to, 1);
                 send(writer, "9\r\nid: 99\nda\r\n");
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -79,6 +79,23 @@
     assert!(resumed > 0, "no chat went to the broken upstream first");
 }
 
+#[test]
+fn a_caller_that_leaves_is_noticed_though_its_upstream_says_nothing() {
+    let engine = engine("i-1");
+    engine.set(&[Act::Stalled]);
+    // Nothing but the caller's leaving ends the request while the test waits.
+    let mut patient = configuration(1);
+    patient["routes"][2]["timeoutMs"] = 90_000.into();
+    let router = Router::start(&patient, &[&engine]);
+    let mut caller = router.caller();
+    let patient = [("Deadline-Remaining", "90000")];
+    caller.request("POST /stream/x", &crate::router::headers(&patient), "b");
+    router.until("sent", || !engine.requests().is_empty());
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    drop(caller);
+    router.until("left", || engine.left() == 1);
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_work_on_its_request() {
     let engine = engine("i-1");
