--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -26,7 +26,7 @@
 }
 
 async fn on_own_settings() -> ExitCode {
-    let (settings, path) = match cli::begin::<settings::Router>(NAME) {
+    let ((settings, path), _logs) = match cli::begin::<settings::Router>(NAME) {
         Ok(begun) => begun,
         Err(code) => return code,
     };
@@ -44,7 +44,7 @@
 async fn on_platform(path: &Path) -> ExitCode {
     let read = |path: &Path| platform::read(path).map_err(|fault| fault.to_string());
     let read_first = |named: Option<&Path>| read(named.unwrap_or(path));
-    let settings = match cli::begin_with(NAME, Stream::Output, read_first) {
+    let (settings, _logs) = match cli::begin_with(NAME, Stream::Output, read_first) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
--- a/src/bin/silverstack-sidecar.rs
+++ b/src/bin/silverstack-sidecar.rs
@@ -11,7 +11,7 @@
 
 #[ntex::main]
 async fn main() -> ExitCode {
-    let (settings, path) = match cli::begin::<settings::Sidecar>(NAME) {
+    let ((settings, path), _logs) = match cli::begin::<settings::Sidecar>(NAME) {
         Ok(begun) => begun,
         Err(code) => return code,
     };
