Read headers of the HTTP library in one place

Cause and change: Collecting headers stood in ingress.rs and direct.rs, and the list of the headers of one connection in direct.rs, where ingress.rs fetched it. Both are in headers.rs now; two imports of ingress.rs come into order.

--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -18,23 +18,9 @@
 use wire::{Chunk, End, Head, Refused, Status};
 
 use crate::core::Core;
+use crate::headers;
 use crate::relay::Template;
 
-/// Headers that concern one connection only.
-pub(crate) const HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
-
 /// Statuses of answers that have no body.
 const NO_BODY: [u16; 2] = [204, 304];
 
@@ -168,11 +154,7 @@
     fn open(&mut self, response: ClientResponse) -> Result<(), Lost> {
         self.stage = Stage::Over;
         let status = response.status().as_u16();
-        let headers: Vec<Header> = response
-            .headers()
-            .iter()
-            .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-            .collect();
+        let headers = headers::collect(response.headers());
         let told = self.core.edges().dialect.told(status, &headers);
         if told.id.as_ref().is_some_and(|it| *it != self.request) {
             return Err(Lost { sent: true });
@@ -194,7 +176,7 @@
         if is_unframed(status, &headers) {
             return Err(Lost { sent: true });
         }
-        let headers = headers.into_iter().filter(|(name, _)| !is_hop(name)).collect();
+        let headers = headers::end_to_end(headers);
         self.head = Some(Head { attempt: self.attempt, status, headers });
         self.stage = Stage::Body(response);
         Ok(())
@@ -271,11 +253,6 @@
     }
 }
 
-/// Whether a header concerns one connection only.
-pub(crate) fn is_hop(name: &str) -> bool {
-    HOP_HEADERS.contains(&name)
-}
-
 /// Whether an answer's body ends with its connection. The client takes such a
 /// body for empty, so that the answer can't be had through it.
 fn is_unframed(status: u16, headers: &[Header]) -> bool {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -17,7 +17,7 @@
 use crate::core::Core;
 use crate::prompt::Prompt;
 use crate::relay::{Relay, Step, Template};
-use crate::{body, key};
+use crate::{body, headers, key};
 
 /// The kind of a chat request that names none.
 const DEFAULT_KIND: &str = "chat";
@@ -82,7 +82,7 @@
 }
 
 fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
-    request.headers().get(name).and_then(|it| it.to_str().ok())
+    headers::text(request.headers(), name)
 }
 
 fn declared(request: &HttpRequest) -> Option<usize> {
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -1,9 +1,10 @@
 //! Callers that speak a platform's dialect.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use edge::{Header, Intake, Part};
+use edge::{Intake, Part};
 use errors::{Answer, Kind};
 use futures_util::stream;
 use ntex::http::StatusCode;
@@ -11,12 +12,10 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::Ask;
-use std::rc::Rc;
 
 use crate::core::Core;
-use crate::direct::is_hop;
 use crate::relay::{Relay, Step, Template};
-use crate::{body, http};
+use crate::{body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared
 /// by requests.
@@ -39,7 +38,7 @@
     mut payload: Payload,
     core: Shared,
 ) -> HttpResponse {
-    let headers = headers(&request);
+    let headers = headers::collect(request.headers());
     let intake = core.edges().dialect.read(&headers);
     let (number, own_id) = core.number();
     let id = intake.id.clone().unwrap_or(own_id);
@@ -59,7 +58,7 @@
     let template = Template {
         method: request.method().as_str().into(),
         path: path.into(),
-        headers: headers.into_iter().filter(|(name, _)| !is_hop(name)).collect(),
+        headers: headers::end_to_end(headers),
         body,
         traceparent: None,
         events: target.events,
@@ -132,17 +131,11 @@
 
 /// The host that the caller asked for, without a port.
 fn host(request: &HttpRequest) -> String {
-    let header = request.headers().get("host").and_then(|it| it.to_str().ok());
+    let header = headers::text(request.headers(), "host");
     let host = header.or_else(|| request.uri().host()).unwrap_or("");
     host.split(':').next().unwrap_or("").to_ascii_lowercase()
 }
 
-fn headers(request: &HttpRequest) -> Vec<Header> {
-    let all = request.headers().iter();
-    all.filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-        .collect()
-}
-
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
     core.reject(id, kind);
     failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms(kind), ""))
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod direct;
 mod error;
 mod feed;
+mod headers;
 mod http;
 mod ingress;
 mod key;
