Build passed-on answers and errors in answer.rs

Cause and change: http.rs and ingress.rs each put the status and headers of an upstream's answer into a response, and each chose status and end of connection of an error. The shared part is in answer.rs now; what differs, the header of the id and the form of retry-after, stays with each. The function that asks is called relay in both.

--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use clock::Millis;
+use edge::Header;
 use errors::{Answer, Kind};
 use futures_util::stream;
-use ntex::http::StatusCode;
 use ntex::web::types::{Path, Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 use routing::Ask;
@@ -203,13 +203,11 @@
         Step::Failed(answer) | Step::Cut(answer) => return answer::response(&answer),
         Step::Bytes(_) | Step::Finished => return refusal(core, Kind::Crossed, &request, ""),
     };
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    let mut events = false;
-    for (name, value) in &head.headers {
-        events |= &**name == "content-type" && value.starts_with("text/event-stream");
-        builder.header(&**name, &**value);
-    }
+    let is_events = |(name, value): &Header| {
+        &**name == "content-type" && value.starts_with("text/event-stream")
+    };
+    let events = head.headers.iter().any(is_events);
+    let mut builder = answer::passed_on(&head);
     builder.header(REQUEST_ID, &*request);
     builder.header(UPSTREAM, &*upstream);
     if let Some(traceparent) = relay.traceparent() {
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -7,7 +7,6 @@
 use edge::{Intake, Part};
 use errors::{Answer, Kind};
 use futures_util::stream;
-use ntex::http::StatusCode;
 use ntex::io::IoRef;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
@@ -15,7 +14,7 @@
 
 use crate::core::Core;
 use crate::relay::{Relay, Step, Template};
-use crate::{body, headers, http};
+use crate::{answer, body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared
 /// by requests.
@@ -76,7 +75,7 @@
         weight: WEIGHT,
         deadline: intake.remaining,
     };
-    answer(&core, &request, ask, template).await
+    relay(&core, &request, ask, template).await
 }
 
 /// What keeps the requests together that share most of their prompt: the last
@@ -143,19 +142,15 @@
 
 /// An answer of the fleet's own.
 fn failure(core: &Core, answer: &Answer) -> HttpResponse {
-    let status = StatusCode::from_u16(answer.kind.row().status);
-    let mut builder = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    let mut builder = answer::error(answer);
     for (name, value) in core.edges().dialect.own(&answer.request_id) {
         builder.header(&*name, &*value);
     }
     if let Some(after) = answer.retry_after_ms {
         builder.header("retry-after", format!("{}.{:03}", after / 1_000, after % 1_000));
     }
-    if matches!(answer.kind, Kind::TooLarge | Kind::SlowBody) {
-        builder.force_close();
-    }
     close_if_stopping(core, &mut builder);
-    builder.content_type("application/json").body(answer.to_json())
+    builder.body(answer.to_json())
 }
 
 /// A router that is being stopped asks callers for a new connection, which
@@ -166,12 +161,7 @@
     }
 }
 
-async fn answer(
-    core: &Shared,
-    request: &HttpRequest,
-    ask: Ask,
-    template: Template,
-) -> HttpResponse {
+async fn relay(core: &Shared, request: &HttpRequest, ask: Ask, template: Template) -> HttpResponse {
     let events = template.events;
     let mut relay = Relay::start(core.get_ref().clone(), ask, template);
     let head = match relay.next().await {
@@ -181,11 +171,7 @@
             unreachable!("the reducer gives a head first")
         }
     };
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    for (name, value) in &head.headers {
-        builder.header(&**name, &**value);
-    }
+    let mut builder = answer::passed_on(&head);
     close_if_stopping(core, &mut builder);
     if events {
         let connection = request.io().cloned();
