Give the router's announcement a module of its own

Cause and change: feed.rs follows the store; writing and renewing the own name there is another task, which shares only a pause with it. Its constants stood between functions and are named after what they say now.

--- /dev/null
+++ b/components/router/src/announcement.rs
@@ -0,0 +1,49 @@
+//! The announcement of this router in the platform's store, by which the
+//! routers of a fleet count each other.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use edge::{Fault, Lease};
+use spdlog::debug;
+
+use crate::core::Core;
+use crate::feed::PAUSE;
+
+/// How long an announcement lasts after its last renewal.
+const LASTS: Millis = Millis(20_000);
+
+/// How often it is renewed: two renewals may fail before it lapses.
+const RENEW_EVERY: Millis = Millis(6_000);
+
+/// Announces this router in the store, and renews that until a stop is asked
+/// for; then the announcement is taken back.
+pub(crate) async fn keep_up(core: Rc<Core>) {
+    let store = core.edges().store.clone();
+    let mut lease = None;
+    while !core.stop.is_asked() {
+        match renew(&core, lease).await {
+            Ok(kept) => lease = Some(kept),
+            Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
+        }
+        let pause = if lease.is_some() { RENEW_EVERY } else { PAUSE };
+        let _ = tokio::time::timeout(pause.duration(), core.stop.asked()).await;
+    }
+    if let Some(lease) = lease
+        && let Err(fault) = store.end(lease).await
+    {
+        // It lapses by itself a little later.
+        debug!("announcement not taken back", kv: { reason = fault.to_string() });
+    }
+}
+
+/// Renews the announcement, or makes it anew where its lease is over.
+async fn renew(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
+    let store = &core.edges().store;
+    if let Some(lease) = lease
+        && store.renew(lease).await?
+    {
+        return Ok(lease);
+    }
+    store.announce(core.settings.name.clone(), LASTS).await
+}
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -17,7 +17,7 @@
 
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
-use crate::feed;
+use crate::{announcement, feed};
 
 /// How often the file of the intents is looked at.
 const INTENTS_EVERY: Duration = Duration::from_secs(1);
@@ -36,7 +36,7 @@
         let mut tasks = JoinSet::new();
         if let Some(direct) = &core.settings.direct {
             tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms)));
-            tasks.spawn_local(feed::announce(core.clone()));
+            tasks.spawn_local(announcement::keep_up(core.clone()));
         } else {
             tasks.spawn_local(follow_hosts(core.clone()));
             tasks.spawn_local(follow_intents(core.clone()));
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -9,18 +9,22 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use edge::{Batch, Fact, Fault, Lease};
+use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
 use routing::{Directory, Event};
-use spdlog::{debug, info, warn};
+use spdlog::{info, warn};
 
 use crate::core::Core;
 
+/// How many routers there are taken to be at least: when all start at once, the
+/// first looks see few of them. The sites have four, and seven with all spares.
+const ASSUMED_ROUTERS: usize = 8;
+
 /// How long a look waits for a change, so that it is answered soon in any case.
 const WAIT: Millis = Millis(250);
 
-/// The pause after a look that failed; the store's outages end without notice.
-const PAUSE: Millis = Millis(300);
+/// The pause after a call that failed; the store's outages end without notice.
+pub(crate) const PAUSE: Millis = Millis(300);
 
 /// Follows the store until the process stops.
 pub(crate) async fn follow(core: Rc<Core>, look: Millis) {
@@ -49,48 +53,6 @@
     }
 }
 
-/// How many routers there are taken to be at least: when all start at once, the
-/// first looks see few of them. The sites have four, and seven with all spares.
-const ASSUMED_ROUTERS: usize = 8;
-
-/// How long an announcement lasts after its last renewal.
-const ANNOUNCED: Millis = Millis(20_000);
-
-/// How often it is renewed.
-const RENEWED: Millis = Millis(6_000);
-
-/// Announces this router in the store, and renews that until a stop is asked
-/// for; then the announcement is taken back.
-pub(crate) async fn announce(core: Rc<Core>) {
-    let store = core.edges().store.clone();
-    let mut lease = None;
-    while !core.stop.is_asked() {
-        match keep(&core, lease).await {
-            Ok(kept) => lease = Some(kept),
-            Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
-        }
-        let pause = if lease.is_some() { RENEWED } else { PAUSE };
-        let _ = tokio::time::timeout(pause.duration(), core.stop.asked()).await;
-    }
-    if let Some(lease) = lease
-        && let Err(fault) = store.end(lease).await
-    {
-        // It lapses by itself a little later.
-        debug!("announcement not taken back", kv: { reason = fault.to_string() });
-    }
-}
-
-/// Renews the announcement, or makes it anew where its lease is over.
-async fn keep(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
-    let store = &core.edges().store;
-    if let Some(lease) = lease
-        && store.renew(lease).await?
-    {
-        return Ok(lease);
-    }
-    store.announce(core.settings.name.clone(), ANNOUNCED).await
-}
-
 struct Feed {
     core: Rc<Core>,
     directory: Directory,
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything but the wait for signals happens on the one thread of the HTTP
 //! server, so that no state is shared between threads.
 
+mod announcement;
 mod answer;
 mod background;
 mod body;
