Split the reading of a batch in feed.rs

Cause and change: Feed::take had 50 lines that noted facts, compiled the configuration and told the reducer of the upstreams. The steps are functions now, in the same order.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// What a batch says that is acted on once it is read to its end.
+#[derive(Default)]
+struct Summary {
+    /// Whether the upstreams have changed.
+    changed: bool,
+    /// The upstreams that it names.
+    names: Vec<Arc<str>>,
+    /// The configuration of the highest generation; only that one is compiled.
+    newest: Option<Box<Document>>,
+}
+
 struct Feed {
     core: Rc<Core>,
     directory: Directory,
@@ -101,55 +112,63 @@
         }
     }
 
+    /// Takes a batch; `whole` says that it holds all there is, not only changes.
     fn take(&mut self, batch: Batch, whole: bool) {
         let now = self.core.clock.now();
-        let mut changed = false;
-        let mut names = Vec::new();
-        let mut newest: Option<Box<Document>> = None;
+        let mut summary = Summary::default();
         for fact in batch.facts {
-            match fact {
-                Fact::Upstream { host, sequence } => {
-                    names.push(host.name.clone());
-                    changed |= self.directory.put(host, sequence);
-                }
-                Fact::Gone(name) => changed |= self.directory.remove(&name),
-                Fact::Router(name) => {
-                    self.routers.insert(name);
-                }
-                Fact::RouterGone(name) => {
-                    self.routers.remove(&name);
-                }
-                Fact::Configuration(document) => {
-                    let known = newest.as_ref().map_or(0, |it| it.generation);
-                    if document.generation > known {
-                        newest = Some(document);
-                    }
-                }
-                Fact::Unreadable { key, reason } => {
-                    warn!("an entry can't be read", kv: { key = &*key, reason });
-                }
-            }
+            self.note(fact, &mut summary);
         }
         self.count_routers();
-        if let Some(document) = newest {
+        if let Some(document) = summary.newest {
             self.configure(*document, batch.revision);
         }
         if whole {
-            changed |= self.directory.keep_only(&names);
+            summary.changed |= self.directory.keep_only(&summary.names);
         }
-        changed |= self.directory.expire(now);
-        if changed {
-            let hosts = self.directory.hosts();
-            info!("upstreams changed", kv: {
-                upstreams = hosts.len(),
-                leaving = hosts.iter().filter(|it| it.leaving).count(),
-                revision = batch.revision,
-            });
-            self.core.apply(Event::Hosts(hosts));
+        summary.changed |= self.directory.expire(now);
+        if summary.changed {
+            self.publish(batch.revision);
         }
         self.revision = Some(batch.revision);
     }
 
+    fn note(&mut self, fact: Fact, summary: &mut Summary) {
+        match fact {
+            Fact::Upstream { host, sequence } => {
+                summary.names.push(host.name.clone());
+                summary.changed |= self.directory.put(host, sequence);
+            }
+            Fact::Gone(name) => summary.changed |= self.directory.remove(&name),
+            Fact::Router(name) => {
+                self.routers.insert(name);
+            }
+            Fact::RouterGone(name) => {
+                self.routers.remove(&name);
+            }
+            Fact::Configuration(document) => {
+                let known = summary.newest.as_ref().map_or(0, |it| it.generation);
+                if document.generation > known {
+                    summary.newest = Some(document);
+                }
+            }
+            Fact::Unreadable { key, reason } => {
+                warn!("an entry can't be read", kv: { key = &*key, reason });
+            }
+        }
+    }
+
+    /// Hands the upstreams to the reducer.
+    fn publish(&self, revision: u64) {
+        let hosts = self.directory.hosts();
+        info!("upstreams changed", kv: {
+            upstreams = hosts.len(),
+            leaving = hosts.iter().filter(|it| it.leaving).count(),
+            revision,
+        });
+        self.core.apply(Event::Hosts(hosts));
+    }
+
     /// Tells the reducer among how many routers the retry budget is divided.
     /// Announcements lapse in an outage of the store while their routers live:
     /// the count goes down only with a restart.
