Log ended requests from a module of their own

Cause and change: core.rs held the shared state and the form of two log lines; the form is in report.rs now. Core::start is shorter by the making of the client.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -13,14 +13,13 @@
 use ntex::client::Client;
 use ntex::time::Seconds;
 use routing::{Decision, Effect, Event, Owner, State};
-use spdlog::info;
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::{Notify, watch};
 use wire::Hello;
 
-use crate::background;
 use crate::decisions::Decisions;
+use crate::{background, report};
 
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -42,6 +41,14 @@
     client: Client,
 }
 
+impl Direct {
+    /// `None` where the runtime can't make a client.
+    async fn new(edges: Edges) -> Option<Self> {
+        let client = process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT).await.ok()?;
+        Some(Self { edges, client })
+    }
+}
+
 /// The state of a router and its edges.
 pub(crate) struct Core {
     pub settings: Arc<settings::Router>,
@@ -81,10 +88,7 @@
             state.apply(Event::Configure(plan), started);
         }
         let direct = match edges {
-            Some(edges) => process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT)
-                .await
-                .ok()
-                .map(|client| Direct { edges, client }),
+            Some(edges) => Direct::new(edges).await,
             None => None,
         };
         let store = match &settings.store_url {
@@ -190,23 +194,7 @@
         let outcome: &'static str = decision.outcome.into();
         self.metrics.request(outcome, error);
         self.metrics.attempts(decision.tries.len());
-        let upstream = decision.tries.last().map_or("", |it| &it.upstream);
-        info!("request ended", kv: {
-            request = &*decision.request,
-            trace,
-            workspace = &*decision.workspace,
-            kind = &*decision.kind,
-            generation = decision.generation,
-            proof_ms = or_none(decision.proof_ms),
-            upstream,
-            outcome,
-            status = or_none(decision.status),
-            error = error.unwrap_or(""),
-            detail = &*decision.detail,
-            attempts = decision.tries.len(),
-            tries = tries(decision),
-            ms = decision.came.until(decision.ended).0,
-        });
+        report::ended(decision, trace);
         self.decisions.borrow_mut().keep(decision.clone());
     }
 
@@ -215,12 +203,8 @@
         let error: &'static str = kind.into();
         self.metrics.request(kind.row().outcome.into(), Some(error));
         let state = self.state.borrow();
-        info!("request refused", kv: {
-            request,
-            error,
-            generation = state.plan().map_or(0, |it| it.generation()),
-            proof_ms = or_none(state.proof_ms(self.clock.now())),
-        });
+        let generation = state.plan().map_or(0, |it| it.generation());
+        report::refused(request, error, generation, state.proof_ms(self.clock.now()));
     }
 
     /// A number for a new request, and the id that others see: the router, its
@@ -267,21 +251,3 @@
         })
     }
 }
-
-/// A number for the log, or the word `none`.
-fn or_none(number: Option<impl Into<u64>>) -> String {
-    number.map_or_else(|| "none".to_owned(), |it| it.into().to_string())
-}
-
-/// The attempts as one word each: where, when after the request came, the load
-/// believed to be there, where the prompt's cache was to be copied from, and
-/// why it failed.
-fn tries(decision: &Decision) -> String {
-    let one = |it: &routing::Try| {
-        let error: &'static str = it.error.map_or("ok", Into::into);
-        let warm = it.warm.as_deref().unwrap_or("-");
-        let after = decision.came.until(it.sent).0;
-        format!("{}@{after}ms,load={},copy={warm},{error}", it.upstream, it.load)
-    };
-    decision.tries.iter().map(one).collect::<Vec<_>>().join(" ")
-}
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod key;
 mod prompt;
 mod relay;
+mod report;
 mod server;
 
 pub use error::Error;
--- /dev/null
+++ b/components/router/src/report.rs
@@ -0,0 +1,51 @@
+//! The log line of a request that has ended.
+
+use routing::{Decision, Try};
+use spdlog::info;
+
+/// Logs what was decided on a request.
+pub(crate) fn ended(decision: &Decision, trace: &str) {
+    let error: Option<&'static str> = decision.error.map(Into::into);
+    let outcome: &'static str = decision.outcome.into();
+    let upstream = decision.tries.last().map_or("", |it| &it.upstream);
+    info!("request ended", kv: {
+        request = &*decision.request,
+        trace,
+        workspace = &*decision.workspace,
+        kind = &*decision.kind,
+        generation = decision.generation,
+        proof_ms = or_none(decision.proof_ms),
+        upstream,
+        outcome,
+        status = or_none(decision.status),
+        error = error.unwrap_or(""),
+        detail = &*decision.detail,
+        attempts = decision.tries.len(),
+        tries = tries(decision),
+        ms = decision.came.until(decision.ended).0,
+    });
+}
+
+/// Logs a request that was refused before it was decided on. `generation` is
+/// that of the configuration in force, `proof_ms` the age of its proof.
+pub(crate) fn refused(request: &str, error: &str, generation: u64, proof_ms: Option<u64>) {
+    info!("request refused", kv: { request, error, generation, proof_ms = or_none(proof_ms) });
+}
+
+/// A number for the log, or the word `none`.
+fn or_none(number: Option<impl Into<u64>>) -> String {
+    number.map_or_else(|| "none".to_owned(), |it| it.into().to_string())
+}
+
+/// The attempts as one word each: where, when after the request came, the load
+/// believed to be there, where the prompt's cache was to be copied from, and
+/// why it failed.
+fn tries(decision: &Decision) -> String {
+    let one = |it: &Try| {
+        let error: &'static str = it.error.map_or("ok", Into::into);
+        let warm = it.warm.as_deref().unwrap_or("-");
+        let after = decision.came.until(it.sent).0;
+        format!("{}@{after}ms,load={},copy={warm},{error}", it.upstream, it.load)
+    };
+    decision.tries.iter().map(one).collect::<Vec<_>>().join(" ")
+}
