Split the start of the router on a platform

Cause and change: Router::start_direct had 48 lines and built the server as well; that is a function now, and the limits of the two kinds of router stand once. The state shared by the two listeners is in shared.rs.

--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod report;
 mod server;
+mod shared;
 
 pub use error::Error;
 pub use server::Router;
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -1,20 +1,20 @@
 //! The router as a whole: start, serve, stop.
 
-use std::net::SocketAddr;
-use std::rc::Rc;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
 use edge::Connect;
 use ntex::http::{HttpService, HttpServiceConfig};
+use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::{SharedCfg, web};
 use snafu::ResultExt;
-use spdlog::error;
-use tokio::sync::{OnceCell, watch};
+use tokio::sync::watch;
 
 use crate::core::Core;
 use crate::error::{BindSnafu, Error, SocketSnafu};
+use crate::shared::Shared;
 use crate::{background, http, ingress};
 
 /// How long a caller may take to send the headers.
@@ -30,44 +30,12 @@
 /// using one before the limit that the configuration sets, 15 s on its sites.
 const IDLE: Seconds = Seconds(30);
 
-thread_local! {
-    /// The state that the two listeners of one thread share.
-    static CORE: Rc<OnceCell<Rc<Core>>> = Rc::new(OnceCell::new());
-}
-
-/// What both listeners need to make the shared state.
-#[derive(Clone)]
-struct Shared {
-    settings: Arc<settings::Router>,
-    connect: Connect,
-    stop: process::Stop,
-    reload: watch::Receiver<settings::Router>,
-}
-
-impl Shared {
-    /// The state of this thread, made by the listener that comes first.
-    async fn core(&self) -> Rc<Core> {
-        let edges = match (self.connect)().await {
-            Ok(edges) => Some(edges),
-            Err(fault) => {
-                error!("the platform's edges can't be made", kv: { fault });
-                None
-            }
-        };
-        let cell = CORE.with(Rc::clone);
-        let (settings, stop, reload) =
-            (self.settings.clone(), self.stop.clone(), self.reload.clone());
-        let start = || Core::start(settings, None, edges, stop, reload);
-        cell.get_or_init(start).await.clone()
-    }
-}
-
 /// A router that serves.
 #[derive(Debug)]
 pub struct Router {
     settings: Arc<settings::Router>,
     address: SocketAddr,
-    server: ntex::server::Server,
+    server: Server,
     stop: process::Stop,
     reload: watch::Sender<settings::Router>,
 }
@@ -91,14 +59,11 @@
                 Core::start(shared.clone(), plan, None, asked.clone(), changes.clone()).await;
             web::App::new().state(core).configure(http::routes)
         };
-        let service = HttpServiceConfig::new()
-            .set_max_headers(MAX_HEADERS)
-            .set_client_timeout(HEADERS_TIMEOUT);
         let server = web::HttpServer::new(factory)
             .workers(1)
             .disable_signals()
             .shutdown_timeout(LAST_BYTES)
-            .config(SharedCfg::new("router").add(service))
+            .config(SharedCfg::new("router").add(limits()))
             .listen(listener)
             .context(SocketSnafu)?
             .run();
@@ -127,34 +92,7 @@
             stop: stop.clone(),
             reload: reload.subscribe(),
         };
-        let (for_callers, for_operators) = (shared.clone(), shared);
-        let service = HttpServiceConfig::new()
-            .set_max_headers(MAX_HEADERS)
-            .set_client_timeout(HEADERS_TIMEOUT)
-            .set_keepalive(IDLE);
-        let config: SharedCfg = SharedCfg::new("router").add(service).into();
-        let operators_config = config.clone();
-        let server = ntex::server::build()
-            .workers(1)
-            .disable_signals()
-            .shutdown_timeout(LAST_BYTES)
-            .listen("callers", listener, async move |service| {
-                service.config(config.clone());
-                let core = for_callers.core().await;
-                HttpService::new(
-                    web::App::new().state(core).default_service(web::to(ingress::serve)),
-                )
-            })
-            .context(SocketSnafu)?
-            .listen("operators", operators, async move |service| {
-                service.config(operators_config.clone());
-                let core = for_operators.core().await;
-                let ready = core.edges().ready;
-                let pages = move |config: &mut _| ingress::operators(config, ready);
-                HttpService::new(web::App::new().state(core).configure(pages))
-            })
-            .context(SocketSnafu)?
-            .run();
+        let server = serve(shared, listener, operators)?;
         Ok(Self { settings, address, server, stop, reload })
     }
 
@@ -184,3 +122,34 @@
         finished
     }
 }
+
+/// The limits on what a caller sends.
+fn limits() -> HttpServiceConfig {
+    HttpServiceConfig::new().set_max_headers(MAX_HEADERS).set_client_timeout(HEADERS_TIMEOUT)
+}
+
+/// Serves callers and operators on one thread, with one state.
+fn serve(shared: Shared, callers: TcpListener, operators: TcpListener) -> Result<Server, Error> {
+    let (for_callers, for_operators) = (shared.clone(), shared);
+    let config: SharedCfg = SharedCfg::new("router").add(limits().set_keepalive(IDLE)).into();
+    let operators_config = config.clone();
+    let server = ntex::server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(LAST_BYTES)
+        .listen("callers", callers, async move |service| {
+            service.config(config.clone());
+            let core = for_callers.core().await;
+            HttpService::new(web::App::new().state(core).default_service(web::to(ingress::serve)))
+        })
+        .context(SocketSnafu)?
+        .listen("operators", operators, async move |service| {
+            service.config(operators_config.clone());
+            let core = for_operators.core().await;
+            let ready = core.edges().ready;
+            let pages = move |config: &mut _| ingress::operators(config, ready);
+            HttpService::new(web::App::new().state(core).configure(pages))
+        })
+        .context(SocketSnafu)?;
+    Ok(server.run())
+}
