Split ingress.rs: who asks for what is in target.rs

Cause and change: ingress::serve had 46 lines that read, looked up and built two structures. The look-up in the configuration moves out; the two structures have a function each.

--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use edge::{Intake, Part};
+use edge::{Header, Intake, Part};
 use errors::{Answer, Kind};
 use futures_util::stream;
 use ntex::io::IoRef;
@@ -14,6 +14,7 @@
 
 use crate::core::Core;
 use crate::relay::{Relay, Step, Template};
+use crate::target::Target;
 use crate::{answer, body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared
@@ -53,8 +54,14 @@
         Ok(target) => target,
         Err(kind) => return refuse(&core, kind, &id),
     };
+    let template = template(&request, headers, body, &target);
+    let ask = ask(number, id, &intake, target);
+    relay(&core, &request, ask, template).await
+}
+
+fn template(request: &HttpRequest, headers: Vec<Header>, body: Bytes, target: &Target) -> Template {
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
-    let template = Template {
+    Template {
         method: request.method().as_str().into(),
         path: path.into(),
         headers: headers::end_to_end(headers),
@@ -62,8 +69,11 @@
         traceparent: None,
         events: target.events,
         anonymous: target.anonymous,
-    };
-    let ask = Ask {
+    }
+}
+
+fn ask(number: u64, id: Arc<str>, intake: &Intake, target: Target) -> Ask {
+    Ask {
         id: number,
         chat: chat(&intake.prompt).unwrap_or_else(|| id.clone()),
         shared: shared(&intake.prompt),
@@ -74,8 +84,7 @@
         once: None,
         weight: WEIGHT,
         deadline: intake.remaining,
-    };
-    relay(&core, &request, ask, template).await
+    }
 }
 
 /// What keeps the requests together that share most of their prompt: the last
@@ -95,46 +104,6 @@
     parts.iter().scan(0, hash).collect()
 }
 
-/// Who asks for what.
-struct Target {
-    workspace: Arc<str>,
-    anonymous: bool,
-    kind: Arc<str>,
-    events: bool,
-    model: Option<Arc<str>>,
-}
-
-impl Target {
-    fn find(core: &Core, request: &HttpRequest, intake: &Intake) -> Result<Self, Kind> {
-        let plan = core.plan().ok_or(Kind::NoConfiguration)?;
-        let unknown = |kind| if core.knows_all() { kind } else { Kind::StaleConfiguration };
-        let host = host(request);
-        let kind = plan.locate(&host, request.path()).ok_or(Kind::NotFound).map_err(unknown)?;
-        let holder = intake.key.as_deref().and_then(|key| plan.holder(key));
-        let caller = match holder {
-            Some(workspace) => Some(workspace),
-            None if kind.anonymous => plan.anonymous(),
-            None => None,
-        };
-        let workspace = caller.ok_or(Kind::Unauthorized).map_err(unknown)?;
-        let model = intake.model.clone().filter(|it| kind.events && plan.offers(it));
-        Ok(Self {
-            workspace: workspace.clone(),
-            anonymous: holder.is_none(),
-            kind: kind.name.clone(),
-            events: kind.events,
-            model,
-        })
-    }
-}
-
-/// The host that the caller asked for, without a port.
-fn host(request: &HttpRequest) -> String {
-    let header = headers::text(request.headers(), "host");
-    let host = header.or_else(|| request.uri().host()).unwrap_or("");
-    host.split(':').next().unwrap_or("").to_ascii_lowercase()
-}
-
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
     core.reject(id, kind);
     failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms(kind), ""))
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod report;
 mod server;
 mod shared;
+mod target;
 
 pub use error::Error;
 pub use server::Router;
