--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -9,14 +9,14 @@
 mod dialect;
 mod store;
 
-pub use dialect::{Dialect, Header, Headers, Intake, Part, Sending, Told, find};
-pub use store::{Batch, Fact, Fault, Lease, Reading, Store};
-
 use std::rc::Rc;
 use std::sync::Arc;
 
 use futures_util::future::LocalBoxFuture;
 
+pub use dialect::{Dialect, Header, Headers, Intake, Part, Sending, Told, find};
+pub use store::{Batch, Fact, Fault, Lease, Reading, Store};
+
 /// Makes the edges on the thread that serves.
 pub type Connect = Arc<dyn Fn() -> LocalBoxFuture<'static, Result<Edges, String>> + Send + Sync>;
 
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -1,11 +1,12 @@
 //! The platform's key-value service, as far as a router follows it.
 
+use std::sync::Arc;
+
 use clock::Millis;
 use futures_util::future::LocalBoxFuture;
 use intents::Document;
 use routing::Host;
 use snafu::Snafu;
-use std::sync::Arc;
 
 /// Something that the service holds or that has changed there.
 #[derive(Clone, Debug)]
