Split the start of a direct call, and say what its steps take

Cause and change: Call::start built the outgoing request on the way; that is a function now. MAX_KEPT names its unit, and three functions say what they are for.

--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -24,8 +24,9 @@
 /// Statuses of answers that have no body.
 const NO_BODY: [u16; 2] = [204, 304];
 
-/// How much of an answer is kept back until it is whole, so that another
-/// upstream may still be asked. Answers beyond are passed on as they come.
+/// How many bytes of an answer are kept back until it is whole, so that
+/// another upstream may still be asked. Longer answers are passed on as they
+/// come.
 const MAX_KEPT: usize = 64 * 1024;
 
 /// The end of an attempt without a last reply.
@@ -95,19 +96,13 @@
             warm: attempt.warm.as_deref(),
             last_event: progress.event.filter(|_| attempt.resume),
         };
-        let headers = core.edges().dialect.forward(&template.headers, &sending);
-        let url = format!("http://{}{}", attempt.address, template.path);
-        let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
-        let mut builder = core.client().request(method, url).no_decompress();
-        for (name, value) in &headers {
-            builder = builder.header(&**name, &**value);
-        }
+        let outgoing = outgoing(core, &attempt.address, template, &sending);
         Self {
             core: core.clone(),
             request: request.clone(),
             upstream: attempt.upstream.clone(),
             attempt: attempt.number,
-            stage: Stage::Head(send(builder, &template.body)),
+            stage: Stage::Head(send(outgoing, &template.body)),
             ready: VecDeque::new(),
             head: None,
             kept: BytesMut::new(),
@@ -194,6 +189,8 @@
         }
     }
 
+    /// Takes bytes of the body: of a stream, whole events are passed on at once;
+    /// anything else is kept back up to [`MAX_KEPT`].
     fn bytes(&mut self, bytes: &[u8]) -> Result<(), Lost> {
         if let Some(events) = &mut self.events {
             let whole = events.push(bytes).map_err(|_| Lost { sent: true });
@@ -235,6 +232,7 @@
         }
     }
 
+    /// Takes the regular end of the body.
     fn end(&mut self) -> Result<(), Lost> {
         self.stage = Stage::Over;
         if self.events.as_ref().is_some_and(Splitter::is_partial) {
@@ -261,6 +259,23 @@
         && edge::find(headers, "transfer-encoding").is_none()
 }
 
+/// The request of `template` to the upstream at `address`, without its body.
+fn outgoing(
+    core: &Core,
+    address: &str,
+    template: &Template,
+    sending: &Sending<'_>,
+) -> ClientRequest {
+    let headers = core.edges().dialect.forward(&template.headers, sending);
+    let url = format!("http://{address}{}", template.path);
+    let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
+    let mut request = core.client().request(method, url).no_decompress();
+    for (name, value) in &headers {
+        request = request.header(&**name, &**value);
+    }
+    request
+}
+
 fn send(request: ClientRequest, body: &Bytes) -> Answer {
     if body.is_empty() {
         return Box::pin(request.send());
@@ -268,6 +283,8 @@
     Box::pin(request.send_body(ntex::util::Bytes::copy_from_slice(body)))
 }
 
+/// The upstream says that it did not run the request. 421 means that another
+/// one has its address now.
 fn refused(status: u16) -> Reply {
     let kind = if status == 421 { Kind::Leaving } else { Kind::QueueFull };
     let (hints, status) = (Vec::new(), Status::default());
