Mend three comments that no longer held

Cause and change: A template and its timeout concern direct calls as well as sidecars; one line of process::client was too long.

--- a/components/process/src/client.rs
+++ b/components/process/src/client.rs
@@ -19,8 +19,8 @@
 pub const CONNECT_TIMEOUT: Millis = Millis(500);
 
 /// A client for answers of any length: without a time limit of its own, without
-/// a limit on connections that matters, and without following redirects, which would send a
-/// request twice.
+/// a limit on connections that matters, and without following redirects, which
+/// would send a request twice.
 ///
 /// `keep_alive` is how long an idle connection is kept for the next request,
 /// `connect` how long a new one may take to stand; zero sets no limit.
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -55,7 +55,8 @@
     Cut(Answer),
 }
 
-/// What goes to the sidecar with every attempt.
+/// What every attempt sends of the request: to the sidecar, or straight to the
+/// upstream.
 #[derive(Debug)]
 pub(crate) struct Template {
     pub method: Arc<str>,
@@ -98,7 +99,7 @@
     attempt: u32,
     upstream: Arc<str>,
     deadline: Option<Instant>,
-    /// When the sidecar must have said something; `None` once it has.
+    /// When something must have come back; `None` once it has.
     timeout: Option<Instant>,
     over: bool,
 }
