--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Plan::compile`] checks a document in full and turns it into a form that
 //! answers [`Plan::find`] by one look-up.
 
+mod check;
 mod digest;
 mod document;
 mod error;
--- a/components/intents/src/plan.rs
+++ b/components/intents/src/plan.rs
@@ -1,15 +1,12 @@
 //! The compiled form of a document.
 
 use std::collections::{HashMap, HashSet};
-use std::fmt::Debug;
 use std::sync::Arc;
 
-use serde::Serialize;
-use snafu::ensure;
 use subtle::ConstantTimeEq;
 
-use crate::digest::{self, digest};
-use crate::error::RuleSnafu;
+use crate::check::check;
+use crate::digest::digest;
 use crate::{Document, Error, Intent, Kind, Labels, Selector, Workspace};
 
 /// The label that holds a thing's own name.
@@ -18,9 +15,6 @@
 /// The label that tells which model an engine serves.
 const MODEL: &str = "model";
 
-/// The longest deadline an intent may set, in milliseconds: a day.
-const LONGEST_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
-
 /// A document in force.
 #[derive(Debug)]
 pub struct Plan {
@@ -257,62 +251,3 @@
     }
     matches
 }
-
-fn check(document: &Document) -> Result<(), Error> {
-    rule(document.generation > 0, "generation", &document.generation, "a number above 0")?;
-    unique("workspaces", document.workspaces.iter().map(|it| &it.name))?;
-    unique("kinds", document.kinds.iter().map(|it| &it.name))?;
-    unique("upstreams", document.upstreams.iter().map(|it| &it.name))?;
-    unique("intents", document.intents.iter().map(|it| &it.name))?;
-    for (place, workspace) in document.workspaces.iter().enumerate() {
-        let digest = |it: &Arc<str>| it.len() == digest::LENGTH && it.bytes().all(is_lower_hex);
-        let whole = workspace.key_sha256.iter().all(digest);
-        rule(
-            whole,
-            &format!("workspaces[{place}].key_sha256"),
-            &"(not shown)",
-            "64 lower-case hexadecimal digits",
-        )?;
-    }
-    for (place, intent) in document.intents.iter().enumerate() {
-        let path = format!("intents[{place}].deadline_ms");
-        let allowed = (1..=LONGEST_DEADLINE_MS).contains(&intent.deadline_ms);
-        rule(allowed, &path, &intent.deadline_ms, "1 to 86400000")?;
-        for (model, name) in intent.models.iter().enumerate() {
-            let path = format!("intents[{place}].models[{model}]");
-            rule(document.models.contains(name), &path, name, "one of the document's models")?;
-        }
-    }
-    Ok(())
-}
-
-fn unique<'a>(list: &str, names: impl Iterator<Item = &'a Arc<str>>) -> Result<(), Error> {
-    let mut seen = HashSet::new();
-    for (place, name) in names.enumerate() {
-        let path = format!("{list}[{place}].name");
-        rule(!name.is_empty(), &path, name, "a name that is not empty")?;
-        rule(seen.insert(name), &path, name, "a name that stands once in the list")?;
-    }
-    Ok(())
-}
-
-fn rule(
-    holds: bool,
-    path: &str,
-    value: &(impl Serialize + Debug),
-    rule: &'static str,
-) -> Result<(), Error> {
-    ensure!(
-        holds,
-        RuleSnafu {
-            path,
-            value: serde_json::to_string(value).unwrap_or_else(|_| format!("{value:?}")),
-            rule
-        }
-    );
-    Ok(())
-}
-
-fn is_lower_hex(byte: u8) -> bool {
-    byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte)
-}
