--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -39,7 +39,7 @@
     pub name: Arc<str>,
     /// SHA-256 of the workspace key, in hexadecimal; a list while keys are
     /// being replaced. A workspace without a key is that of anonymous callers.
-    #[serde(with = "keys")]
+    #[serde(with = "crate::keys")]
     pub key_sha256: Vec<Arc<str>>,
     /// Goes before the priority of the intents.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -49,39 +49,6 @@
     pub labels: Labels,
 }
 
-/// One digest or a list of them.
-mod keys {
-    use std::sync::Arc;
-
-    use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-    #[derive(Serialize, Deserialize)]
-    #[serde(untagged)]
-    enum Keys {
-        One(Arc<str>),
-        Many(Vec<Arc<str>>),
-    }
-
-    pub(super) fn serialize<S: Serializer>(
-        keys: &[Arc<str>],
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        match keys {
-            [key] => Keys::One(key.clone()).serialize(serializer),
-            keys => Keys::Many(keys.to_vec()).serialize(serializer),
-        }
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<Vec<Arc<str>>, D::Error> {
-        Ok(match Keys::deserialize(deserializer)? {
-            Keys::One(key) => vec![key],
-            Keys::Many(keys) => keys,
-        })
-    }
-}
-
 /// A kind of request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -9,6 +9,7 @@
 mod digest;
 mod document;
 mod error;
+mod keys;
 mod plan;
 mod selector;
 
