--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -95,27 +95,19 @@
             Some(url) => store::Store::new(url).await.ok(),
             None => None,
         };
-        let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
-        let links = Links::new(hello, Duration::from_millis(settings.connect_ms));
         let (notes, outbox) = channel(MAX_NOTES);
-        let metrics = Metrics::new(SERVICE);
-        let tracer = match &settings.traces_url {
-            Some(url) => Tracer::new(SERVICE, &settings.name, url),
-            None => Tracer::off(),
-        };
-        let decisions = RefCell::new(Decisions::new(settings.routing.decisions));
         let core = Rc::new(Self {
-            settings,
             clock,
-            links,
+            links: links(&settings),
             stop,
             reload,
             store,
             direct,
-            decisions,
+            decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             notes,
-            metrics,
-            tracer,
+            metrics: Metrics::new(SERVICE),
+            tracer: tracer(&settings),
+            settings,
             state: RefCell::new(state),
             first_plan: Notify::new(),
             started,
@@ -251,3 +243,15 @@
         })
     }
 }
+
+fn links(settings: &settings::Router) -> Links {
+    let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
+    Links::new(hello, Duration::from_millis(settings.connect_ms))
+}
+
+fn tracer(settings: &settings::Router) -> Tracer {
+    match &settings.traces_url {
+        Some(url) => Tracer::new(SERVICE, &settings.name, url),
+        None => Tracer::off(),
+    }
+}
