--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -136,17 +136,10 @@
     /// Carries out an act; returns whether the connection goes on.
     fn act(&self, act: &Act, request: &Request, writer: &mut TcpStream) -> bool {
         let id = request.header("attempt-identifier").unwrap_or("").to_owned();
-        let whole = |status: u16, id: &str, body: &str| {
-            let length = body.len();
-            format!("{}content-length: {length}\r\n\r\n{body}", head(status, id))
-        };
         match act {
             Act::Answer(status, body) => send(writer, &whole(*status, &id, body)),
             Act::Crossed => send(writer, &whole(200, "another", "another's answer")),
-            Act::Unsigned => {
-                let head = format!("HTTP/1.1 200 .\r\nattempt-identifier: {id}\r\n");
-                send(writer, &format!("{head}content-length: 4\r\n\r\nfake"))
-            }
+            Act::Unsigned => send(writer, &unsigned(&id)),
             Act::Extra => {
                 send(writer, &whole(200, &id, "whole"));
                 send(writer, &whole(200, &id, "surplus"))
@@ -159,12 +152,7 @@
                 send(writer, &format!("{}connection: close\r\n\r\n{body}", head(200, &id)));
                 false
             }
-            Act::NotRun => send(
-                writer,
-                &format!(
-                    "HTTP/1.1 503 .\r\nattempt-identifier: {id}\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
-                ),
-            ),
+            Act::NotRun => send(writer, &not_run(&id)),
             Act::Misdirected => {
                 send(writer, "HTTP/1.1 421 .\r\ninstance: other\r\ncontent-length: 0\r\n\r\n")
             }
@@ -220,6 +208,20 @@
     )
 }
 
+/// A whole answer.
+fn whole(status: u16, id: &str, body: &str) -> String {
+    format!("{}content-length: {}\r\n\r\n{body}", head(status, id), body.len())
+}
+
+fn unsigned(id: &str) -> String {
+    format!("HTTP/1.1 200 .\r\nattempt-identifier: {id}\r\ncontent-length: 4\r\n\r\nfake")
+}
+
+fn not_run(id: &str) -> String {
+    let head = format!("HTTP/1.1 503 .\r\nattempt-identifier: {id}\r\n");
+    format!("{head}not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 fn send(writer: &mut TcpStream, text: &str) -> bool {
     writer.write_all(text.as_bytes()).is_ok()
 }
