--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -1,12 +1,8 @@
 //! Which upstreams are there, and which are leaving.
 
-use crate::router::{Router, configuration, own_host};
+use crate::router::{Router, configuration, own_host, pair};
 use crate::standin::{Mode, Upstream};
 
-fn pair() -> [Upstream; 2] {
-    ["i-1", "i-2"].map(|name| Upstream::start(&own_host(), name, "plain"))
-}
-
 /// Whether ten requests all go to `upstream`.
 fn all_go_to(router: &Router, upstream: &Upstream) -> bool {
     let before = upstream.requests().len();
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -1,11 +1,15 @@
 //! Upstreams that fail in all the ways the platform's pages name.
 
-use crate::router::{Router, configuration, own_host};
-use crate::standin::{Act, Upstream};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::Duration;
 
-fn pair() -> [Upstream; 2] {
-    ["i-1", "i-2"].map(|name| Upstream::start(&own_host(), name, "plain"))
-}
+use nix::sys::socket::{
+    AddressFamily, Backlog, SockFlag, SockType, SockaddrIn, bind, listen, socket,
+};
+
+use crate::router::{Router, configuration, headers, own_host, pair};
+use crate::standin::{Act, Upstream};
 
 /// Sends one unsafe and one safe request while both upstreams do `act` first;
 /// returns their statuses and how many requests arrived for each.
@@ -61,7 +65,7 @@
     let mut caller = router.caller();
     for number in 0..20 {
         let id = format!("id-{number}");
-        let headers = crate::router::headers(&[("Attempt-Identifier", &id)]);
+        let headers = headers(&[("Attempt-Identifier", &id)]);
         let answer = caller.ask("GET /safe/x", &headers, "").unwrap();
         if answer.status == 200 {
             assert_eq!((&*answer.body, &*answer.headers["attempt-identifier"]), ("whole", &*id));
@@ -75,9 +79,9 @@
     let router = Router::start(&configuration(1), &[&gone, &lives]);
     // A listener whose queue is full takes no connection, like a host behind a
     // cut.
-    let full = full_listener();
+    let (address, _queue, _listener) = full_listener();
     let mut entry = gone.entry("ready", 2);
-    entry["address"] = full.0.to_string().into();
+    entry["address"] = address.to_string().into();
     router.store.put(&gone.key(), &entry);
     let changes = || router.log().iter().filter(|it| it["payload"] == "upstreams changed").count();
     router.until("known", || changes() == 2);
@@ -90,10 +94,8 @@
 }
 
 /// A listener that accepts nothing, with connections that fill its queue.
-fn full_listener() -> (std::net::SocketAddr, Vec<std::net::TcpStream>, std::net::TcpListener) {
-    use std::net::TcpStream;
-    use std::time::Duration;
-    let listener = nix_listener();
+fn full_listener() -> (SocketAddr, Vec<TcpStream>, TcpListener) {
+    let listener = short_listener();
     let address = listener.local_addr().expect("an address");
     let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200));
     let queue = std::iter::from_fn(|| connect().ok()).take(64).collect();
@@ -101,15 +103,12 @@
 }
 
 /// A listener with the shortest queue.
-fn nix_listener() -> std::net::TcpListener {
-    use nix::sys::socket::{
-        AddressFamily, Backlog, SockFlag, SockType, SockaddrIn, bind, listen, socket,
-    };
+fn short_listener() -> TcpListener {
     let socket =
         socket(AddressFamily::Inet, SockType::Stream, SockFlag::empty(), None).expect("a socket");
-    let host: std::net::Ipv4Addr = own_host().parse().expect("an address");
-    let address = SockaddrIn::from(std::net::SocketAddrV4::new(host, 0));
-    bind(std::os::fd::AsRawFd::as_raw_fd(&socket), &address).expect("an address");
+    let host: Ipv4Addr = own_host().parse().expect("an address");
+    let address = SockaddrIn::from(SocketAddrV4::new(host, 0));
+    bind(socket.as_raw_fd(), &address).expect("an address");
     listen(&socket, Backlog::new(1).expect("a length")).expect("a listener");
-    std::net::TcpListener::from(socket)
+    TcpListener::from(socket)
 }
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -33,6 +33,11 @@
     format!("127.{}.{low}.{number}", high.max(1))
 }
 
+/// Two upstreams of the plain service.
+pub fn pair() -> [Upstream; 2] {
+    ["i-1", "i-2"].map(|name| Upstream::start(&own_host(), name, "plain"))
+}
+
 /// One of the configuration's routes.
 pub fn route(name: &str, kind: &str, service: &str) -> Value {
     json!({
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -1,6 +1,6 @@
 //! Streams of events: whole, resumed, or visibly broken.
 
-use crate::router::{Router, configuration, own_host};
+use crate::router::{Router, configuration, headers, own_host};
 use crate::standin::{Act, Upstream};
 
 fn engine(name: &str) -> Upstream {
@@ -102,7 +102,7 @@
     engine.set(&[Act::Events(1, 400, 5)]);
     let router = Router::start(&configuration(1), &[&engine]);
     let mut caller = router.caller();
-    caller.request("POST /stream/x", &crate::router::headers(&[]), "b");
+    caller.request("POST /stream/x", &headers(&[]), "b");
     router.until("sent", || !engine.requests().is_empty());
     drop(caller);
     router.until("left", || engine.left() == 1);
