Name a status and an error that stood bare in the router

Cause: two constants were written out where they are used, one of them twice. Change: 421 is MISDIRECTED, as in the adapter; the error of a broken answer stood in http.rs and ingress.rs.

--- a/components/router/src/answer.rs
+++ b/components/router/src/answer.rs
@@ -43,6 +43,11 @@
     builder
 }
 
+/// The fault that breaks the connection of an answer that will not be whole.
+pub(crate) fn broken() -> std::io::Error {
+    std::io::Error::other("the answer broke off")
+}
+
 /// The error as a server-sent event, for a stream that has begun.
 pub(crate) fn event(answer: &Answer) -> String {
     format!("event: error\ndata: {}\n\n", answer.to_json())
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -21,6 +21,9 @@
 use crate::headers;
 use crate::relay::Template;
 
+/// The status of an upstream that is not the one that was meant.
+const MISDIRECTED: u16 = 421;
+
 /// Statuses of answers that have no body.
 const NO_BODY: [u16; 2] = [204, 304];
 
@@ -283,10 +286,9 @@
     Box::pin(request.send_body(ntex::util::Bytes::copy_from_slice(body)))
 }
 
-/// The upstream says that it did not run the request. 421 means that another
-/// one has its address now.
+/// The upstream says that it did not run the request.
 fn refused(status: u16) -> Reply {
-    let kind = if status == 421 { Kind::Leaving } else { Kind::QueueFull };
+    let kind = if status == MISDIRECTED { Kind::Leaving } else { Kind::QueueFull };
     let (hints, status) = (Vec::new(), Status::default());
     Reply::Refused(Refused { kind, retry_after_ms: 0, hints, status })
 }
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -230,7 +230,7 @@
 /// The next part of the body. An answer that will not be whole ends with an
 /// error event where the protocol has one, and always with a broken connection.
 async fn part(rest: Rest, events: bool) -> Option<(Part, Rest)> {
-    let broken = || Some((Err(std::io::Error::other("the answer broke off")), Rest::Nothing));
+    let broken = || Some((Err(answer::broken()), Rest::Nothing));
     let mut relay = match rest {
         Rest::Answer(relay) => relay,
         Rest::Break => return broken(),
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -175,7 +175,7 @@
             if let Some(connection) = connection {
                 connection.close();
             }
-            Some((Err(std::io::Error::other("the answer broke off")), None))
+            Some((Err(answer::broken()), None))
         }
     }
 }
