--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -13,7 +13,7 @@
 pub enum Fact {
     /// The operator's configuration.
     Configuration(Box<Document>),
-    /// An upstream lives.
+    /// An upstream has an entry.
     Upstream {
         /// The upstream.
         host: Host,
