--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -1,6 +1,6 @@
 //! A stand-in of an upstream that answers, or fails to, as a test says.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -165,11 +165,7 @@
                 self.events(writer, &id, *from..=*to, *gap_ms) && send(writer, "0\r\n\r\n")
             }
             Act::Stalled => {
-                self.events(writer, &id, 1..=1, 0);
-                let mut byte = [0];
-                let ended = std::io::Read::read(writer, &mut byte);
-                self.state.lock().expect("no stand-in panics").left +=
-                    usize::from(!matches!(ended, Ok(1)));
+                self.stall(writer, &id);
                 false
             }
             Act::Broken(from, to) => {
@@ -180,6 +176,13 @@
         }
     }
 
+    /// Sends one event and waits for the caller to leave.
+    fn stall(&self, writer: &mut TcpStream, id: &str) {
+        self.events(writer, id, 1..=1, 0);
+        let ended = writer.read(&mut [0]);
+        self.state.lock().expect("no stand-in panics").left += usize::from(!matches!(ended, Ok(1)));
+    }
+
     fn events(
         &self,
         writer: &mut TcpStream,
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -89,7 +89,7 @@
     let router = Router::start(&patient, &[&engine]);
     let mut caller = router.caller();
     let patient = [("Deadline-Remaining", "90000")];
-    caller.request("POST /stream/x", &crate::router::headers(&patient), "b");
+    caller.request("POST /stream/x", &headers(&patient), "b");
     router.until("sent", || !engine.requests().is_empty());
     std::thread::sleep(std::time::Duration::from_millis(200));
     drop(caller);
