--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`Plan::compile`] checks a document in full and turns it into a form that
 //! answers [`Plan::find`] by one look-up.
 
+mod check;
 mod digest;
 mod document;
 mod error;
+mod keys;
 mod plan;
 mod selector;
 
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -18,28 +18,18 @@
 use wire::{Chunk, End, Head, Refused, Status};
 
 use crate::core::Core;
+use crate::headers;
 use crate::relay::Template;
 
-/// Headers that concern one connection only.
-pub(crate) const HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
+/// The status of an upstream that is not the one that was meant.
+const MISDIRECTED: u16 = 421;
 
 /// Statuses of answers that have no body.
 const NO_BODY: [u16; 2] = [204, 304];
 
-/// How much of an answer is kept back until it is whole, so that another
-/// upstream may still be asked. Answers beyond are passed on as they come.
+/// How many bytes of an answer are kept back until it is whole, so that
+/// another upstream may still be asked. Longer answers are passed on as they
+/// come.
 const MAX_KEPT: usize = 64 * 1024;
 
 /// The end of an attempt without a last reply.
@@ -109,19 +99,13 @@
             warm: attempt.warm.as_deref(),
             last_event: progress.event.filter(|_| attempt.resume),
         };
-        let headers = core.edges().dialect.forward(&template.headers, &sending);
-        let url = format!("http://{}{}", attempt.address, template.path);
-        let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
-        let mut builder = core.client().request(method, url).no_decompress();
-        for (name, value) in &headers {
-            builder = builder.header(&**name, &**value);
-        }
+        let outgoing = outgoing(core, &attempt.address, template, &sending);
         Self {
             core: core.clone(),
             request: request.clone(),
             upstream: attempt.upstream.clone(),
             attempt: attempt.number,
-            stage: Stage::Head(send(builder, &template.body)),
+            stage: Stage::Head(send(outgoing, &template.body)),
             ready: VecDeque::new(),
             head: None,
             kept: BytesMut::new(),
@@ -168,11 +152,7 @@
     fn open(&mut self, response: ClientResponse) -> Result<(), Lost> {
         self.stage = Stage::Over;
         let status = response.status().as_u16();
-        let headers: Vec<Header> = response
-            .headers()
-            .iter()
-            .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-            .collect();
+        let headers = headers::collect(response.headers());
         let told = self.core.edges().dialect.told(status, &headers);
         if told.id.as_ref().is_some_and(|it| *it != self.request) {
             return Err(Lost { sent: true });
@@ -194,7 +174,7 @@
         if is_unframed(status, &headers) {
             return Err(Lost { sent: true });
         }
-        let headers = headers.into_iter().filter(|(name, _)| !is_hop(name)).collect();
+        let headers = headers::end_to_end(headers);
         self.head = Some(Head { attempt: self.attempt, status, headers });
         self.stage = Stage::Body(response);
         Ok(())
@@ -212,6 +192,8 @@
         }
     }
 
+    /// Takes bytes of the body: of a stream, whole events are passed on at once;
+    /// anything else is kept back up to [`MAX_KEPT`].
     fn bytes(&mut self, bytes: &[u8]) -> Result<(), Lost> {
         if let Some(events) = &mut self.events {
             let whole = events.push(bytes).map_err(|_| Lost { sent: true });
@@ -253,6 +235,7 @@
         }
     }
 
+    /// Takes the regular end of the body.
     fn end(&mut self) -> Result<(), Lost> {
         self.stage = Stage::Over;
         if self.events.as_ref().is_some_and(Splitter::is_partial) {
@@ -271,11 +254,6 @@
     }
 }
 
-/// Whether a header concerns one connection only.
-pub(crate) fn is_hop(name: &str) -> bool {
-    HOP_HEADERS.contains(&name)
-}
-
 /// Whether an answer's body ends with its connection. The client takes such a
 /// body for empty, so that the answer can't be had through it.
 fn is_unframed(status: u16, headers: &[Header]) -> bool {
@@ -284,6 +262,23 @@
         && edge::find(headers, "transfer-encoding").is_none()
 }
 
+/// The request of `template` to the upstream at `address`, without its body.
+fn outgoing(
+    core: &Core,
+    address: &str,
+    template: &Template,
+    sending: &Sending<'_>,
+) -> ClientRequest {
+    let headers = core.edges().dialect.forward(&template.headers, sending);
+    let url = format!("http://{address}{}", template.path);
+    let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
+    let mut request = core.client().request(method, url).no_decompress();
+    for (name, value) in &headers {
+        request = request.header(&**name, &**value);
+    }
+    request
+}
+
 fn send(request: ClientRequest, body: &Bytes) -> Answer {
     if body.is_empty() {
         return Box::pin(request.send());
@@ -291,8 +286,9 @@
     Box::pin(request.send_body(ntex::util::Bytes::copy_from_slice(body)))
 }
 
+/// The upstream says that it did not run the request.
 fn refused(status: u16) -> Reply {
-    let kind = if status == 421 { Kind::Leaving } else { Kind::QueueFull };
+    let kind = if status == MISDIRECTED { Kind::Leaving } else { Kind::QueueFull };
     let (hints, status) = (Vec::new(), Status::default());
     Reply::Refused(Refused { kind, retry_after_ms: 0, hints, status })
 }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -9,18 +9,22 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use edge::{Batch, Fact, Fault, Lease};
+use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
 use routing::{Directory, Event};
-use spdlog::{debug, info, warn};
+use spdlog::{info, warn};
 
 use crate::core::Core;
 
+/// How many routers there are taken to be at least: when all start at once, the
+/// first looks see few of them. The sites have four, and seven with all spares.
+const ASSUMED_ROUTERS: usize = 8;
+
 /// How long a look waits for a change, so that it is answered soon in any case.
 const WAIT: Millis = Millis(250);
 
-/// The pause after a look that failed; the store's outages end without notice.
-const PAUSE: Millis = Millis(300);
+/// The pause after a call that failed; the store's outages end without notice.
+pub(crate) const PAUSE: Millis = Millis(300);
 
 /// Follows the store until the process stops.
 pub(crate) async fn follow(core: Rc<Core>, look: Millis) {
@@ -49,46 +53,15 @@
     }
 }
 
-/// How many routers there are taken to be at least: when all start at once, the
-/// first looks see few of them. The sites have four, and seven with all spares.
-const ASSUMED_ROUTERS: usize = 8;
-
-/// How long an announcement lasts after its last renewal.
-const ANNOUNCED: Millis = Millis(20_000);
-
-/// How often it is renewed.
-const RENEWED: Millis = Millis(6_000);
-
-/// Announces this router in the store, and renews that until a stop is asked
-/// for; then the announcement is taken back.
-pub(crate) async fn announce(core: Rc<Core>) {
-    let store = core.edges().store.clone();
-    let mut lease = None;
-    while !core.stop.is_asked() {
-        match keep(&core, lease).await {
-            Ok(kept) => lease = Some(kept),
-            Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
-        }
-        let pause = if lease.is_some() { RENEWED } else { PAUSE };
-        let _ = tokio::time::timeout(pause.duration(), core.stop.asked()).await;
-    }
-    if let Some(lease) = lease
-        && let Err(fault) = store.end(lease).await
-    {
-        // It lapses by itself a little later.
-        debug!("announcement not taken back", kv: { reason = fault.to_string() });
-    }
-}
-
-/// Renews the announcement, or makes it anew where its lease is over.
-async fn keep(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
-    let store = &core.edges().store;
-    if let Some(lease) = lease
-        && store.renew(lease).await?
-    {
-        return Ok(lease);
-    }
-    store.announce(core.settings.name.clone(), ANNOUNCED).await
+/// What a batch says that is acted on once it is read to its end.
+#[derive(Default)]
+struct Summary {
+    /// Whether the upstreams have changed.
+    changed: bool,
+    /// The upstreams that it names.
+    names: Vec<Arc<str>>,
+    /// The configuration of the highest generation; only that one is compiled.
+    newest: Option<Box<Document>>,
 }
 
 struct Feed {
@@ -139,55 +112,63 @@
         }
     }
 
+    /// Takes a batch; `whole` says that it holds all there is, not only changes.
     fn take(&mut self, batch: Batch, whole: bool) {
         let now = self.core.clock.now();
-        let mut changed = false;
-        let mut names = Vec::new();
-        let mut newest: Option<Box<Document>> = None;
+        let mut summary = Summary::default();
         for fact in batch.facts {
-            match fact {
-                Fact::Upstream { host, sequence } => {
-                    names.push(host.name.clone());
-                    changed |= self.directory.put(host, sequence);
-                }
-                Fact::Gone(name) => changed |= self.directory.remove(&name),
-                Fact::Router(name) => {
-                    self.routers.insert(name);
-                }
-                Fact::RouterGone(name) => {
-                    self.routers.remove(&name);
-                }
-                Fact::Configuration(document) => {
-                    let known = newest.as_ref().map_or(0, |it| it.generation);
-                    if document.generation > known {
-                        newest = Some(document);
-                    }
-                }
-                Fact::Unreadable { key, reason } => {
-                    warn!("an entry can't be read", kv: { key = &*key, reason });
-                }
-            }
+            self.note(fact, &mut summary);
         }
         self.count_routers();
-        if let Some(document) = newest {
+        if let Some(document) = summary.newest {
             self.configure(*document, batch.revision);
         }
         if whole {
-            changed |= self.directory.keep_only(&names);
+            summary.changed |= self.directory.keep_only(&summary.names);
         }
-        changed |= self.directory.expire(now);
-        if changed {
-            let hosts = self.directory.hosts();
-            info!("upstreams changed", kv: {
-                upstreams = hosts.len(),
-                leaving = hosts.iter().filter(|it| it.leaving).count(),
-                revision = batch.revision,
-            });
-            self.core.apply(Event::Hosts(hosts));
+        summary.changed |= self.directory.expire(now);
+        if summary.changed {
+            self.publish(batch.revision);
         }
         self.revision = Some(batch.revision);
     }
 
+    fn note(&mut self, fact: Fact, summary: &mut Summary) {
+        match fact {
+            Fact::Upstream { host, sequence } => {
+                summary.names.push(host.name.clone());
+                summary.changed |= self.directory.put(host, sequence);
+            }
+            Fact::Gone(name) => summary.changed |= self.directory.remove(&name),
+            Fact::Router(name) => {
+                self.routers.insert(name);
+            }
+            Fact::RouterGone(name) => {
+                self.routers.remove(&name);
+            }
+            Fact::Configuration(document) => {
+                let known = summary.newest.as_ref().map_or(0, |it| it.generation);
+                if document.generation > known {
+                    summary.newest = Some(document);
+                }
+            }
+            Fact::Unreadable { key, reason } => {
+                warn!("an entry can't be read", kv: { key = &*key, reason });
+            }
+        }
+    }
+
+    /// Hands the upstreams to the reducer.
+    fn publish(&self, revision: u64) {
+        let hosts = self.directory.hosts();
+        info!("upstreams changed", kv: {
+            upstreams = hosts.len(),
+            leaving = hosts.iter().filter(|it| it.leaving).count(),
+            revision,
+        });
+        self.core.apply(Event::Hosts(hosts));
+    }
+
     /// Tells the reducer among how many routers the retry budget is divided.
     /// Announcements lapse in an outage of the store while their routers live:
     /// the count goes down only with a restart.
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use clock::Millis;
+use edge::Header;
 use errors::{Answer, Kind};
 use futures_util::stream;
-use ntex::http::StatusCode;
 use ntex::web::types::{Path, Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 use routing::Ask;
@@ -17,7 +17,7 @@
 use crate::core::Core;
 use crate::prompt::Prompt;
 use crate::relay::{Relay, Step, Template};
-use crate::{body, key};
+use crate::{body, headers, key};
 
 /// The kind of a chat request that names none.
 const DEFAULT_KIND: &str = "chat";
@@ -82,7 +82,7 @@
 }
 
 fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
-    request.headers().get(name).and_then(|it| it.to_str().ok())
+    headers::text(request.headers(), name)
 }
 
 fn declared(request: &HttpRequest) -> Option<usize> {
@@ -203,13 +203,11 @@
         Step::Failed(answer) | Step::Cut(answer) => return answer::response(&answer),
         Step::Bytes(_) | Step::Finished => return refusal(core, Kind::Crossed, &request, ""),
     };
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    let mut events = false;
-    for (name, value) in &head.headers {
-        events |= &**name == "content-type" && value.starts_with("text/event-stream");
-        builder.header(&**name, &**value);
-    }
+    let is_events = |(name, value): &Header| {
+        &**name == "content-type" && value.starts_with("text/event-stream")
+    };
+    let events = head.headers.iter().any(is_events);
+    let mut builder = answer::passed_on(&head);
     builder.header(REQUEST_ID, &*request);
     builder.header(UPSTREAM, &*upstream);
     if let Some(traceparent) = relay.traceparent() {
@@ -232,7 +230,7 @@
 /// The next part of the body. An answer that will not be whole ends with an
 /// error event where the protocol has one, and always with a broken connection.
 async fn part(rest: Rest, events: bool) -> Option<(Part, Rest)> {
-    let broken = || Some((Err(std::io::Error::other("the answer broke off")), Rest::Nothing));
+    let broken = || Some((Err(answer::broken()), Rest::Nothing));
     let mut relay = match rest {
         Rest::Answer(relay) => relay,
         Rest::Break => return broken(),
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -1,22 +1,21 @@
 //! Callers that speak a platform's dialect.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use edge::{Header, Intake, Part};
 use errors::{Answer, Kind};
 use futures_util::stream;
-use ntex::http::StatusCode;
 use ntex::io::IoRef;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::Ask;
-use std::rc::Rc;
 
 use crate::core::Core;
-use crate::direct::is_hop;
 use crate::relay::{Relay, Step, Template};
-use crate::{body, http};
+use crate::target::Target;
+use crate::{answer, body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared
 /// by requests.
@@ -39,7 +38,7 @@
     mut payload: Payload,
     core: Shared,
 ) -> HttpResponse {
-    let headers = headers(&request);
+    let headers = headers::collect(request.headers());
     let intake = core.edges().dialect.read(&headers);
     let (number, own_id) = core.number();
     let id = intake.id.clone().unwrap_or(own_id);
@@ -55,17 +54,26 @@
         Ok(target) => target,
         Err(kind) => return refuse(&core, kind, &id),
     };
+    let template = template(&request, headers, body, &target);
+    let ask = ask(number, id, &intake, target);
+    relay(&core, &request, ask, template).await
+}
+
+fn template(request: &HttpRequest, headers: Vec<Header>, body: Bytes, target: &Target) -> Template {
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str());
-    let template = Template {
+    Template {
         method: request.method().as_str().into(),
         path: path.into(),
-        headers: headers.into_iter().filter(|(name, _)| !is_hop(name)).collect(),
+        headers: headers::end_to_end(headers),
         body,
         traceparent: None,
         events: target.events,
         anonymous: target.anonymous,
-    };
-    let ask = Ask {
+    }
+}
+
+fn ask(number: u64, id: Arc<str>, intake: &Intake, target: Target) -> Ask {
+    Ask {
         id: number,
         chat: chat(&intake.prompt).unwrap_or_else(|| id.clone()),
         shared: shared(&intake.prompt),
@@ -76,8 +84,7 @@
         once: None,
         weight: WEIGHT,
         deadline: intake.remaining,
-    };
-    answer(&core, &request, ask, template).await
+    }
 }
 
 /// What keeps the requests together that share most of their prompt: the last
@@ -97,52 +104,6 @@
     parts.iter().scan(0, hash).collect()
 }
 
-/// Who asks for what.
-struct Target {
-    workspace: Arc<str>,
-    anonymous: bool,
-    kind: Arc<str>,
-    events: bool,
-    model: Option<Arc<str>>,
-}
-
-impl Target {
-    fn find(core: &Core, request: &HttpRequest, intake: &Intake) -> Result<Self, Kind> {
-        let plan = core.plan().ok_or(Kind::NoConfiguration)?;
-        let unknown = |kind| if core.knows_all() { kind } else { Kind::StaleConfiguration };
-        let host = host(request);
-        let kind = plan.locate(&host, request.path()).ok_or(Kind::NotFound).map_err(unknown)?;
-        let holder = intake.key.as_deref().and_then(|key| plan.holder(key));
-        let caller = match holder {
-            Some(workspace) => Some(workspace),
-            None if kind.anonymous => plan.anonymous(),
-            None => None,
-        };
-        let workspace = caller.ok_or(Kind::Unauthorized).map_err(unknown)?;
-        let model = intake.model.clone().filter(|it| kind.events && plan.offers(it));
-        Ok(Self {
-            workspace: workspace.clone(),
-            anonymous: holder.is_none(),
-            kind: kind.name.clone(),
-            events: kind.events,
-            model,
-        })
-    }
-}
-
-/// The host that the caller asked for, without a port.
-fn host(request: &HttpRequest) -> String {
-    let header = request.headers().get("host").and_then(|it| it.to_str().ok());
-    let host = header.or_else(|| request.uri().host()).unwrap_or("");
-    host.split(':').next().unwrap_or("").to_ascii_lowercase()
-}
-
-fn headers(request: &HttpRequest) -> Vec<Header> {
-    let all = request.headers().iter();
-    all.filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-        .collect()
-}
-
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
     core.reject(id, kind);
     failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms(kind), ""))
@@ -150,19 +111,15 @@
 
 /// An answer of the fleet's own.
 fn failure(core: &Core, answer: &Answer) -> HttpResponse {
-    let status = StatusCode::from_u16(answer.kind.row().status);
-    let mut builder = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    let mut builder = answer::error(answer);
     for (name, value) in core.edges().dialect.own(&answer.request_id) {
         builder.header(&*name, &*value);
     }
     if let Some(after) = answer.retry_after_ms {
         builder.header("retry-after", format!("{}.{:03}", after / 1_000, after % 1_000));
     }
-    if matches!(answer.kind, Kind::TooLarge | Kind::SlowBody) {
-        builder.force_close();
-    }
     close_if_stopping(core, &mut builder);
-    builder.content_type("application/json").body(answer.to_json())
+    builder.body(answer.to_json())
 }
 
 /// A router that is being stopped asks callers for a new connection, which
@@ -173,12 +130,7 @@
     }
 }
 
-async fn answer(
-    core: &Shared,
-    request: &HttpRequest,
-    ask: Ask,
-    template: Template,
-) -> HttpResponse {
+async fn relay(core: &Shared, request: &HttpRequest, ask: Ask, template: Template) -> HttpResponse {
     let events = template.events;
     let mut relay = Relay::start(core.get_ref().clone(), ask, template);
     let head = match relay.next().await {
@@ -188,11 +140,7 @@
             unreachable!("the reducer gives a head first")
         }
     };
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    for (name, value) in &head.headers {
-        builder.header(&**name, &**value);
-    }
+    let mut builder = answer::passed_on(&head);
     close_if_stopping(core, &mut builder);
     if events {
         let connection = request.io().cloned();
@@ -227,7 +175,7 @@
             if let Some(connection) = connection {
                 connection.close();
             }
-            Some((Err(std::io::Error::other("the answer broke off")), None))
+            Some((Err(answer::broken()), None))
         }
     }
 }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything but the wait for signals happens on the one thread of the HTTP
 //! server, so that no state is shared between threads.
 
+mod announcement;
 mod answer;
 mod background;
 mod body;
@@ -11,12 +12,16 @@
 mod direct;
 mod error;
 mod feed;
+mod headers;
 mod http;
 mod ingress;
 mod key;
 mod prompt;
 mod relay;
+mod report;
 mod server;
+mod shared;
+mod target;
 
 pub use error::Error;
 pub use server::Router;
