Look for headers that come twice, and for a refusal during a planned stop

Two breaks made on purpose were not noticed: a caller's own workspace header passed on beside the fleet's, and a stop that refuses at once. Both tests fail under them now.

--- a/tests/platform/standin/http.rs
+++ b/tests/platform/standin/http.rs
@@ -42,7 +42,8 @@
     }
 }
 
-/// Reads header lines up to the empty one.
+/// Reads header lines up to the empty one. The values of a header that comes more
+/// than once are joined.
 pub fn read_headers(stream: &mut impl BufRead) -> Option<BTreeMap<String, String>> {
     let mut headers = BTreeMap::new();
     loop {
@@ -53,6 +54,10 @@
             return Some(headers);
         }
         let (name, value) = line.split_once(':')?;
-        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        let values: &mut String = headers.entry(name.to_ascii_lowercase()).or_default();
+        if !values.is_empty() {
+            values.push_str(", ");
+        }
+        values.push_str(value.trim());
     }
 }
--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -17,7 +17,7 @@
     router.until("not ready", || !router.is_ready());
     // Callers that don't know yet are still served, and asked to leave.
     let answer = router.ask("POST /stream/x", &[], "b").unwrap();
-    assert!(answer.whole);
+    assert_eq!((answer.status, answer.whole), (200, true));
     assert_eq!(answer.headers["connection"], "close");
     assert!(caller.answer().unwrap().whole);
     assert!(router.ended().success());
