--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use clock::{Clock, Millis};
-use edge::Edges;
+use edge::{Connect, Edges};
 use errors::Kind;
 use intents::Plan;
 use link::Links;
@@ -35,17 +35,22 @@
 /// has it after 60 to 140 ms on the sites.
 const FIRST_PLAN: Duration = Duration::from_millis(300);
 
-/// What reaches upstreams directly.
-struct Direct {
+/// What reaches the platform and upstreams directly.
+pub(crate) struct Direct {
     edges: Edges,
     client: Client,
 }
 
 impl Direct {
-    /// `None` where the runtime can't make a client.
-    async fn new(edges: Edges) -> Option<Self> {
-        let client = process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT).await.ok()?;
-        Some(Self { edges, client })
+    /// Makes the platform's edges and the client that reaches upstreams.
+    ///
+    /// # Errors
+    ///
+    /// The runtime can't make a client.
+    pub(crate) async fn connect(connect: &Connect) -> Result<Self, String> {
+        let edges = connect().await?;
+        let client = process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT).await;
+        Ok(Self { edges, client: client.map_err(|it| it.to_string())? })
     }
 }
 
@@ -73,11 +78,11 @@
 
 impl Core {
     /// A router with `plan` in force, if there is one yet, and its background
-    /// tasks running. `edges` are those of the platform, if it runs on one.
+    /// tasks running. `direct` is set on a platform.
     pub(crate) async fn start(
         settings: Arc<settings::Router>,
         plan: Option<Arc<Plan>>,
-        edges: Option<Edges>,
+        direct: Option<Direct>,
         stop: process::Stop,
         reload: watch::Receiver<settings::Router>,
     ) -> Rc<Self> {
@@ -87,10 +92,6 @@
         if let Some(plan) = plan {
             state.apply(Event::Configure(plan), started);
         }
-        let direct = match edges {
-            Some(edges) => Direct::new(edges).await,
-            None => None,
-        };
         let store = match &settings.store_url {
             Some(url) => store::Store::new(url).await.ok(),
             None => None,
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -2,12 +2,16 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use edge::Connect;
 use spdlog::error;
 use tokio::sync::{OnceCell, watch};
 
-use crate::core::Core;
+use crate::core::{Core, Direct};
+
+/// The pause before clients are made once more.
+const AGAIN: Duration = Duration::from_secs(1);
 
 thread_local! {
     /// The state that the two listeners of one thread share.
@@ -26,17 +30,25 @@
 impl Shared {
     /// The state of this thread, made by the listener that comes first.
     pub(crate) async fn core(&self) -> Rc<Core> {
-        let edges = match (self.connect)().await {
-            Ok(edges) => Some(edges),
-            Err(fault) => {
-                error!("the platform's edges can't be made", kv: { fault });
-                None
-            }
-        };
         let cell = CORE.with(Rc::clone);
-        let (settings, stop, reload) =
-            (self.settings.clone(), self.stop.clone(), self.reload.clone());
-        let start = || Core::start(settings, None, edges, stop, reload);
-        cell.get_or_init(start).await.clone()
+        cell.get_or_init(|| self.start()).await.clone()
+    }
+
+    async fn start(&self) -> Rc<Core> {
+        let direct = self.direct().await;
+        let (stop, reload) = (self.stop.clone(), self.reload.clone());
+        Core::start(self.settings.clone(), None, Some(direct), stop, reload).await
+    }
+
+    /// What reaches the platform and upstreams; it is tried until it can be made,
+    /// since nothing can be served without it.
+    async fn direct(&self) -> Direct {
+        loop {
+            match Direct::connect(&self.connect).await {
+                Ok(direct) => return direct,
+                Err(fault) => error!("no clients can be made", kv: { fault }),
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
     }
 }
