Send callers elsewhere when a router no longer hears from the store

Cause: a router that the store turns away, or that is cut off from it, went on to say that it is ready and refused callers with a key after 3.9 s, while its neighbours could have served them. Now it is not ready once its proof is 2.6 s old.

--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -43,6 +43,9 @@
     /// in milliseconds; callers with a key are refused beyond it. Zero asks for
     /// no proof.
     pub current_ms: u64,
+    /// The same for being ready: beyond it callers are better sent to a router
+    /// that still hears from the store.
+    pub ready_ms: u64,
     /// The same for an answer that something is unknown to the configuration.
     pub unknown_ms: u64,
     /// The load bound, as far as the router applies it beforehand.
@@ -86,6 +89,7 @@
             policy: Policy::default(),
             path: Path::default(),
             current_ms: 0,
+            ready_ms: 0,
             unknown_ms: 0,
             bound: Bound::default(),
             fresh_ms: 300,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -88,7 +88,8 @@
     pub fn is_ready(&self, now: Millis) -> bool {
         let up = self.upstreams.values().any(|upstream| upstream.is_up(now));
         let up = up || self.settings.path == Path::Direct;
-        self.plan.is_some() && up && !self.draining
+        let proved = self.is_proved(self.settings.ready_ms, now);
+        self.plan.is_some() && up && proved && !self.draining
     }
 
     /// Whether the configuration in force is proved to have been the newest in
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -89,8 +89,10 @@
         assert_eq!(upstream.requests().len(), arrived);
         // What isn't known may be new: that, too, can't be confirmed.
         assert_eq!(router.ask("GET /nothing/x", &[], "").unwrap().status, 503);
+        // Callers are better sent to a router that hears from the store.
+        assert!(!router.is_ready());
         router.store.set_mode(Mode::Up);
-        router.until("back", || status() == 200);
+        router.until("back", || status() == 200 && router.is_ready());
         assert!(router.has_logged("the store answers again"));
     }
 }
