Keep an upstream's failure out of the stream that it should go on with

Cause: the head of an answer that goes on with a broken stream was passed over whatever its status, so that the body of a 500 was joined to the stream and ended it as whole. Found by reading; the test failed with exactly that.

--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -7,10 +7,13 @@
 use placement::key;
 use wire::{Broken, Chunk, End, Head, Note, Refused, Status};
 
-use crate::request::Phase;
+use crate::request::{Phase, Request};
 use crate::state::State;
 use crate::{Effect, Path, Reply};
 
+/// The lowest HTTP status that is no success.
+const NO_SUCCESS: u16 = 300;
+
 /// The lowest HTTP status of a failure of the upstream.
 const FAILURES: u16 = 500;
 
@@ -113,9 +116,7 @@
             return self.cut(id, Kind::Crossed, now);
         }
         if request.is_answering() {
-            // The caller keeps the head of the upstream that began the answer.
-            let resumed = request.resumable && request.attempt() > 1;
-            return if resumed { Vec::new() } else { self.cut(id, Kind::Crossed, now) };
+            return self.resumed(id, head.status, now);
         }
         if head.status >= FAILURES && request.repeatable && self.settings.path == Path::Direct {
             return self.failed(id, head, now);
@@ -132,6 +133,21 @@
         vec![Effect::Head(head)]
     }
 
+    /// Another upstream goes on with an answer: the caller keeps the head of the
+    /// one that began it, and a failure is no part of it.
+    fn resumed(&mut self, id: u64, status: u16, now: Millis) -> Vec<Effect> {
+        let resumed = |it: &Request| it.resumable && it.attempt() > 1;
+        if !self.requests.get(&id).is_some_and(resumed) {
+            return self.cut(id, Kind::Crossed, now);
+        }
+        if status < NO_SUCCESS {
+            return Vec::new();
+        }
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.try_elsewhere(id, Kind::Truncated, 0, now));
+        effects
+    }
+
     /// The upstream ran the request and failed. Another one may do better; if
     /// none may be asked, the caller gets the failure.
     fn failed(&mut self, id: u64, head: Head, now: Millis) -> Vec<Effect> {
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -58,6 +58,22 @@
     assert_eq!(numbers(&answer.body), [1, 2, 3]);
 }
 
+#[test]
+fn a_failure_to_go_on_with_a_stream_is_no_part_of_it() {
+    let (one, two) = (engine("i-1"), engine("i-2"));
+    one.set(&[Act::Broken(1, 3)]);
+    two.set(&[Act::Answer(500, "id: 4\ndata: failed\n\n")]);
+    let router = Router::start(&configuration(1), &[&one, &two]);
+    // Chats differ in which upstream they go to first.
+    for chat in 0..12 {
+        let prompt = format!("c{chat}:9,bb:1");
+        let further = [("Model", "m"), ("Prompt-Prefix", &*prompt)];
+        let answer = router.ask("POST /resumed/x", &further, "b").unwrap();
+        assert_eq!((answer.status, answer.whole), (200, false));
+        assert_eq!(numbers(&answer.body), [1, 2, 3]);
+    }
+}
+
 #[test]
 fn a_resumed_stream_has_each_event_once() {
     let (one, two) = (engine("i-1"), engine("i-2"));
