Refill no retry budget when settings are read again

Cause: SIGHUP made the budgets anew, full; a series of them would have overdrawn the fleet's. Found by reading; the test saw two retries too many.

--- a/components/routing/src/budget.rs
+++ b/components/routing/src/budget.rs
@@ -15,8 +15,9 @@
         Self { share, burst, saved: burst }
     }
 
-    /// Changes how much may be saved up.
-    pub fn limit(&mut self, burst: f64) {
+    /// Changes what is earned and how much may be saved up.
+    pub fn change(&mut self, share: f64, burst: f64) {
+        self.share = share;
         self.burst = burst;
         self.saved = self.saved.min(burst);
     }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -133,7 +133,7 @@
     /// Requests under way keep what was decided on them.
     fn set(&mut self, settings: Settings) -> Vec<Effect> {
         self.settings = settings;
-        self.budgets.clear();
+        self.change_budgets();
         self.index.clear();
         Vec::new()
     }
@@ -172,11 +172,17 @@
     /// The fixed part of the retry budget is divided among the routers.
     fn divide(&mut self, routers: usize) -> Vec<Effect> {
         self.routers = routers.max(1);
-        let burst = self.burst();
+        self.change_budgets();
+        Vec::new()
+    }
+
+    /// Puts the present settings in force for the budgets there are; nothing is
+    /// given back that was spent.
+    fn change_budgets(&mut self) {
+        let (share, burst) = (self.settings.retry_share, self.burst());
         for budget in self.budgets.values_mut() {
-            budget.limit(burst);
+            budget.change(share, burst);
         }
-        Vec::new()
     }
 
     /// This router's part of the fixed retry budget.
--- a/components/routing/tests/direct.rs
+++ b/components/routing/tests/direct.rs
@@ -207,6 +207,18 @@
     assert_eq!((1..20).filter(|id| again(&mut state, *id)).count(), 1);
 }
 
+#[test]
+fn new_settings_do_not_refill_the_retry_budget() {
+    let mut state = router(settings());
+    let again = |state: &mut State, id: u64| {
+        state.apply(ask(id, "unsafe", &format!("c-{id}")), NOW);
+        sent(&state.apply(Event::Reply { id, attempt: 1, reply: refused() }, NOW)).is_some()
+    };
+    assert_eq!((1..9).filter(|id| again(&mut state, *id)).count(), 2);
+    state.apply(Event::Settings(Box::new(settings())), NOW);
+    assert_eq!((10..19).filter(|id| again(&mut state, *id)).count(), 0);
+}
+
 #[test]
 fn no_more_upstreams_are_asked_than_the_route_allows() {
     let mut state = router(Settings { retry_burst: 100.0, ..settings() });
