Name the list of upstreams a listing, and fill the tests' store in one place

Cause: 'directory' already means where a sidecar finds moved chats, and the glossary had to explain two; the store of the tests' platform was filled by the same lines in start and start_unread. Change: routing::Listing, and one function. Looked at and left: the six places that repeat by shape are lists of constants, doc-commented fields and small constructors, which say different things.

--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -11,7 +11,7 @@
 use clock::Millis;
 use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
-use routing::{Directory, Event};
+use routing::{Event, Listing};
 use spdlog::{info, warn};
 
 use crate::core::Core;
@@ -30,7 +30,7 @@
 pub(crate) async fn follow(core: Rc<Core>, look: Millis) {
     let mut feed = Feed {
         core,
-        directory: Directory::default(),
+        listing: Listing::default(),
         routers: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
         revision: None,
@@ -66,7 +66,7 @@
 
 struct Feed {
     core: Rc<Core>,
-    directory: Directory,
+    listing: Listing,
     /// The routers that have announced themselves, this one included.
     routers: BTreeSet<Arc<str>>,
     /// The most routers that were counted.
@@ -87,10 +87,10 @@
         };
         if std::mem::take(&mut self.lost) {
             info!("the store answers again", kv: { revision = batch.revision });
-            self.directory.came_back(self.core.clock.now());
+            self.listing.came_back(self.core.clock.now());
         }
         self.take(batch, whole);
-        self.directory.settle();
+        self.listing.settle();
         Ok(())
     }
 
@@ -98,7 +98,7 @@
     /// to come back is over before.
     fn pause(&self, look: Millis) -> Millis {
         let now = self.core.clock.now();
-        self.directory.next_expiry().map_or(look, |at| now.until(at).min(look))
+        self.listing.next_expiry().map_or(look, |at| now.until(at).min(look))
     }
 
     fn failed(&mut self, fault: &Fault) {
@@ -124,9 +124,9 @@
             self.configure(*document, batch.revision);
         }
         if whole {
-            summary.changed |= self.directory.keep_only(&summary.names);
+            summary.changed |= self.listing.keep_only(&summary.names);
         }
-        summary.changed |= self.directory.expire(now);
+        summary.changed |= self.listing.expire(now);
         if summary.changed {
             self.publish(batch.revision);
         }
@@ -137,9 +137,9 @@
         match fact {
             Fact::Upstream { host, sequence } => {
                 summary.names.push(host.name.clone());
-                summary.changed |= self.directory.put(host, sequence);
+                summary.changed |= self.listing.put(host, sequence);
             }
-            Fact::Gone(name) => summary.changed |= self.directory.remove(&name),
+            Fact::Gone(name) => summary.changed |= self.listing.remove(&name),
             Fact::Router(name) => {
                 self.routers.insert(name);
             }
@@ -160,7 +160,7 @@
 
     /// Hands the upstreams to the reducer.
     fn publish(&self, revision: u64) {
-        let hosts = self.directory.hosts();
+        let hosts = self.listing.hosts();
         info!("upstreams changed", kv: {
             upstreams = hosts.len(),
             leaving = hosts.iter().filter(|it| it.leaving).count(),
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/listing.rs
@@ -14,7 +14,7 @@
 
 /// The upstreams that the store lists.
 #[derive(Debug, Default)]
-pub struct Directory {
+pub struct Listing {
     hosts: BTreeMap<Arc<str>, Entry>,
     /// When the store came back, until what it then said has been taken.
     returned: Option<Millis>,
@@ -28,7 +28,7 @@
     gone_at: Option<Millis>,
 }
 
-impl Directory {
+impl Listing {
     /// The store answers again after it did not. What is missing from its first
     /// answer may have lapsed; what goes later has really gone.
     pub fn came_back(&mut self, now: Millis) {
--- /dev/null
+++ b/components/routing/tests/listing.rs
@@ -0,0 +1,79 @@
+//! What of the platform's list of upstreams is believed, and when.
+
+use clock::Millis;
+use intents::Labels;
+use routing::{Host, Listing, RETURN};
+
+fn host(name: &str, leaving: bool) -> Host {
+    Host {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        labels: Labels::new(),
+        leaving,
+    }
+}
+
+fn two() -> Listing {
+    let mut listing = Listing::default();
+    assert!(listing.put(host("a", false), 1));
+    assert!(listing.put(host("b", false), 1));
+    listing
+}
+
+fn names(listing: &Listing) -> Vec<String> {
+    listing.hosts().iter().map(|it| it.name.to_string()).collect()
+}
+
+#[test]
+fn a_heartbeat_changes_nothing_and_an_old_one_brings_nothing_back() {
+    let mut listing = two();
+    assert!(!listing.put(host("a", false), 2));
+    assert!(listing.put(host("a", true), 3));
+    assert!(!listing.put(host("a", false), 2));
+    assert!(listing.hosts()[0].leaving);
+}
+
+#[test]
+fn what_is_removed_in_calm_is_gone_at_once() {
+    let mut listing = two();
+    assert!(listing.remove("a"));
+    assert_eq!(names(&listing), ["b"]);
+    assert!(listing.keep_only(&[]));
+    assert!(listing.hosts().is_empty());
+}
+
+#[test]
+fn what_is_missing_after_an_outage_has_time_to_come_back() {
+    let mut listing = two();
+    let now = Millis(10_000);
+    listing.came_back(now);
+    assert!(!listing.keep_only(&["b".into()]));
+    assert_eq!(names(&listing), ["a", "b"]);
+    assert_eq!(listing.next_expiry(), Some(now + RETURN));
+    assert!(!listing.expire(now + RETURN - Millis(1)));
+    assert!(listing.expire(now + RETURN));
+    assert_eq!(names(&listing), ["b"]);
+}
+
+#[test]
+fn what_comes_back_after_an_outage_stays_even_with_a_lower_sequence() {
+    let mut listing = two();
+    listing.came_back(Millis(10_000));
+    listing.remove("a");
+    listing.settle();
+    assert!(!listing.put(host("a", false), 0));
+    assert_eq!(listing.next_expiry(), None);
+    assert!(!listing.expire(Millis(99_000)));
+    assert_eq!(names(&listing), ["a", "b"]);
+}
+
+#[test]
+fn what_is_removed_after_the_first_answer_of_an_outage_is_gone_at_once() {
+    let mut listing = two();
+    listing.came_back(Millis(10_000));
+    listing.remove("a");
+    listing.settle();
+    assert!(listing.remove("b"));
+    assert_eq!(names(&listing), ["a"]);
+}
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -90,12 +90,7 @@
     /// A router whose store holds `configuration` and `upstreams`, ready to
     /// serve.
     pub fn start(configuration: &Value, upstreams: &[&Upstream]) -> Self {
-        let router = Self::start_bare(&own_host(), |store| {
-            store.put("op/config", configuration);
-            for upstream in upstreams {
-                store.put(&upstream.key(), &upstream.entry("ready", 1));
-            }
-        });
+        let router = Self::start_bare(&own_host(), |store| fill(store, configuration, upstreams));
         router.until("ready", || router.is_ready());
         router
     }
@@ -103,10 +98,7 @@
     /// The same, with a log that nobody reads.
     pub fn start_unread(configuration: &Value, upstreams: &[&Upstream]) -> Self {
         let router = Self::start_with(&own_host(), Stdio::piped(), |store| {
-            store.put("op/config", configuration);
-            for upstream in upstreams {
-                store.put(&upstream.key(), &upstream.entry("ready", 1));
-            }
+            fill(store, configuration, upstreams);
         });
         router.until("ready", || router.is_ready());
         router
@@ -220,6 +212,14 @@
     }
 }
 
+/// Puts a configuration and upstreams into the store.
+fn fill(store: &Store, configuration: &Value, upstreams: &[&Upstream]) {
+    store.put("op/config", configuration);
+    for upstream in upstreams {
+        store.put(&upstream.key(), &upstream.entry("ready", 1));
+    }
+}
+
 fn log_path(host: &str) -> PathBuf {
     Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{host}.log"))
 }
