--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -59,9 +59,22 @@
         if !refused.hints.is_empty() {
             self.follow(id, refused);
         }
+        if refused.kind == Kind::Leaving && self.settings.path == Path::Direct {
+            self.replaced(id, now);
+        }
         self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
     }
 
+    /// Another upstream answers at the address of the one that was meant, which
+    /// has ended: the list will drop it soon.
+    fn replaced(&mut self, id: u64, now: Millis) {
+        let until = now + Millis(self.settings.suspect_max_ms);
+        let name = self.requests.get(&id).and_then(|it| it.upstream());
+        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
+            upstream.suspect_until = until;
+        }
+    }
+
     /// The chat's context is elsewhere: those places are next, then the home
     /// itself if it has room. A hint never leads past the intents.
     fn follow(&mut self, id: u64, refused: &Refused) {
@@ -303,6 +316,8 @@
     /// Whether the budget for going on after `kind` has something left.
     fn may_go_on(&mut self, id: u64, kind: Kind) -> bool {
         match kind {
+            // Nothing has come to the upstreams yet.
+            Kind::Unreachable if self.settings.path == Path::Direct => true,
             _ if self.settings.path == Path::Direct => self.budget(id).spend(),
             // Following a chat to its context is not a retry.
             Kind::Moved => true,
@@ -342,9 +357,10 @@
             Outcome::Unknown => request.repeatable && request.once().is_none(),
             Outcome::Ran => request.repeatable && kind == Kind::UpstreamFailed,
         };
-        let most = request.attempts.min(self.settings.max_attempts);
-        let allowed =
-            request.attempt() < most && request.deadline > now && !request.candidates.is_empty();
-        safe && allowed && self.may_go_on(id, kind)
+        let left = request.attempt() < self.settings.max_attempts
+            && request.reached() < request.attempts
+            && request.deadline > now
+            && !request.candidates.is_empty();
+        safe && left && self.may_go_on(id, kind)
     }
 }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -61,6 +61,13 @@
         u32::try_from(self.tries.len()).unwrap_or(u32::MAX)
     }
 
+    /// How many upstreams the request has been sent to; one that no connection
+    /// led to is none.
+    pub(crate) fn reached(&self) -> u32 {
+        let reached = self.tries.iter().filter(|it| it.error != Some(Kind::Unreachable));
+        u32::try_from(reached.count()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn once(&self) -> Option<&Once> {
         self.ask.once.as_ref()
     }
--- a/components/routing/tests/direct.rs
+++ b/components/routing/tests/direct.rs
@@ -255,3 +255,30 @@
     state.apply(Event::Lost { id: 2, attempt: 1, sent: true }, NOW);
     assert!(!up(&state));
 }
+
+#[test]
+fn an_upstream_that_was_never_reached_uses_up_no_attempt() {
+    // The intent allows two upstreams, and no retry is left to spend.
+    let mut state = router(Settings { retry_burst: 0.0, ..settings() });
+    let lose =
+        |state: &mut State, attempt| state.apply(Event::Lost { id: 1, attempt, sent: false }, NOW);
+    state.apply(ask(1, "stream", "chat"), NOW);
+    assert!(sent(&lose(&mut state, 1)).is_some());
+    assert!(sent(&lose(&mut state, 2)).is_some());
+    assert!(sent(&lose(&mut state, 3)).is_some());
+    let end = lose(&mut state, 4);
+    assert_eq!((sent(&end), failed(&end)), (None, Some(Kind::Unreachable)));
+}
+
+#[test]
+fn an_upstream_whose_address_is_anothers_now_gets_no_further_requests() {
+    let mut state = router(settings());
+    let misdirected = || {
+        let (hints, status) = (Vec::new(), Status::default());
+        Reply::Refused(Refused { kind: Kind::Leaving, retry_after_ms: 0, hints, status })
+    };
+    let first = sent(&state.apply(ask(1, "stream", "chat"), NOW)).expect("a place");
+    state.apply(Event::Reply { id: 1, attempt: 1, reply: misdirected() }, NOW);
+    let later = NOW + Millis(2_500);
+    assert_ne!(sent(&state.apply(ask(2, "stream", "chat"), later)), Some(first));
+}
