--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -27,6 +27,8 @@
     Router(Peer),
     /// A router's announcement was removed or has lapsed.
     RouterGone(Arc<str>),
+    /// The upstreams that a router has remembered.
+    Remembered(Vec<Host>),
     /// An entry that can't be read.
     Unreadable {
         /// Its key.
@@ -88,6 +90,9 @@
     /// Announces a router with a lease that lasts for `ttl` after its last renewal.
     fn announce(&self, peer: Peer, ttl: Millis) -> LocalBoxFuture<'_, Result<Lease, Fault>>;
 
+    /// Remembers upstreams for routers that start.
+    fn remember(&self, hosts: Vec<Host>) -> LocalBoxFuture<'_, Result<(), Fault>>;
+
     /// Renews a lease; `false` means that it is over.
     fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<bool, Fault>>;
 
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -11,8 +11,9 @@
 use clock::Millis;
 use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
-use routing::{Event, Listing};
+use routing::{Event, Host, Listing};
 use spdlog::{info, warn};
+use tokio::sync::watch;
 
 use crate::core::Core;
 
@@ -27,7 +28,7 @@
 pub(crate) const PAUSE: Millis = Millis(300);
 
 /// Follows the store until the process stops.
-pub(crate) async fn follow(core: Rc<Core>, look: Millis) {
+pub(crate) async fn follow(core: Rc<Core>, look: Millis, memory: watch::Sender<Vec<Host>>) {
     let mut feed = Feed {
         core,
         listing: Listing::default(),
@@ -35,6 +36,8 @@
         most_routers: ASSUMED_ROUTERS,
         revision: None,
         lost: false,
+        started: false,
+        memory,
     };
     feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
     loop {
@@ -62,6 +65,8 @@
     names: Vec<Arc<str>>,
     /// The configuration of the highest generation; only that one is compiled.
     newest: Option<Box<Document>>,
+    /// What was remembered of the upstreams.
+    remembered: Vec<Host>,
 }
 
 struct Feed {
@@ -75,6 +80,10 @@
     revision: Option<u64>,
     /// Whether the last look failed.
     lost: bool,
+    /// Whether anything has been read.
+    started: bool,
+    /// Takes the upstreams that are to be remembered.
+    memory: watch::Sender<Vec<Host>>,
 }
 
 impl Feed {
@@ -126,11 +135,43 @@
         if whole {
             summary.changed |= self.listing.keep_only(&summary.names);
         }
+        if !std::mem::replace(&mut self.started, true) {
+            summary.changed |= self.recall(summary.remembered, now);
+        }
         summary.changed |= self.listing.expire(now);
         if summary.changed {
             self.publish(batch.revision);
         }
         self.revision = Some(batch.revision);
+        self.remember();
+    }
+
+    /// At the start, upstreams that were remembered and are not listed.
+    fn recall(&mut self, hosts: Vec<Host>, now: Millis) -> bool {
+        let remembered = hosts.len();
+        let missing = self.listing.remember(hosts, now);
+        if missing {
+            info!("upstreams are missing that were remembered", kv: { remembered });
+        }
+        missing
+    }
+
+    /// Has the upstreams remembered, if they have changed and this is the router to
+    /// do it: the first by name.
+    fn remember(&self) {
+        let first = self.routers.first() == Some(&self.core.settings.name);
+        if !first || self.listing.is_in_doubt() {
+            return;
+        }
+        let mut hosts = self.listing.hosts();
+        hosts.retain(|it| !it.leaving);
+        self.memory.send_if_modified(|known| {
+            let changed = !hosts.is_empty() && *known != hosts;
+            if changed {
+                *known = hosts;
+            }
+            changed
+        });
     }
 
     fn note(&mut self, fact: Fact, summary: &mut Summary) {
@@ -158,6 +199,7 @@
                     summary.newest = Some(document);
                 }
             }
+            Fact::Remembered(hosts) => summary.remembered = hosts,
             Fact::Unreadable { key, reason } => {
                 warn!("an entry can't be read", kv: { key = &*key, reason });
             }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -16,6 +16,7 @@
 mod http;
 mod ingress;
 mod key;
+mod memory;
 mod peers;
 mod prompt;
 mod relay;
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -5,6 +5,7 @@
 use clock::Millis;
 use errors::{Answer, Kind};
 use intents::{Labels, Plan};
+use serde::{Deserialize, Serialize};
 use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Refused, Warm, Welcome};
 
 use crate::{Decision, Settings};
@@ -192,7 +193,7 @@
 }
 
 /// One line of the platform's list of hosts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
     /// The upstream's name.
     pub name: Arc<str>,
--- a/components/routing/src/listing.rs
+++ b/components/routing/src/listing.rs
@@ -70,6 +70,23 @@
         missing.iter().fold(false, |changed, name| self.remove(name) | changed)
     }
 
+    /// Takes what was remembered of the list: upstreams that are missing from it may
+    /// have lapsed, and have time to come back. Returns whether there were any.
+    pub fn remember(&mut self, hosts: Vec<Host>, now: Millis) -> bool {
+        let before = self.hosts.len();
+        for host in hosts {
+            let gone_at = Some(now + RETURN);
+            let entry = Entry { host, sequence: 0, gone_at };
+            self.hosts.entry(entry.host.name.clone()).or_insert(entry);
+        }
+        self.hosts.len() != before
+    }
+
+    /// Whether some upstreams are only taken to live for a while.
+    pub fn is_in_doubt(&self) -> bool {
+        self.next_expiry().is_some()
+    }
+
     /// Lets go of entries whose time to come back is over. Returns whether there
     /// were any.
     pub fn expire(&mut self, now: Millis) -> bool {
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -56,6 +56,23 @@
     assert_eq!(names(&listing), ["b"]);
 }
 
+#[test]
+fn what_others_remember_has_time_to_come_back() {
+    let mut listing = two();
+    let now = Millis(10_000);
+    assert!(listing.remember(vec![host("b", false), host("c", false)], now));
+    assert!(!listing.remember(vec![host("b", false)], now));
+    assert_eq!(names(&listing), ["a", "b", "c"]);
+    assert!(listing.is_in_doubt());
+    // What the list itself says goes first.
+    assert!(!listing.put(host("c", false), 1));
+    assert!(!listing.is_in_doubt());
+    assert!(!listing.expire(now + RETURN));
+    assert!(listing.remember(vec![host("d", false)], now));
+    assert!(listing.expire(now + RETURN));
+    assert_eq!(names(&listing), ["a", "b", "c"]);
+}
+
 #[test]
 fn what_comes_back_after_an_outage_stays_even_with_a_lower_sequence() {
     let mut listing = two();
--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -67,6 +67,26 @@
     router.until("gone", || all_go_to(&router, &one));
 }
 
+#[test]
+fn a_router_that_starts_while_entries_are_missing_uses_what_was_remembered() {
+    const REMEMBERED: &str = "silverstack/upstreams";
+    let [one, two] = pair();
+    let router = Router::start(&configuration(1), &[&one, &two]);
+    router.until("remembered", || router.store.holds(REMEMBERED));
+    let text = router.store.text(REMEMBERED).expect("a text");
+    drop(router);
+
+    let router = Router::start_bare(&own_host(), |store| {
+        store.put("op/config", &configuration(1));
+        store.put(&one.key(), &one.entry("ready", 1));
+        store.put_text(REMEMBERED, &text);
+    });
+    router.until("ready", || router.is_ready());
+    assert!(!all_go_to(&router, &one));
+    // It has not come back within two seconds.
+    router.until("gone", || all_go_to(&router, &one));
+}
+
 #[test]
 fn a_router_announces_itself_until_it_stops() {
     let [one, two] = pair();
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -105,6 +105,12 @@
         self.lock().items.contains_key(key)
     }
 
+    /// What stands under a key.
+    pub fn text(&self, key: &str) -> Option<String> {
+        let value = STANDARD.decode(&self.lock().items.get(key)?.0).expect("base64");
+        Some(String::from_utf8(value).expect("a text"))
+    }
+
     /// How many calls have come.
     pub fn calls(&self) -> usize {
         self.lock().calls
@@ -159,12 +165,13 @@
             return (200, json!({ "lease": 7, "ttlMs": body["ttlMs"] }));
         }
         if request.target == "/v1/kv-txn" {
-            let key = body["writes"][0]["privateKey"].as_str().expect("one write").to_owned();
-            self.put(&key, &json!("a router"));
+            let text = |name| body["writes"][0][name].as_str().expect("one write").to_owned();
+            let value = STANDARD.decode(text("value")).expect("base64");
+            self.put_text(&text("privateKey"), &String::from_utf8_lossy(&value));
             return (200, json!({ "revision": self.lock().revision }));
         }
         if request.target == "/v1/kv-lease-end/7" {
-            let announced = |key: &&String| key.starts_with("silverstack/");
+            let announced = |key: &&String| key.starts_with("silverstack/routers/");
             let keys: Vec<_> = self.lock().items.keys().filter(announced).cloned().collect();
             for key in &keys {
                 self.remove(key);
