--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -11,7 +11,7 @@
 use crate::outlook::Outlook;
 use crate::request::{Phase, Request};
 use crate::share::patience;
-use crate::state::{POOL, State};
+use crate::state::State;
 use crate::upstream::OVER_BOUND;
 use crate::warmth::Warmth;
 use crate::{Ask, Attempt, Budget, Decision, Effect, Owner, Path, Policy, Try, Upstream};
@@ -97,10 +97,27 @@
         }
     }
 
+    /// Ranks anew the upstreams that a request may go to after one failed: some may
+    /// have come to leave since it came. It stays in the pool where it began.
+    pub(crate) fn rank_again(&mut self, id: u64, now: Millis) {
+        let Some(pool) = self.requests.get(&id).map(|it| it.pool.clone()) else { return };
+        let direct = self.settings.path == Path::Direct;
+        if direct {
+            self.rank(id, now);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let tried = |name: &Arc<str>| request.tries.iter().any(|it| it.upstream == *name);
+        let fits = |it: &Upstream| !it.is_leaving() && it.pool() == pool && !tried(it.name());
+        // Where there are sidecars, they say themselves who leaves, and send a chat
+        // back to where it has been.
+        let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !direct || fits(it));
+        request.candidates.retain(open);
+        request.pool = pool;
+    }
+
     /// The pool of an upstream: the retry budget is kept for each.
     fn pool(&self, upstream: Option<&Arc<str>>) -> Arc<str> {
-        let upstream = upstream.and_then(|it| self.upstreams.get(it));
-        upstream.and_then(|it| it.labels.get(POOL)).cloned().unwrap_or_default()
+        upstream.and_then(|it| self.upstreams.get(it)).map(Upstream::pool).unwrap_or_default()
     }
 
     /// The retry budget of a request's pool.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -356,6 +356,7 @@
     /// Whether the request may be sent to another upstream after `kind`; if so,
     /// a retry is taken from the budget.
     pub(crate) fn may_try_elsewhere(&mut self, id: u64, kind: Kind, now: Millis) -> bool {
+        self.rank_again(id, now);
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -207,8 +207,7 @@
             return Vec::new();
         };
         upstream.tell(requests, now);
-        let pool = upstream.labels.get(POOL).cloned().unwrap_or_default();
-        let mean = self.means.entry(pool).or_default();
+        let mean = self.means.entry(upstream.pool()).or_default();
         *mean = outlook::average(*mean, requests);
         Vec::new()
     }
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -8,6 +8,7 @@
 use wire::Status;
 
 use crate::outlook::{Outlook, count};
+use crate::state::POOL;
 use crate::{Host, Path, Settings};
 
 /// The most doublings of the time that a failing upstream is left alone.
@@ -63,6 +64,16 @@
         &self.host.name
     }
 
+    /// Its line of the platform's list.
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// The pool that it belongs to.
+    pub(crate) fn pool(&self) -> Arc<str> {
+        self.labels.get(POOL).cloned().unwrap_or_default()
+    }
+
     /// The load it last told of, in tokens.
     pub fn load(&self) -> u64 {
         self.status.load
--- a/components/routing/tests/direct/decisions.rs
+++ b/components/routing/tests/direct/decisions.rs
@@ -195,3 +195,42 @@
     let later = NOW + Millis(2_500);
     assert_ne!(sent(&state.apply(ask(2, "stream", "chat"), later)), Some(first));
 }
+
+/// The upstreams of the tests, changed by `change`.
+fn changed(change: impl Fn(&mut routing::Host) -> bool) -> Event {
+    let state = router(settings());
+    let hosts = state.upstreams().map(|it| it.host().clone());
+    Event::Hosts(hosts.filter_map(|mut it| change(&mut it).then_some(it)).collect())
+}
+
+#[test]
+fn an_upstream_that_leaves_after_a_request_came_is_not_tried_next() {
+    for kind in ["safe", "stream"] {
+        let mut state = router(Settings { retry_burst: 9.0, ..settings() });
+        let first = sent(&state.apply(ask(1, kind, "chat"), NOW)).expect("a place");
+        // All others leave but the last.
+        let last: Arc<str> = if kind == "safe" { "plain-1" } else { "engine-3" }.into();
+        let last = if first == last { first.clone() } else { last };
+        state.apply(
+            changed(|it| {
+                it.leaving = it.name != last;
+                true
+            }),
+            NOW,
+        );
+        let effects = state.apply(Event::Lost { id: 1, attempt: 1, sent: true }, NOW);
+        let next = sent(&effects);
+        assert!(next.is_none() || next == Some(last.clone()), "{next:?} is leaving");
+        assert_eq!(next.is_none(), last == first);
+    }
+}
+
+#[test]
+fn an_upstream_that_is_gone_since_a_request_came_is_not_tried_next() {
+    let mut state = router(Settings { retry_burst: 9.0, ..settings() });
+    let first = sent(&state.apply(ask(1, "stream", "chat"), NOW)).expect("a place");
+    state.apply(changed(|it| it.name == first), NOW);
+    let effects = state.apply(Event::Lost { id: 1, attempt: 1, sent: true }, NOW);
+    // Nobody is left: the caller hears of it at once.
+    assert_eq!(failed(&effects), Some(Kind::LinkLost));
+}
