--- /dev/null
+++ b/components/outbound/src/fault.rs
@@ -0,0 +1,40 @@
+//! Why a request got no answer.
+
+use snafu::Snafu;
+
+/// Why a request got no answer, or no whole one.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Fault {
+    /// The request can't be written as HTTP; nothing was sent.
+    #[snafu(display("the request can't be written: {source}"))]
+    Unwritable {
+        /// What is wrong with it.
+        source: http::Error,
+    },
+    /// No connection could be opened; nothing was sent.
+    #[snafu(display("no connection: {source}"))]
+    NoConnection {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A new connection did not stand in time; nothing was sent.
+    #[snafu(display("no connection in time"))]
+    Timeout,
+    /// The connection ended before the answer was whole.
+    #[snafu(display("the connection ended: {source}"))]
+    Ended {
+        /// What the HTTP library says.
+        source: hyper::Error,
+    },
+}
+
+impl Fault {
+    /// Whether any byte of the request may have reached the upstream.
+    pub fn may_have_been_sent(&self) -> bool {
+        match self {
+            Self::Unwritable { .. } | Self::NoConnection { .. } | Self::Timeout => false,
+            Self::Ended { .. } => true,
+        }
+    }
+}
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -10,8 +10,7 @@
 use errors::Kind;
 use intents::Plan;
 use link::Links;
-use ntex::client::Client;
-use ntex::time::Seconds;
+use outbound::Client;
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::error;
 use telemetry::{Metrics, Tracer};
@@ -29,9 +28,9 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
-/// How long an idle connection to an upstream is kept. Upstreams of the sites
-/// close theirs after 10 s, as their answers say.
-const UPSTREAM_IDLE: Seconds = Seconds(8);
+/// How long an idle connection to an upstream is kept, unless its answers tell of
+/// less. Upstreams of the sites close theirs after 10 s.
+const UPSTREAM_IDLE: Duration = Duration::from_secs(8);
 
 /// How long a request waits for the first configuration. A router that starts
 /// has it after 60 to 140 ms on the sites.
@@ -56,8 +55,8 @@
         settings: &settings::Router,
     ) -> Result<Self, String> {
         let edges = connect().await?;
-        let client = process::client(UPSTREAM_IDLE, process::CONNECT_TIMEOUT).await;
-        let client = client.map_err(|it| it.to_string())?;
+        let limit = Duration::from_millis(process::CONNECT_TIMEOUT.0.into());
+        let client = Client::new(UPSTREAM_IDLE, limit);
         let hints = settings.direct.as_ref().and_then(|it| it.hints.as_deref());
         Ok(Self { edges, client, peers: hints.and_then(|it| peers(&settings.name, it)) })
     }
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -6,14 +6,10 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use edge::{Header, Sending};
+use edge::Sending;
 use errors::Kind;
 use events::Splitter;
-use futures_util::StreamExt;
-use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{ClientRequest, ClientResponse};
-use ntex::http::Method;
-use ntex::http::error::PayloadError;
+use outbound::{Answer, Fault};
 use routing::{Attempt, Event, Reply};
 use wire::{Chunk, End, Head, Refused, Status};
 
@@ -24,9 +20,6 @@
 /// The status of an upstream that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
 
-/// Statuses of answers that have no body.
-const NO_BODY: [u16; 2] = [204, 304];
-
 /// How many bytes of an answer are kept back until it is whole, so that
 /// another upstream may still be asked. Longer answers are passed on as they
 /// come.
@@ -39,13 +32,13 @@
     pub sent: bool,
 }
 
-type Answer = Pin<Box<dyn Future<Output = Result<ClientResponse, ClientError>>>>;
+type Waiting = Pin<Box<dyn Future<Output = Result<Answer, Fault>>>>;
 
 enum Stage {
     /// The head of the answer is waited for.
-    Head(Answer),
+    Head(Waiting),
     /// The body comes.
-    Body(ClientResponse),
+    Body(Answer),
     /// Nothing more will come.
     Over,
 }
@@ -99,13 +92,15 @@
             warm: attempt.warm.as_deref(),
             last_event: progress.event.filter(|_| attempt.resume),
         };
-        let outgoing = outgoing(core, &attempt.address, template, &sending);
+        let outgoing = outgoing(core, template, &sending);
+        let (client, address) = (core.client().clone(), attempt.address.clone());
+        let answer = Box::pin(async move { client.send(address, outgoing).await });
         Self {
             core: core.clone(),
             request: request.clone(),
             upstream: attempt.upstream.clone(),
             attempt: attempt.number,
-            stage: Stage::Head(send(outgoing, &template.body)),
+            stage: Stage::Head(answer),
             ready: VecDeque::new(),
             head: None,
             kept: BytesMut::new(),
@@ -133,14 +128,14 @@
             }
             match &mut self.stage {
                 Stage::Head(answer) => match answer.await {
-                    Ok(response) => self.open(response)?,
+                    Ok(answer) => self.open(answer)?,
                     Err(fault) => {
                         self.stage = Stage::Over;
-                        return Err(lost(&fault));
+                        return Err(Lost { sent: fault.may_have_been_sent() });
                     }
                 },
-                Stage::Body(response) => {
-                    let part = response.next().await;
+                Stage::Body(answer) => {
+                    let part = answer.next().await;
                     self.take(part)?;
                 }
                 Stage::Over => return std::future::pending().await,
@@ -149,10 +144,10 @@
     }
 
     /// Reads the head of the answer.
-    fn open(&mut self, response: ClientResponse) -> Result<(), Lost> {
+    fn open(&mut self, mut answer: Answer) -> Result<(), Lost> {
         self.stage = Stage::Over;
-        let status = response.status().as_u16();
-        let headers = headers::collect(response.headers());
+        let status = answer.status;
+        let headers = std::mem::take(&mut answer.headers);
         let told = self.core.edges().dialect.told(status, &headers);
         if told.id.as_ref().is_some_and(|it| *it != self.request) {
             return Err(Lost { sent: true });
@@ -171,17 +166,14 @@
         if !success {
             self.events = None;
         }
-        if is_unframed(status, &headers) {
-            return Err(Lost { sent: true });
-        }
         let headers = headers::end_to_end(headers);
         self.head = Some(Head { attempt: self.attempt, status, headers });
-        self.stage = Stage::Body(response);
+        self.stage = Stage::Body(answer);
         Ok(())
     }
 
     /// Takes a part of the body.
-    fn take(&mut self, part: Option<Result<ntex::util::Bytes, PayloadError>>) -> Result<(), Lost> {
+    fn take(&mut self, part: Option<Result<Bytes, Fault>>) -> Result<(), Lost> {
         match part {
             Some(Ok(bytes)) => self.bytes(&bytes),
             Some(Err(_)) => {
@@ -254,36 +246,14 @@
     }
 }
 
-/// Whether an answer's body ends with its connection. The client takes such a
-/// body for empty, so that the answer can't be had through it.
-fn is_unframed(status: u16, headers: &[Header]) -> bool {
-    !NO_BODY.contains(&status)
-        && edge::find(headers, "content-length").is_none()
-        && edge::find(headers, "transfer-encoding").is_none()
-}
-
-/// The request of `template` to the upstream at `address`, without its body.
-fn outgoing(
-    core: &Core,
-    address: &str,
-    template: &Template,
-    sending: &Sending<'_>,
-) -> ClientRequest {
-    let headers = core.edges().dialect.forward(&template.headers, sending);
-    let url = format!("http://{address}{}", template.path);
-    let method = Method::from_bytes(template.method.as_bytes()).unwrap_or(Method::POST);
-    let mut request = core.client().request(method, url).no_decompress();
-    for (name, value) in &headers {
-        request = request.header(&**name, &**value);
-    }
-    request
-}
-
-fn send(request: ClientRequest, body: &Bytes) -> Answer {
-    if body.is_empty() {
-        return Box::pin(request.send());
+/// The request of `template` as it goes to the upstream.
+fn outgoing(core: &Core, template: &Template, sending: &Sending<'_>) -> outbound::Request {
+    outbound::Request {
+        method: template.method.clone(),
+        path: template.path.clone(),
+        headers: core.edges().dialect.forward(&template.headers, sending),
+        body: template.body.clone(),
     }
-    Box::pin(request.send_body(ntex::util::Bytes::copy_from_slice(body)))
 }
 
 /// The upstream says that it did not run the request.
@@ -292,15 +262,3 @@
     let (hints, status) = (Vec::new(), Status::default());
     Reply::Refused(Refused { kind, retry_after_ms: 0, hints, status })
 }
-
-/// Only a connection that never stood proves that nothing was sent. A kept
-/// connection that ends without an answer is reported as disconnected, too, but
-/// without a fault of the system.
-fn lost(fault: &ClientError) -> Lost {
-    let unsent = match fault {
-        ClientError::Connect(ConnectError::Disconnected(reason)) => reason.is_some(),
-        ClientError::Connect(_) | ClientError::Url(_) | ClientError::Request(_) => true,
-        _ => false,
-    };
-    Lost { sent: !unsent }
-}
