--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -41,6 +41,7 @@
             tasks.spawn_local(memory::keep(core.clone(), hosts));
             tasks.spawn_local(announcement::keep_up(core.clone()));
             tasks.spawn_local(peers::listen(core.clone()));
+            tasks.spawn_local(peers::tell_loads(core.clone()));
         } else {
             tasks.spawn_local(follow_hosts(core.clone()));
             tasks.spawn_local(follow_intents(core.clone()));
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,7 +16,7 @@
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::{Notify, watch};
-use wire::{Frame, Hello, Warm};
+use wire::{Frame, Hello, Loads, Warm};
 
 use crate::decisions::Decisions;
 use crate::peers::Peers;
@@ -190,6 +190,11 @@
         }
     }
 
+    /// This router's own load at its upstreams.
+    pub(crate) fn loads(&self) -> Loads {
+        self.state.borrow().loads(&self.settings.name)
+    }
+
     /// Whether upstreams are reached directly.
     pub(crate) fn is_direct(&self) -> bool {
         self.direct.is_some()
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -12,16 +12,28 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use clock::Millis;
 use edge::Peer;
 use routing::Event;
 use spdlog::{debug, info, warn};
-use wire::{Frame, Reader, Stage};
+use wire::{Frame, Loads, Reader, Stage, Warm};
 
 use crate::core::Core;
 
 /// The longest datagram that is read: a frame of 100 parts has less than 1,100.
 const MAX_DATAGRAM: usize = 1_500;
 
+/// How often a router's own load is told if it has changed. A request of the sites
+/// takes 20 to 500 ms.
+const TELL_EVERY: Millis = Millis(100);
+
+/// After how many such times it is told even if it hasn't changed.
+const ROUNDS: u32 = 4;
+
+/// The most other routers to which loads are told: what all tell all grows with
+/// the square of their number. Among more, a router goes by what answers tell.
+const MOST_PEERS: usize = 8;
+
 /// The other routers of the fleet.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -79,6 +91,28 @@
     }
 }
 
+/// Tells the others of this router's own load, until the process stops.
+pub(crate) async fn tell_loads(core: Rc<Core>) {
+    let Some(peers) = core.peers() else { return };
+    let mut told = Loads::default();
+    let mut rounds = 0;
+    loop {
+        tokio::time::sleep(TELL_EVERY.duration()).await;
+        if !(1..=MOST_PEERS).contains(&peers.others.borrow().len()) {
+            continue;
+        }
+        let loads = core.loads();
+        rounds += 1;
+        if loads == told && rounds < ROUNDS {
+            continue;
+        }
+        rounds = 0;
+        let bytes = peers.tell(&Frame::Loads(loads.clone()));
+        core.metrics.control("loads", bytes);
+        told = loads;
+    }
+}
+
 /// Takes hints until the process stops.
 pub(crate) async fn listen(core: Rc<Core>) {
     let Some(peers) = core.peers() else { return };
@@ -95,13 +129,16 @@
 fn take(core: &Core, datagram: &[u8], from: SocketAddr) {
     let mut reader = Reader::default();
     reader.push(datagram);
-    let warm = match reader.frame() {
-        Ok(Some(Frame::Warm(warm))) if !reader.is_partial() => warm,
-        _ => {
-            debug!("a datagram is no hint", kv: { from = from.to_string() });
-            return;
+    match reader.frame() {
+        Ok(Some(Frame::Warm(warm))) if !reader.is_partial() => take_warm(core, warm, from),
+        Ok(Some(Frame::Loads(loads))) if !reader.is_partial() => {
+            core.apply(Event::Loads(loads));
         }
-    };
+        _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
+    }
+}
+
+fn take_warm(core: &Core, warm: Warm, from: SocketAddr) {
     let stage = match warm.stage {
         Stage::Reading => "reading",
         Stage::Read => "read",
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -6,7 +6,7 @@
 use errors::{Answer, Kind};
 use intents::{Labels, Plan};
 use serde::{Deserialize, Serialize};
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Note, Refused, Warm, Welcome};
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Loads, Note, Refused, Warm, Welcome};
 
 use crate::{Decision, Settings};
 
@@ -93,6 +93,8 @@
     },
     /// Another router told where parts of prompts are warm.
     Warm(Warm),
+    /// Another router told its own load.
+    Loads(Loads),
     /// The pause of a request that waits is over.
     Waited {
         /// The request.
@@ -187,7 +189,8 @@
             | Frame::Report(_)
             | Frame::Pool(_)
             | Frame::Note(_)
-            | Frame::Warm(_) => Self::Strange,
+            | Frame::Warm(_)
+            | Frame::Loads(_) => Self::Strange,
         }
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod decision;
 mod event;
 mod listing;
+mod loads;
 mod outlook;
 mod reply;
 mod request;
--- /dev/null
+++ b/components/routing/src/loads.rs
@@ -0,0 +1,63 @@
+//! What other routers tell of their own load, where upstreams are reached directly.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use wire::Loads;
+
+use crate::choice::Upstreams;
+use crate::state::State;
+
+/// How long a router's word counts that is not heard from any more. What it had
+/// under way ends with its connections when it was killed, and in a second or two
+/// when it was cut off.
+const LASTS: Millis = Millis(2_000);
+
+/// How long after the last word of anybody loads are still taken to be known.
+/// Routers that tell anything do so each 400 ms at least.
+const KNOWN: Millis = Millis(1_000);
+
+/// The loads that other routers told, by router.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers {
+    told: HashMap<Arc<str>, (Millis, Loads)>,
+    latest: Option<Millis>,
+}
+
+impl Peers {
+    /// Takes a router's word, and puts the sums of all into `upstreams`.
+    fn take(&mut self, loads: Loads, upstreams: &mut Upstreams, now: Millis) {
+        self.told.insert(loads.router.clone(), (now, loads));
+        self.told.retain(|_, (at, _)| at.until(now) < LASTS);
+        self.latest = Some(now);
+        for upstream in upstreams.values_mut() {
+            upstream.peers = 0;
+        }
+        for (_, loads) in self.told.values() {
+            for (name, load) in &loads.upstreams {
+                if let Some(upstream) = upstreams.get_mut(name) {
+                    upstream.peers += load;
+                }
+            }
+        }
+    }
+
+    /// Whether the loads of other routers are known.
+    pub(crate) fn are_known(&self, now: Millis) -> bool {
+        self.latest.is_some_and(|at| at.until(now) < KNOWN)
+    }
+}
+
+impl State {
+    pub(crate) fn hear_loads(&mut self, loads: Loads, now: Millis) {
+        self.peers.take(loads, &mut self.upstreams, now);
+    }
+
+    /// This router's own load, for the others.
+    pub fn loads(&self, router: &Arc<str>) -> Loads {
+        let loaded = self.upstreams.values().filter(|it| it.own > 0);
+        let upstreams = loaded.map(|it| (it.name().clone(), it.own)).collect();
+        Loads { router: router.clone(), upstreams }
+    }
+}
--- a/components/routing/src/outlook.rs
+++ b/components/routing/src/outlook.rs
@@ -27,6 +27,8 @@
     pub routers: f64,
     /// The load of an upstream of the pool on the mean, as answers tell it.
     pub mean: f64,
+    /// Whether other routers tell their loads.
+    pub known: bool,
 }
 
 impl Outlook {
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -50,6 +50,8 @@
     pub unknown_ms: u64,
     /// The load bound, as far as the router applies it beforehand.
     pub bound: Bound,
+    /// The same while other routers tell their own loads, so that loads are known.
+    pub known_bound: Bound,
     /// How long a sidecar's word on its load counts, in milliseconds.
     pub fresh_ms: u64,
     /// The most attempts of one request, the first included.
@@ -92,6 +94,7 @@
             ready_ms: 0,
             unknown_ms: 0,
             bound: Bound::default(),
+            known_bound: Bound::default(),
             fresh_ms: 300,
             max_attempts: 4,
             retry_share: 0.2,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -11,6 +11,7 @@
 use wire::Welcome;
 
 use crate::choice::{Index, Upstreams};
+use crate::loads::Peers;
 use crate::outlook::{self, Outlook};
 use crate::request::Request;
 use crate::warmth::Warmth;
@@ -44,6 +45,8 @@
     pub(crate) warmth: Warmth,
     /// When the configuration in force was last known to be the newest.
     pub(crate) current: Option<Millis>,
+    /// What other routers told of their own load.
+    pub(crate) peers: Peers,
     /// What has come to be believed of upstreams while an event was taken.
     pub(crate) notices: Vec<Effect>,
     pub(crate) random: ChaCha8Rng,
@@ -66,6 +69,7 @@
             draining: false,
             warmth: Warmth::default(),
             current: None,
+            peers: Peers::default(),
             notices: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -136,6 +140,10 @@
             Event::Routers(count) => self.divide(count),
             Event::Load { upstream, requests } => self.load(&upstream, requests, now),
             Event::Warm(warm) => self.warm(&warm, now),
+            Event::Loads(loads) => {
+                self.hear_loads(loads, now);
+                Vec::new()
+            }
             Event::Waited { id } => self.waited(id, now),
             Event::Drain => self.drain(),
         }
@@ -177,7 +185,8 @@
         let mean = pool.and_then(|it| self.means.get(it)).copied().unwrap_or_default();
         #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
         let routers = self.routers as f64;
-        Outlook { path: self.settings.path, now, routers, mean }
+        let known = self.peers.are_known(now);
+        Outlook { path: self.settings.path, now, routers, mean, known }
     }
 
     /// The fixed part of the retry budget is divided among the routers.
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -36,6 +36,8 @@
     pub(crate) status: Status,
     /// This router's own load there, where it is reached directly.
     pub(crate) own: u64,
+    /// The load of all other routers there, as they tell themselves.
+    pub(crate) peers: u64,
     /// The load of all other routers there, as an answer told last, and when.
     others: (u64, Millis),
     pub(crate) heard: Option<Millis>,
@@ -52,6 +54,7 @@
             connected: false,
             status: Status::default(),
             own: 0,
+            peers: 0,
             others: (0, Millis::ZERO),
             heard: None,
             failures: 0,
@@ -121,6 +124,7 @@
         let (others, told) = self.others;
         match outlook.path {
             Path::Sidecar => self.status.load,
+            Path::Direct if outlook.known => self.own + self.peers,
             Path::Direct => self.own + whole(outlook.others(count(self.own), count(others), told)),
         }
     }
@@ -192,7 +196,8 @@
         let fresh = pool.is_some() || told;
         let pool = pool.unwrap_or(self.status.pool);
         let load = self.load_at(outlook);
-        let over = !settings.bound.admits(load, weight, pool);
+        let bound = if outlook.known { settings.known_bound } else { settings.bound };
+        let over = !bound.admits(load, weight, pool);
         if fresh && over {
             return Some(OVER_BOUND);
         }
--- /dev/null
+++ b/components/routing/tests/direct/loads.rs
@@ -0,0 +1,75 @@
+//! What other routers tell of their own load, and what comes of it.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use routing::{Bound, Event, Settings, State};
+use wire::Loads;
+
+use crate::fleet::{NOW, ask, router, sent, settings};
+
+fn fleet() -> State {
+    let known_bound = Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 0 };
+    router(Settings { known_bound, ..settings() })
+}
+
+/// A router tells that it has `load` at each of `upstreams`.
+fn tell(state: &mut State, router: &str, upstreams: &[&Arc<str>], load: u64, now: Millis) {
+    let upstreams = upstreams.iter().map(|it| ((*it).clone(), load)).collect();
+    state.apply(Event::Loads(Loads { router: router.into(), upstreams }), now);
+}
+
+/// Where the chat of the tests goes when nobody has any load.
+fn first() -> Arc<str> {
+    sent(&fleet().apply(ask(1, "stream", "chat"), NOW)).expect("a place")
+}
+
+fn place(state: &mut State, id: u64, now: Millis) -> Arc<str> {
+    state.apply(Event::Current { at: now }, now);
+    sent(&state.apply(ask(id, "stream", "chat"), now)).expect("a place")
+}
+
+#[test]
+fn an_upstream_that_other_routers_fill_is_passed_over() {
+    let mut state = fleet();
+    tell(&mut state, "front-2", &[&first()], 2, NOW);
+    // The floor of the bound is four requests.
+    assert_eq!(place(&mut state, 1, NOW), first());
+    tell(&mut state, "front-3", &[&first()], 2, NOW);
+    assert_ne!(place(&mut state, 2, NOW), first());
+    // A router that tells of less has less.
+    tell(&mut state, "front-3", &[], 0, NOW);
+    assert_eq!(place(&mut state, 3, NOW), first());
+}
+
+#[test]
+fn what_a_router_told_is_forgotten_once_it_is_not_heard_from() {
+    let mut state = fleet();
+    tell(&mut state, "front-2", &[&first()], 9, NOW);
+    tell(&mut state, "front-3", &[], 0, NOW + Millis(1_999));
+    assert_ne!(place(&mut state, 1, NOW + Millis(1_999)), first());
+    tell(&mut state, "front-3", &[], 0, NOW + Millis(2_000));
+    assert_eq!(place(&mut state, 2, NOW + Millis(2_000)), first());
+}
+
+#[test]
+fn loads_are_known_only_while_somebody_tells_them() {
+    // What an answer told counts again when no router has said anything for a
+    // second, with the bound that has a margin for it.
+    let mut state = fleet();
+    let told = Event::Load { upstream: first(), requests: 9 };
+    state.apply(told.clone(), NOW);
+    tell(&mut state, "front-2", &[], 0, NOW);
+    assert_eq!(place(&mut state, 1, NOW + Millis(999)), first());
+    state.apply(told, NOW + Millis(1_000));
+    assert_ne!(place(&mut state, 2, NOW + Millis(1_000)), first());
+}
+
+#[test]
+fn a_router_tells_its_own_load_and_no_others() {
+    let mut state = fleet();
+    tell(&mut state, "front-2", &[&first()], 2, NOW);
+    place(&mut state, 1, NOW);
+    let loads = state.loads(&"front-1".into());
+    assert_eq!(loads, Loads { router: "front-1".into(), upstreams: vec![(first(), 1)] });
+}
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -2,5 +2,6 @@
 
 mod decisions;
 mod fleet;
+mod loads;
 mod silence;
 mod warmth;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -41,6 +41,8 @@
     Note(Note),
     /// Where parts of prompts are warm, told by one router to the others.
     Warm(Warm),
+    /// A router's own load at upstreams, told to the others.
+    Loads(Loads),
 }
 
 /// Who connects, and the proof that it may.
@@ -223,3 +225,12 @@
     /// It has read them.
     Read,
 }
+
+/// A router's own load, at each upstream where it has any.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loads {
+    /// The router.
+    pub router: Arc<str>,
+    /// Upstreams, and the load at each.
+    pub upstreams: Vec<(Arc<str>, u64)>,
+}
--- a/tests/platform/hints.rs
+++ b/tests/platform/hints.rs
@@ -5,35 +5,48 @@
 
 use wire::{Frame, Reader, Stage, Warm};
 
-use crate::router::{Router, configuration, own_host};
+use crate::router::{Router, configuration, headers, own_host};
 use crate::standin::{Act, Upstream};
 
 /// How long a hint may take to come.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// The next hint that comes to a router's stand-in.
-fn hint(socket: &UdpSocket) -> Warm {
+/// The next frame that comes to a router's stand-in.
+fn frame(socket: &UdpSocket) -> Frame {
     let mut datagram = [0; 1_500];
-    let length = socket.recv(&mut datagram).expect("a hint");
+    let length = socket.recv(&mut datagram).expect("a datagram");
     let mut reader = Reader::default();
     reader.push(&datagram[..length]);
-    match reader.frame() {
-        Ok(Some(Frame::Warm(warm))) => warm,
-        other => panic!("no hint: {other:?}"),
+    reader.frame().expect("a frame").expect("a whole frame")
+}
+
+/// The next hint that comes to a router's stand-in.
+fn hint(socket: &UdpSocket) -> Warm {
+    loop {
+        match frame(socket) {
+            Frame::Warm(warm) => return warm,
+            Frame::Loads(_) => {}
+            other => panic!("no hint: {other:?}"),
+        }
     }
 }
 
-#[test]
-fn routers_tell_each_other_where_parts_are_warm() {
-    let engine = Upstream::start(&own_host(), "i-1", "engine");
-    engine.set(&[Act::Events(1, 2, 1)]);
-    let router = Router::start(&configuration(1), &[&engine]);
+/// A stand-in of another router, which `router` has met.
+fn other_router(router: &Router) -> UdpSocket {
     let other = UdpSocket::bind((own_host(), 0)).expect("a socket");
     other.set_read_timeout(Some(PATIENCE)).expect("a socket");
     let address = other.local_addr().expect("an address").to_string();
     router.store.put_text("silverstack/routers/front-2", &address);
     router.until("met", || router.has_logged("another router announced itself"));
+    other
+}
 
+#[test]
+fn routers_tell_each_other_where_parts_are_warm() {
+    let engine = Upstream::start(&own_host(), "i-1", "engine");
+    engine.set(&[Act::Events(1, 2, 1)]);
+    let router = Router::start(&configuration(1), &[&engine]);
+    let other = other_router(&router);
     let ask = |prompt| router.ask("POST /stream/x", &[("Prompt-Prefix", prompt)], "b").unwrap();
     assert!(ask("aa:9,bb:9,cc:1").whole);
     let (reading, read) = (hint(&other), hint(&other));
@@ -49,3 +62,24 @@
     router.until("told", || router.has_logged("a router told of warm parts"));
     assert!(ask("aa:9,bb:9,dd:1").whole);
 }
+
+#[test]
+fn a_router_tells_its_load_while_requests_are_under_way() {
+    let engine = Upstream::start(&own_host(), "i-1", "engine");
+    engine.set(&[Act::Stalled]);
+    let router = Router::start(&configuration(1), &[&engine]);
+    let other = other_router(&router);
+    let mut caller = router.caller();
+    caller.request("POST /stream/x", &headers(&[]), "b");
+    let loaded = |frame| match frame {
+        Frame::Loads(loads) => loads.upstreams == [("i-1".into(), 1)],
+        _ => false,
+    };
+    let none = |frame| match frame {
+        Frame::Loads(loads) => loads.upstreams.is_empty(),
+        _ => false,
+    };
+    while !loaded(frame(&other)) {}
+    drop(caller);
+    while !none(frame(&other)) {}
+}
