--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,7 +16,7 @@
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::{Notify, watch};
-use wire::{Frame, Hello, Loads, Warm};
+use wire::{Frame, Heard, Hello, Loads, Warm};
 
 use crate::decisions::Decisions;
 use crate::peers::Peers;
@@ -195,6 +195,11 @@
         self.state.borrow().loads(&self.settings.name)
     }
 
+    /// What answers have told of loads since this was asked last.
+    pub(crate) fn heard(&self) -> Heard {
+        self.state.borrow_mut().heard(self.clock.now())
+    }
+
     /// Whether upstreams are reached directly.
     pub(crate) fn is_direct(&self) -> bool {
         self.direct.is_some()
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -98,11 +98,15 @@
     let mut rounds = 0;
     loop {
         tokio::time::sleep(TELL_EVERY.duration()).await;
-        if !(1..=MOST_PEERS).contains(&peers.others.borrow().len()) {
+        rounds += 1;
+        if peers.others.borrow().len() > MOST_PEERS {
+            if rounds >= ROUNDS {
+                rounds = 0;
+                tell_heard(&core, peers);
+            }
             continue;
         }
         let loads = core.loads();
-        rounds += 1;
         if loads == told && rounds < ROUNDS {
             continue;
         }
@@ -113,6 +117,15 @@
     }
 }
 
+/// Tells the others what answers have told of loads.
+fn tell_heard(core: &Core, peers: &Peers) {
+    let heard = core.heard();
+    if !heard.upstreams.is_empty() {
+        let bytes = peers.tell(&Frame::Heard(heard));
+        core.metrics.control("heard", bytes);
+    }
+}
+
 /// Takes hints until the process stops.
 pub(crate) async fn listen(core: Rc<Core>) {
     let Some(peers) = core.peers() else { return };
@@ -131,6 +144,9 @@
     reader.push(datagram);
     match reader.frame() {
         Ok(Some(Frame::Warm(warm))) if !reader.is_partial() => take_warm(core, warm, from),
+        Ok(Some(Frame::Heard(heard))) if !reader.is_partial() => {
+            core.apply(Event::Heard(heard));
+        }
         Ok(Some(Frame::Loads(loads))) if !reader.is_partial() => {
             core.apply(Event::Loads(loads));
         }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -6,7 +6,7 @@
 use errors::{Answer, Kind};
 use intents::{Labels, Plan};
 use serde::{Deserialize, Serialize};
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Loads, Note, Refused, Warm, Welcome};
+use wire::{Admitted, Broken, Chunk, End, Frame, Head, Heard, Loads, Note, Refused, Warm, Welcome};
 
 use crate::{Decision, Settings};
 
@@ -95,6 +95,8 @@
     Warm(Warm),
     /// Another router told its own load.
     Loads(Loads),
+    /// Another router told what answers told it of loads.
+    Heard(Heard),
     /// The pause of a request that waits is over.
     Waited {
         /// The request.
@@ -190,7 +192,8 @@
             | Frame::Pool(_)
             | Frame::Note(_)
             | Frame::Warm(_)
-            | Frame::Loads(_) => Self::Strange,
+            | Frame::Loads(_)
+            | Frame::Heard(_) => Self::Strange,
         }
     }
 }
--- a/components/routing/src/loads.rs
+++ b/components/routing/src/loads.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use wire::Loads;
+use wire::{Heard, Loads, Told};
 
 use crate::choice::Upstreams;
+use crate::outlook;
 use crate::state::State;
+use crate::upstream::Upstream;
 
 /// How long a router's word counts that is not heard from any more. What it had
 /// under way ends with its connections when it was killed, and in a second or two
@@ -18,6 +20,10 @@
 /// Routers that tell anything do so each 400 ms at least.
 const KNOWN: Millis = Millis(1_000);
 
+/// The most upstreams of which a router tells at a time, so that it fits one
+/// datagram.
+const MOST_TOLD: usize = 40;
+
 /// The loads that other routers told, by router.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
@@ -54,6 +60,26 @@
         self.peers.take(loads, &mut self.upstreams, now);
     }
 
+    /// Takes what answers told another router.
+    pub(crate) fn hear_others(&mut self, heard: &Heard, now: Millis) {
+        for told in &heard.upstreams {
+            let Some(upstream) = self.upstreams.get_mut(&told.upstream) else { continue };
+            if upstream.tell(told.requests, now - Millis(told.age_ms)) {
+                let mean = self.means.entry(upstream.pool()).or_default();
+                *mean = outlook::average(*mean, told.requests);
+            }
+        }
+    }
+
+    /// What answers have told this router since it was asked last, for the others.
+    pub fn heard(&mut self, now: Millis) -> Heard {
+        let told = |it: &mut Upstream| {
+            let (requests, at) = it.heard_load.take()?;
+            Some(Told { upstream: it.name().clone(), requests, age_ms: at.until(now).0 })
+        };
+        Heard { upstreams: self.upstreams.values_mut().filter_map(told).take(MOST_TOLD).collect() }
+    }
+
     /// This router's own load, for the others.
     pub fn loads(&self, router: &Arc<str>) -> Loads {
         let loaded = self.upstreams.values().filter(|it| it.own > 0);
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -144,6 +144,10 @@
                 self.hear_loads(loads, now);
                 Vec::new()
             }
+            Event::Heard(heard) => {
+                self.hear_others(&heard, now);
+                Vec::new()
+            }
             Event::Waited { id } => self.waited(id, now),
             Event::Drain => self.drain(),
         }
@@ -216,6 +220,7 @@
             return Vec::new();
         };
         upstream.tell(requests, now);
+        upstream.heard_load = Some((requests, now));
         let mean = self.means.entry(upstream.pool()).or_default();
         *mean = outlook::average(*mean, requests);
         Vec::new()
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -38,6 +38,8 @@
     pub(crate) own: u64,
     /// The load of all other routers there, as they tell themselves.
     pub(crate) peers: u64,
+    /// The load that an answer to this router told, and when, until others know.
+    pub(crate) heard_load: Option<(u64, Millis)>,
     /// The load of all other routers there, as an answer told last, and when.
     others: (u64, Millis),
     pub(crate) heard: Option<Millis>,
@@ -55,6 +57,7 @@
             status: Status::default(),
             own: 0,
             peers: 0,
+            heard_load: None,
             others: (0, Millis::ZERO),
             heard: None,
             failures: 0,
@@ -129,9 +132,14 @@
         }
     }
 
-    /// Takes the load that an answer told.
-    pub(crate) fn tell(&mut self, requests: u64, now: Millis) {
-        self.others = (requests.saturating_sub(self.own), now);
+    /// Takes the load that an answer told at `at`, unless a later one is known.
+    /// Returns whether it was new.
+    pub(crate) fn tell(&mut self, requests: u64, at: Millis) -> bool {
+        let new = at >= self.others.1;
+        if new {
+            self.others = (requests.saturating_sub(self.own), at);
+        }
+        new
     }
 
     /// Counts a request that is sent there.
--- a/components/routing/tests/direct/loads.rs
+++ b/components/routing/tests/direct/loads.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use routing::{Bound, Event, Settings, State};
-use wire::Loads;
+use wire::{Heard, Loads, Told};
 
 use crate::fleet::{NOW, ask, router, sent, settings};
 
@@ -73,3 +73,29 @@
     let loads = state.loads(&"front-1".into());
     assert_eq!(loads, Loads { router: "front-1".into(), upstreams: vec![(first(), 1)] });
 }
+
+#[test]
+fn what_answers_told_another_router_counts_by_its_age() {
+    let told = |requests, age_ms| {
+        let told = Told { upstream: first(), requests, age_ms };
+        Event::Heard(Heard { upstreams: vec![told] })
+    };
+    // The floor of the bound is four requests.
+    let mut state = fleet();
+    state.apply(told(9, 50), NOW);
+    assert_ne!(place(&mut state, 1, NOW), first());
+    // A later word replaces it, an earlier one does not.
+    state.apply(told(0, 10), NOW);
+    state.apply(told(9, 100), NOW);
+    assert_eq!(place(&mut state, 2, NOW), first());
+}
+
+#[test]
+fn what_answers_tell_is_handed_on_once() {
+    let mut state = fleet();
+    assert_eq!(state.heard(NOW), Heard::default());
+    state.apply(Event::Load { upstream: first(), requests: 3 }, NOW);
+    let told = Told { upstream: first(), requests: 3, age_ms: 70 };
+    assert_eq!(state.heard(NOW + Millis(70)), Heard { upstreams: vec![told] });
+    assert_eq!(state.heard(NOW + Millis(70)), Heard::default());
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -43,6 +43,8 @@
     Warm(Warm),
     /// A router's own load at upstreams, told to the others.
     Loads(Loads),
+    /// What answers told one router of upstreams' loads, told to the others.
+    Heard(Heard),
 }
 
 /// Who connects, and the proof that it may.
@@ -234,3 +236,21 @@
     /// Upstreams, and the load at each.
     pub upstreams: Vec<(Arc<str>, u64)>,
 }
+
+/// What answers told a router of the loads of upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Each upstream of which an answer told, the latest only.
+    pub upstreams: Vec<Told>,
+}
+
+/// What an answer told of an upstream's load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// Requests that ran and waited there, whoever sent them.
+    pub requests: u64,
+    /// How long ago the answer came, in milliseconds.
+    pub age_ms: u64,
+}
