--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -192,7 +192,7 @@
 
     /// This router's own load at its upstreams.
     pub(crate) fn loads(&self) -> Loads {
-        self.state.borrow().loads(&self.settings.name)
+        self.state.borrow().loads(&self.settings.name, self.clock.now())
     }
 
     /// What answers have told of loads since this was asked last.
@@ -200,6 +200,18 @@
         self.state.borrow_mut().heard(self.clock.now())
     }
 
+    /// When a caller that is refused for `kind` is told to come back, in milliseconds.
+    pub(crate) fn retry_after_ms(&self, kind: Kind) -> u64 {
+        self.state.borrow().retry_after_ms(kind, self.clock.now())
+    }
+
+    /// Whether callers are better served by another router, to which a new connection
+    /// leads them.
+    pub(crate) fn sends_away(&self, kind: Kind) -> bool {
+        let elsewhere = || self.state.borrow().others_are_current(self.clock.now());
+        self.stop.is_asked() || (kind == Kind::StaleConfiguration && elsewhere())
+    }
+
     /// Whether upstreams are reached directly.
     pub(crate) fn is_direct(&self) -> bool {
         self.direct.is_some()
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -106,7 +106,7 @@
 
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
     core.reject(id, kind);
-    failure(core, &Answer::new(kind, id, core.settings.routing.retry_after_ms(kind), ""))
+    failure(core, &Answer::new(kind, id, core.retry_after_ms(kind), ""))
 }
 
 /// An answer of the fleet's own.
@@ -118,7 +118,9 @@
     if let Some(after) = answer.retry_after_ms {
         builder.header("retry-after", format!("{}.{:03}", after / 1_000, after % 1_000));
     }
-    close_if_stopping(core, &mut builder);
+    if core.sends_away(answer.kind) {
+        builder.force_close();
+    }
     builder.body(answer.to_json())
 }
 
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -119,11 +119,8 @@
 
 /// Tells the others what answers have told of loads.
 fn tell_heard(core: &Core, peers: &Peers) {
-    let heard = core.heard();
-    if !heard.upstreams.is_empty() {
-        let bytes = peers.tell(&Frame::Heard(heard));
-        core.metrics.control("heard", bytes);
-    }
+    let bytes = peers.tell(&Frame::Heard(core.heard()));
+    core.metrics.control("heard", bytes);
 }
 
 /// Takes hints until the process stops.
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -299,7 +299,7 @@
     }
 
     fn refuse(&self, ask: &Ask, kind: Kind, detail: &str, now: Millis) -> Vec<Effect> {
-        let after = self.settings.retry_after_ms(kind);
+        let after = self.retry_after_ms(kind, now);
         let decision = Decision {
             request: ask.request.clone(),
             workspace: ask.workspace.clone(),
--- a/components/routing/src/loads.rs
+++ b/components/routing/src/loads.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Peers {
     told: HashMap<Arc<str>, (Millis, Loads)>,
     latest: Option<Millis>,
+    /// When another router was last known to be current.
+    current: Option<Millis>,
 }
 
 impl Peers {
@@ -57,11 +59,30 @@
 
 impl State {
     pub(crate) fn hear_loads(&mut self, loads: Loads, now: Millis) {
+        self.note_current(loads.current, now);
         self.peers.take(loads, &mut self.upstreams, now);
     }
 
+    fn note_current(&mut self, current: bool, now: Millis) {
+        if current {
+            self.peers.current = Some(now);
+        }
+    }
+
+    /// Whether another router can tell now which configuration is the newest, so
+    /// that callers are served there.
+    pub fn others_are_current(&self, now: Millis) -> bool {
+        self.peers.current.is_some_and(|at| at.until(now) < KNOWN)
+    }
+
+    /// Whether this router is ready as far as its configuration goes.
+    fn knows_newest(&self, now: Millis) -> bool {
+        self.plan.is_some() && self.is_proved(self.settings.ready_ms, now)
+    }
+
     /// Takes what answers told another router.
     pub(crate) fn hear_others(&mut self, heard: &Heard, now: Millis) {
+        self.note_current(heard.current, now);
         for told in &heard.upstreams {
             let Some(upstream) = self.upstreams.get_mut(&told.upstream) else { continue };
             if upstream.tell(told.requests, now - Millis(told.age_ms)) {
@@ -77,13 +98,17 @@
             let (requests, at) = it.heard_load.take()?;
             Some(Told { upstream: it.name().clone(), requests, age_ms: at.until(now).0 })
         };
-        Heard { upstreams: self.upstreams.values_mut().filter_map(told).take(MOST_TOLD).collect() }
+        let current = self.knows_newest(now);
+        Heard {
+            current,
+            upstreams: self.upstreams.values_mut().filter_map(told).take(MOST_TOLD).collect(),
+        }
     }
 
     /// This router's own load, for the others.
-    pub fn loads(&self, router: &Arc<str>) -> Loads {
+    pub fn loads(&self, router: &Arc<str>, now: Millis) -> Loads {
         let loaded = self.upstreams.values().filter(|it| it.own > 0);
         let upstreams = loaded.map(|it| (it.name().clone(), it.own)).collect();
-        Loads { router: router.clone(), upstreams }
+        Loads { router: router.clone(), current: self.knows_newest(now), upstreams }
     }
 }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -83,6 +83,9 @@
     /// The same where the configuration can't be confirmed, which lasts as long
     /// as an outage of the store.
     pub stale_retry_after_ms: u64,
+    /// The same where another router can confirm it, and a new connection leads
+    /// there.
+    pub elsewhere_retry_after_ms: u64,
 }
 
 impl Default for Settings {
@@ -108,6 +111,7 @@
             decisions: 4_096,
             retry_after_ms: 250,
             stale_retry_after_ms: 3_000,
+            elsewhere_retry_after_ms: 50,
         }
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -110,6 +110,15 @@
         self.current.map(|at| at.until(now).0)
     }
 
+    /// When a caller that is refused for `kind` is told to come back at the earliest,
+    /// in milliseconds.
+    pub fn retry_after_ms(&self, kind: Kind, now: Millis) -> u64 {
+        if kind == Kind::StaleConfiguration && self.others_are_current(now) {
+            return self.settings.elsewhere_retry_after_ms;
+        }
+        self.settings.retry_after_ms(kind)
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
@@ -375,7 +384,7 @@
             Outcome::NotRun => request.uncertain().unwrap_or(kind),
             Outcome::Unknown | Outcome::Ran => kind,
         };
-        let retry_after_ms = retry_after_ms.max(self.settings.retry_after_ms(kind));
+        let retry_after_ms = retry_after_ms.max(self.retry_after_ms(kind, now));
         let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
         let first = if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
         let mut effects = vec![first];
--- a/components/routing/tests/direct/loads.rs
+++ b/components/routing/tests/direct/loads.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use routing::{Bound, Event, Settings, State};
+use errors::Kind;
+use routing::{Bound, Effect, Event, Settings, State};
 use wire::{Heard, Loads, Told};
 
-use crate::fleet::{NOW, ask, router, sent, settings};
+use crate::fleet::{NOW, ask, failed, router, sent, settings};
 
 fn fleet() -> State {
     let known_bound = Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 0 };
@@ -16,7 +17,8 @@
 /// A router tells that it has `load` at each of `upstreams`.
 fn tell(state: &mut State, router: &str, upstreams: &[&Arc<str>], load: u64, now: Millis) {
     let upstreams = upstreams.iter().map(|it| ((*it).clone(), load)).collect();
-    state.apply(Event::Loads(Loads { router: router.into(), upstreams }), now);
+    let loads = Loads { router: router.into(), current: true, upstreams };
+    state.apply(Event::Loads(loads), now);
 }
 
 /// Where the chat of the tests goes when nobody has any load.
@@ -70,15 +72,16 @@
     let mut state = fleet();
     tell(&mut state, "front-2", &[&first()], 2, NOW);
     place(&mut state, 1, NOW);
-    let loads = state.loads(&"front-1".into());
-    assert_eq!(loads, Loads { router: "front-1".into(), upstreams: vec![(first(), 1)] });
+    let loads = state.loads(&"front-1".into(), NOW);
+    let upstreams = vec![(first(), 1)];
+    assert_eq!(loads, Loads { router: "front-1".into(), current: true, upstreams });
 }
 
 #[test]
 fn what_answers_told_another_router_counts_by_its_age() {
     let told = |requests, age_ms| {
         let told = Told { upstream: first(), requests, age_ms };
-        Event::Heard(Heard { upstreams: vec![told] })
+        Event::Heard(Heard { current: true, upstreams: vec![told] })
     };
     // The floor of the bound is four requests.
     let mut state = fleet();
@@ -93,9 +96,35 @@
 #[test]
 fn what_answers_tell_is_handed_on_once() {
     let mut state = fleet();
-    assert_eq!(state.heard(NOW), Heard::default());
+    assert_eq!(state.heard(NOW).upstreams, []);
     state.apply(Event::Load { upstream: first(), requests: 3 }, NOW);
     let told = Told { upstream: first(), requests: 3, age_ms: 70 };
-    assert_eq!(state.heard(NOW + Millis(70)), Heard { upstreams: vec![told] });
-    assert_eq!(state.heard(NOW + Millis(70)), Heard::default());
+    assert_eq!(state.heard(NOW + Millis(70)).upstreams, [told]);
+    assert_eq!(state.heard(NOW + Millis(70)).upstreams, []);
+}
+
+#[test]
+fn callers_are_told_to_come_back_soon_where_another_router_is_current() {
+    let after = |current| {
+        let mut state = fleet();
+        let later = NOW + Millis(3_100);
+        let heard = Heard { current, upstreams: Vec::new() };
+        state.apply(Event::Heard(heard), later);
+        let effects = state.apply(ask(1, "safe", "r-1"), later);
+        assert_eq!(failed(&effects), Some(Kind::StaleConfiguration));
+        effects.iter().find_map(|it| match it {
+            Effect::Fail(answer) => answer.retry_after_ms,
+            _ => None,
+        })
+    };
+    assert_eq!((after(true), after(false)), (Some(50), Some(3_000)));
+}
+
+#[test]
+fn a_router_says_whether_it_is_current() {
+    let settings = Settings { ready_ms: 2_000, ..settings() };
+    let state = router(settings);
+    let current = |now| state.loads(&"front-1".into(), now).current;
+    assert!(current(NOW + Millis(2_000)));
+    assert!(!current(NOW + Millis(2_001)));
 }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -233,6 +233,8 @@
 pub struct Loads {
     /// The router.
     pub router: Arc<str>,
+    /// Whether its configuration is known to be the newest.
+    pub current: bool,
     /// Upstreams, and the load at each.
     pub upstreams: Vec<(Arc<str>, u64)>,
 }
@@ -240,6 +242,8 @@
 /// What answers told a router of the loads of upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heard {
+    /// Whether the router's configuration is known to be the newest.
+    pub current: bool,
     /// Each upstream of which an answer told, the latest only.
     pub upstreams: Vec<Told>,
 }
