--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -32,6 +32,10 @@
 /// How long looks then ask for less; a storm of configurations lasts 4 s there.
 const LESS_FOR: Millis = Millis(6_000);
 
+/// How long looks may fail until everything is read anew in place of all that has
+/// changed meanwhile: every configuration of that time, whole.
+const OUTAGE: Millis = Millis(2_000);
+
 /// The pause after a call that failed; the store's outages end without notice.
 pub(crate) const PAUSE: Millis = Millis(300);
 
@@ -43,7 +47,7 @@
         routers: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
         revision: None,
-        lost: false,
+        lost: None,
         started: false,
         less_until: None,
         memory,
@@ -87,8 +91,8 @@
     most_routers: usize,
     /// The revision up to which all changes were taken.
     revision: Option<u64>,
-    /// Whether the last look failed.
-    lost: bool,
+    /// Since when looks have failed; `None` if the last one did not.
+    lost: Option<Millis>,
     /// Whether anything has been read.
     started: bool,
     /// Until when looks ask for less.
@@ -107,7 +111,7 @@
             None => store.read().await?,
         };
         let bytes = batch.bytes;
-        if std::mem::take(&mut self.lost) {
+        if self.lost.take().is_some() {
             info!("the store answers again", kv: { revision = batch.revision });
             self.listing.came_back(self.core.clock.now());
         }
@@ -135,10 +139,12 @@
         }
     }
 
-    /// How long to wait until the next look: `look`, or less if an entry's time
-    /// to come back is over before.
+    /// How long to wait until the next look: `look`, half of it after a long answer,
+    /// or less if an entry's time to come back is over before.
     fn pause(&self, look: Millis) -> Millis {
         let now = self.core.clock.now();
+        // A look that takes long, or fails once, leaves less time for the next one.
+        let look = if self.less_until.is_some() { Millis(look.0 / 2) } else { look };
         self.listing.next_expiry().map_or(look, |at| now.until(at).min(look))
     }
 
@@ -148,8 +154,14 @@
             self.revision = None;
             return;
         }
-        if !std::mem::replace(&mut self.lost, true) {
-            warn!("the store does not answer", kv: { reason = fault.to_string() });
+        let now = self.core.clock.now();
+        match self.lost {
+            None => {
+                warn!("the store does not answer", kv: { reason = fault.to_string() });
+                self.lost = Some(now);
+            }
+            Some(since) if since.until(now) >= OUTAGE => self.revision = None,
+            Some(_) => {}
         }
     }
 
--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -115,3 +115,21 @@
     let looks = router.store.calls() - before;
     assert!((1..=20).contains(&looks), "{looks} looks");
 }
+
+#[test]
+fn after_a_long_outage_everything_is_read_anew() {
+    let [one, two] = pair();
+    let router = Router::start(&configuration(1), &[&one, &two]);
+    let read = || {
+        let targets = router.store.targets();
+        targets.iter().filter(|it| it.starts_with("/v1/kv-range?")).count()
+    };
+    let before = read();
+    router.store.set_mode(Mode::Busy);
+    router.until("tried again", || read() > before);
+    router.store.remove(&one.key());
+    router.store.set_mode(Mode::Up);
+    router.until("back", || router.has_logged("the store answers again"));
+    // The history of the outage is not asked for.
+    router.until("gone", || all_go_to(&router, &two));
+}
