--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -5,7 +5,7 @@
 //! costs a copy or a second reading. So nobody answers, nothing is sent again,
 //! and a peer that hangs holds nothing up.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -30,6 +30,9 @@
 /// After how many such times it is told even if it hasn't changed.
 const ROUNDS: u32 = 4;
 
+/// How often hints that were taken are logged.
+const LOG_EVERY: Millis = Millis(1_000);
+
 /// The most other routers to which loads are told: what all tell all grows with
 /// the square of their number. Among more, a router goes by what answers tell.
 const MOST_PEERS: usize = 8;
@@ -41,6 +44,18 @@
     socket: tokio::net::UdpSocket,
     address: SocketAddr,
     others: RefCell<BTreeMap<Arc<str>, SocketAddr>>,
+    tally: Cell<Tally>,
+}
+
+/// Hints that were taken since the last line of the log about them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    /// Hints that upstreams were reading parts.
+    reading: u64,
+    /// Hints that upstreams had read parts.
+    read: u64,
+    /// The parts of all.
+    parts: usize,
 }
 
 impl Peers {
@@ -54,7 +69,7 @@
         socket.set_nonblocking(true)?;
         let address = socket.local_addr()?;
         let socket = tokio::net::UdpSocket::from_std(socket)?;
-        Ok(Self { name, socket, address, others: RefCell::default() })
+        Ok(Self { name, socket, address, others: RefCell::default(), tally: Cell::default() })
     }
 
     /// Where hints come in.
@@ -96,8 +111,13 @@
     let Some(peers) = core.peers() else { return };
     let mut told = Loads::default();
     let mut rounds = 0;
+    let mut logged = core.clock.now();
     loop {
         tokio::time::sleep(TELL_EVERY.duration()).await;
+        if logged.until(core.clock.now()) >= LOG_EVERY {
+            logged = core.clock.now();
+            log_hints(peers);
+        }
         rounds += 1;
         if peers.others.borrow().len() > MOST_PEERS {
             if rounds >= ROUNDS {
@@ -140,7 +160,7 @@
     let mut reader = Reader::default();
     reader.push(datagram);
     match reader.frame() {
-        Ok(Some(Frame::Warm(warm))) if !reader.is_partial() => take_warm(core, warm, from),
+        Ok(Some(Frame::Warm(warm))) if !reader.is_partial() => take_warm(core, warm),
         Ok(Some(Frame::Heard(heard))) if !reader.is_partial() => {
             core.apply(Event::Heard(heard));
         }
@@ -151,16 +171,24 @@
     }
 }
 
-fn take_warm(core: &Core, warm: Warm, from: SocketAddr) {
-    let stage = match warm.stage {
-        Stage::Reading => "reading",
-        Stage::Read => "read",
-    };
-    info!("a router told of warm parts", kv: {
-        from = from.to_string(),
-        upstream = &*warm.upstream,
-        parts = warm.parts.len(),
-        stage,
-    });
+fn take_warm(core: &Core, warm: Warm) {
+    if let Some(peers) = core.peers() {
+        let mut tally = peers.tally.get();
+        match warm.stage {
+            Stage::Reading => tally.reading += 1,
+            Stage::Read => tally.read += 1,
+        }
+        tally.parts += warm.parts.len();
+        peers.tally.set(tally);
+    }
     core.apply(Event::Warm(warm));
 }
+
+/// Logs the hints of the last second, if there were any: a line for each would be
+/// many times those of all requests in a large fleet.
+fn log_hints(peers: &Peers) {
+    let Tally { reading, read, parts } = peers.tally.take();
+    if reading + read > 0 {
+        info!("routers told of warm parts", kv: { reading, read, parts });
+    }
+}
