--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use wire::{Chunk, End, Error, Frame, MAX_FRAME, Open, Reader, Report, Status, encode};
+use wire::{
+    Chunk, End, Error, Frame, Heard, Loads, MAX_FRAME, Open, Reader, Report, Stage, Status, Told,
+    Warm, encode,
+};
 
 /// The seed of the cases, so that every run is the same.
 const SEED: u64 = 20_261_202;
@@ -43,6 +46,29 @@
         (any::<u32>(), any::<u64>(), any::<u64>()).prop_map(|(attempt, chunks, bytes)| {
             Frame::End(End { attempt, chunks, bytes, status: Status::default() })
         }),
+        (any::<String>(), prop::collection::vec(any::<u64>(), 0..101), any::<bool>()).prop_map(
+            |(upstream, parts, read)| {
+                let stage = if read { Stage::Read } else { Stage::Reading };
+                Frame::Warm(Warm { upstream: upstream.into(), parts, stage })
+            }
+        ),
+        (any::<bool>(), prop::collection::vec(any::<(String, u64)>(), 0..40)).prop_map(
+            |(current, loads)| {
+                let upstreams = loads.into_iter().map(|(name, load)| (name.into(), load));
+                let upstreams = upstreams.collect();
+                Frame::Loads(Loads { router: "front-1".into(), current, upstreams })
+            }
+        ),
+        (any::<bool>(), prop::collection::vec(any::<(String, u64, u64)>(), 0..40)).prop_map(
+            |(current, told)| {
+                let told = told.into_iter().map(|(upstream, requests, age_ms)| Told {
+                    upstream: upstream.into(),
+                    requests,
+                    age_ms,
+                });
+                Frame::Heard(Heard { current, upstreams: told.collect() })
+            }
+        ),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
                 name: name.into(),
