--- /dev/null
+++ b/components/routing/src/ending.rs
@@ -0,0 +1,157 @@
+//! How a request ends: refused, failed, given up or finished.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+
+use crate::request::Phase;
+use crate::state::State;
+use crate::{Ask, Decision, Effect, Path};
+
+impl State {
+    pub(crate) fn refuse(&self, ask: &Ask, kind: Kind, detail: &str, now: Millis) -> Vec<Effect> {
+        let after = self.retry_after_ms(kind, now);
+        let decision = Decision {
+            request: ask.request.clone(),
+            workspace: ask.workspace.clone(),
+            kind: ask.kind.clone(),
+            model: ask.model.clone(),
+            intent: None,
+            generation: self.plan.as_ref().map_or(0, |it| it.generation()),
+            proof_ms: self.proof_ms(now),
+            status: None,
+            came: now,
+            ended: now,
+            passed: Vec::new(),
+            tries: Vec::new(),
+            outcome: Outcome::NotRun,
+            error: Some(kind),
+            detail: detail.into(),
+        };
+        let answer = Effect::answer(kind, &ask.request, after, detail);
+        vec![Effect::Fail(answer), Effect::Record(Arc::new(decision))]
+    }
+
+    pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let kind = match request.phase {
+            Phase::Binding | Phase::Waiting => Kind::Cancelled,
+            Phase::Sent | Phase::Admitted => Kind::Expired,
+            Phase::Answering { .. } => Kind::ExpiredRunning,
+        };
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.close(id, Some(kind), "the caller went away", now));
+        effects
+    }
+
+    pub(crate) fn expire(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let kind = match request.phase {
+            Phase::Binding | Phase::Waiting => Kind::ExpiredWaiting,
+            Phase::Sent | Phase::Admitted => Kind::Expired,
+            Phase::Answering { .. } => Kind::ExpiredRunning,
+        };
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.fail(id, kind, 0, "", now));
+        effects
+    }
+
+    pub(crate) fn cut(&mut self, id: u64, kind: Kind, now: Millis) -> Vec<Effect> {
+        let mut effects = vec![Effect::Cancel];
+        effects.extend(self.fail(id, kind, 0, "", now));
+        effects
+    }
+
+    /// Ends the request with an error.
+    ///
+    /// An earlier attempt that may have run outweighs a later one that did not:
+    /// the answer is the earlier one's.
+    pub(crate) fn fail(
+        &mut self,
+        id: u64,
+        kind: Kind,
+        retry_after_ms: u64,
+        detail: &str,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let kind = match kind.row().outcome {
+            Outcome::NotRun => request.uncertain().unwrap_or(kind),
+            Outcome::Unknown | Outcome::Ran => kind,
+        };
+        let retry_after_ms = retry_after_ms.max(self.retry_after_ms(kind, now));
+        let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
+        let first = if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
+        let mut effects = vec![first];
+        effects.extend(self.close(id, Some(kind), detail, now));
+        effects
+    }
+
+    /// Takes the request out and records its decision.
+    pub(crate) fn close(
+        &mut self,
+        id: u64,
+        error: Option<Kind>,
+        detail: &str,
+        now: Millis,
+    ) -> Vec<Effect> {
+        self.release(id);
+        let Some(mut request) = self.requests.remove(&id) else {
+            return Vec::new();
+        };
+        if let Some(last) = request.tries.last_mut()
+            && last.error.is_none()
+        {
+            last.error = error;
+        }
+        let decision = Decision {
+            request: request.ask.request,
+            workspace: request.ask.workspace,
+            kind: request.ask.kind,
+            model: request.ask.model,
+            intent: Some(request.intent),
+            generation: request.generation,
+            proof_ms: request.proof_ms,
+            status: request.status,
+            came: request.came,
+            ended: now,
+            passed: request.passed,
+            tries: request.tries,
+            outcome: error.map_or(Outcome::Ran, |kind| kind.row().outcome),
+            error,
+            detail: detail.into(),
+        };
+        let mut effects = vec![Effect::Record(Arc::new(decision))];
+        if self.draining && self.requests.is_empty() {
+            effects.push(Effect::Drained);
+        }
+        effects
+    }
+
+    /// The current attempt is over: its load is no longer at its upstream. A
+    /// sidecar tells its load itself.
+    pub(crate) fn release(&mut self, id: u64) {
+        if self.settings.path != Path::Direct {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(last) = request.tries.last_mut().filter(|it| !it.over) else { return };
+        last.over = true;
+        let weight = request.ask.weight;
+        if let Some(upstream) = self.upstreams.get_mut(&last.upstream) {
+            upstream.release(weight);
+        }
+    }
+
+    pub(crate) fn drain(&mut self) -> Vec<Effect> {
+        self.draining = true;
+        if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
+    }
+}
--- /dev/null
+++ b/components/routing/src/fleet.rs
@@ -0,0 +1,128 @@
+//! What is known of the upstreams: which there are, how they are and what they carry.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use rand::Rng;
+use wire::{Status, Welcome};
+
+use crate::outlook;
+use crate::state::State;
+use crate::{Effect, Host, Path, Upstream};
+
+/// The life of an upstream that is reached directly: its name stands for one
+/// start only.
+const DIRECT_LIFE: u64 = 1;
+
+impl State {
+    pub(crate) fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
+        self.index.clear();
+        let mut known = std::mem::take(&mut self.upstreams);
+        for host in hosts {
+            let labels = match &self.plan {
+                Some(plan) => plan.labels(&host.name, &host.labels),
+                None => host.labels.clone(),
+            };
+            let mut upstream = known
+                .swap_remove(&host.name)
+                .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
+            upstream.list(host, labels);
+            if self.settings.path == Path::Direct {
+                upstream.connected = true;
+                upstream.incarnation = DIRECT_LIFE;
+            }
+            self.upstreams.insert(upstream.host.name.clone(), upstream);
+        }
+        self.connects(now)
+    }
+
+    /// The connections to open next, a few at a time, so that a region that
+    /// comes back is not met by all at once.
+    pub(crate) fn connects(&self, now: Millis) -> Vec<Effect> {
+        self.upstreams
+            .values()
+            .filter(|upstream| !upstream.connected && !upstream.is_suspect(now))
+            .take(self.settings.connects)
+            .map(|upstream| Effect::Connect {
+                upstream: upstream.host.name.clone(),
+                address: upstream.host.address.clone(),
+            })
+            .collect()
+    }
+
+    pub(crate) fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
+        if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
+            upstream.hear(welcome.status, now);
+        }
+        Vec::new()
+    }
+
+    pub(crate) fn load(&mut self, upstream: &str, requests: u64, now: Millis) -> Vec<Effect> {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else {
+            return Vec::new();
+        };
+        upstream.tell(requests, now);
+        upstream.heard_load = Some((requests, now));
+        let mean = self.means.entry(upstream.pool()).or_default();
+        *mean = outlook::average(*mean, requests);
+        Vec::new()
+    }
+
+    pub(crate) fn hear(&mut self, id: u64, status: Status, now: Millis) {
+        let name = self.requests.get(&id).and_then(|it| it.upstream());
+        let told = self.settings.path == Path::Sidecar;
+        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)).filter(|_| told) {
+            upstream.hear(status, now);
+        }
+    }
+
+    pub(crate) fn alive(&mut self, upstream: &str) -> Vec<Effect> {
+        if let Some(it) = self.upstreams.get_mut(upstream) {
+            if it.suspect_until > Millis::ZERO {
+                self.notices.push(Effect::Revive { upstream: it.host.name.clone() });
+            }
+            it.revive();
+        }
+        Vec::new()
+    }
+
+    pub(crate) fn missed(&mut self, upstream: &str, now: Millis) -> Vec<Effect> {
+        self.suspect(upstream, now);
+        Vec::new()
+    }
+
+    /// One broken connection says little about an upstream that is reached
+    /// directly: it is left alone only when the next one breaks too, or none can
+    /// be opened.
+    pub(crate) fn blame(&mut self, upstream: &Arc<str>, sent: bool, now: Millis) {
+        let first = match self.upstreams.get_mut(upstream) {
+            Some(it) if it.failures == 0 && sent && self.settings.path == Path::Direct => it,
+            _ => return self.suspect(upstream, now),
+        };
+        first.failures = 1;
+    }
+
+    /// Another upstream answers at the address of the one that was meant, which
+    /// has ended: the list will drop it soon.
+    pub(crate) fn replaced(&mut self, id: u64, now: Millis) {
+        let until = now + Millis(self.settings.suspect_max_ms);
+        let name = self.requests.get(&id).and_then(|it| it.upstream());
+        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
+            upstream.suspect_until = until;
+            let (upstream, failures) = (upstream.host.name.clone(), upstream.failures);
+            self.notices.push(Effect::Suspect { upstream, failures, until });
+        }
+    }
+
+    pub(crate) fn suspect(&mut self, upstream: &str, now: Millis) {
+        let jitter = self.random.random::<f64>();
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.miss(&self.settings, jitter, now);
+            self.notices.push(Effect::Suspect {
+                upstream: upstream.host.name.clone(),
+                failures: upstream.failures,
+                until: upstream.suspect_until,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/ranking.rs
@@ -0,0 +1,90 @@
+//! Which upstreams a request may go to, the best first.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use intents::{Intent, Selector};
+
+use crate::choice::Choice;
+use crate::outlook::Outlook;
+use crate::state::State;
+use crate::{Path, Policy, Upstream};
+
+/// The label that names the pool an upstream belongs to.
+pub(crate) const POOL: &str = "service";
+
+impl State {
+    /// Ranks the upstreams that a request may go to, as they are now.
+    pub(crate) fn rank(&mut self, id: u64, now: Millis) {
+        let (Some(plan), Some(request)) = (self.plan.clone(), self.requests.get(&id)) else {
+            return;
+        };
+        let ask = &request.ask;
+        let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
+            return;
+        };
+        let outlook = self.outlook(target.intent, now);
+        let Choice { candidates, passed, home, first } =
+            self.index.choose(&self.upstreams, target.intent, ask, &self.settings, &outlook);
+        let pool = self.pool(candidates.last());
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.pool = pool;
+            request.outlook = outlook;
+            request.candidates = candidates;
+            request.passed = passed;
+            request.home = home.filter(|_| self.settings.policy == Policy::Directory);
+            request.first = first;
+        }
+    }
+
+    /// Ranks anew the upstreams that a request may go to after one failed: some may
+    /// have come to leave since it came. It stays in the pool where it began.
+    pub(crate) fn rank_again(&mut self, id: u64, now: Millis) {
+        let Some(pool) = self.requests.get(&id).map(|it| it.pool.clone()) else { return };
+        let direct = self.settings.path == Path::Direct;
+        if direct {
+            self.rank(id, now);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let tried = |name: &Arc<str>| request.tries.iter().any(|it| it.upstream == *name);
+        let fits = |it: &Upstream| !it.is_leaving() && it.pool() == pool && !tried(it.name());
+        // Where there are sidecars, they say themselves who leaves, and send a chat
+        // back to where it has been.
+        let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !direct || fits(it));
+        request.candidates.retain(open);
+        request.pool = pool;
+    }
+
+    /// Whether the intents in force let a request go to a listed upstream that
+    /// its candidates may not name.
+    pub(crate) fn may_go(&self, id: u64, upstream: &str) -> bool {
+        let (Some(plan), Some(request)) = (&self.plan, self.requests.get(&id)) else {
+            return false;
+        };
+        let ask = &request.ask;
+        let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
+            return false;
+        };
+        let fits =
+            |it: &Upstream| target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref());
+        self.upstreams.get(upstream).is_some_and(fits)
+    }
+
+    /// The pool of an upstream: the retry budget is kept for each.
+    fn pool(&self, upstream: Option<&Arc<str>>) -> Arc<str> {
+        upstream.and_then(|it| self.upstreams.get(it)).map(Upstream::pool).unwrap_or_default()
+    }
+
+    /// The view on the pool of an intent's upstreams.
+    pub(crate) fn outlook(&self, intent: &Intent, now: Millis) -> Outlook {
+        let pool = intent.upstreams.iter().find_map(|it| match it {
+            Selector::Equals { label, value } if &**label == POOL => Some(value),
+            _ => None,
+        });
+        let mean = pool.and_then(|it| self.means.get(it)).copied().unwrap_or_default();
+        #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
+        let routers = self.routers as f64;
+        let known = self.peers.are_known(now);
+        Outlook { path: self.settings.path, now, routers, mean, known }
+    }
+}
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -48,14 +48,6 @@
             .is_some_and(|it| it.attempt() == attempt && it.phase != Phase::Binding)
     }
 
-    fn hear(&mut self, id: u64, status: Status, now: Millis) {
-        let name = self.requests.get(&id).and_then(|it| it.upstream());
-        let told = self.settings.path == Path::Sidecar;
-        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)).filter(|_| told) {
-            upstream.hear(status, now);
-        }
-    }
-
     fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
         self.hear(id, refused.status, now);
         if !refused.hints.is_empty() {
@@ -67,18 +59,6 @@
         self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
     }
 
-    /// Another upstream answers at the address of the one that was meant, which
-    /// has ended: the list will drop it soon.
-    fn replaced(&mut self, id: u64, now: Millis) {
-        let until = now + Millis(self.settings.suspect_max_ms);
-        let name = self.requests.get(&id).and_then(|it| it.upstream());
-        if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
-            upstream.suspect_until = until;
-            let (upstream, failures) = (upstream.host.name.clone(), upstream.failures);
-            self.notices.push(Effect::Suspect { upstream, failures, until });
-        }
-    }
-
     /// The chat's context is elsewhere: those places are next, then the home
     /// itself if it has room. A hint never leads past the intents.
     fn follow(&mut self, id: u64, refused: &Refused) {
@@ -183,15 +163,6 @@
         vec![Effect::Head(head)]
     }
 
-    /// Notes why the current attempt failed.
-    pub(crate) fn mark(&mut self, id: u64, kind: Kind) {
-        self.release(id);
-        let last = self.requests.get_mut(&id).and_then(|it| it.tries.last_mut());
-        if let Some(last) = last {
-            last.error = Some(kind);
-        }
-    }
-
     fn chunk(&mut self, id: u64, chunk: Chunk, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
@@ -268,17 +239,6 @@
         self.try_elsewhere(id, kind, 0, now)
     }
 
-    /// One broken connection says little about an upstream that is reached
-    /// directly: it is left alone only when the next one breaks too, or none can
-    /// be opened.
-    fn blame(&mut self, upstream: &Arc<str>, sent: bool, now: Millis) {
-        let first = match self.upstreams.get_mut(upstream) {
-            Some(it) if it.failures == 0 && sent && self.settings.path == Path::Direct => it,
-            _ => return self.suspect(upstream, now),
-        };
-        first.failures = 1;
-    }
-
     /// A sidecar that says nothing is frozen or cut off; the request may still
     /// run there.
     pub(crate) fn stalled(&mut self, id: u64, attempt: u32, now: Millis) -> Vec<Effect> {
@@ -293,84 +253,4 @@
         effects.extend(self.lost(id, attempt, true, now));
         effects
     }
-
-    pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else {
-            return Vec::new();
-        };
-        let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::Cancelled,
-            Phase::Sent | Phase::Admitted => Kind::Expired,
-            Phase::Answering { .. } => Kind::ExpiredRunning,
-        };
-        let mut effects = vec![Effect::Cancel];
-        effects.extend(self.close(id, Some(kind), "the caller went away", now));
-        effects
-    }
-
-    pub(crate) fn expire(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else {
-            return Vec::new();
-        };
-        let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::ExpiredWaiting,
-            Phase::Sent | Phase::Admitted => Kind::Expired,
-            Phase::Answering { .. } => Kind::ExpiredRunning,
-        };
-        let mut effects = vec![Effect::Cancel];
-        effects.extend(self.fail(id, kind, 0, "", now));
-        effects
-    }
-
-    /// Whether the budget for going on after `kind` has something left.
-    fn may_go_on(&mut self, id: u64, kind: Kind) -> bool {
-        match kind {
-            // Nothing has come to the upstreams yet.
-            Kind::Unreachable if self.settings.path == Path::Direct => true,
-            _ if self.settings.path == Path::Direct => self.budget(id).spend(),
-            // Following a chat to its context is not a retry.
-            Kind::Moved => true,
-            Kind::OverBound | Kind::QueueFull | Kind::WouldMiss | Kind::Leaving => {
-                self.hops.spend()
-            }
-            _ => self.budget(id).spend(),
-        }
-    }
-
-    fn cut(&mut self, id: u64, kind: Kind, now: Millis) -> Vec<Effect> {
-        let mut effects = vec![Effect::Cancel];
-        effects.extend(self.fail(id, kind, 0, "", now));
-        effects
-    }
-
-    /// After an attempt that gave nothing to the caller: the next candidate if
-    /// that is safe and allowed, else the final answer.
-    fn try_elsewhere(&mut self, id: u64, kind: Kind, after: u64, now: Millis) -> Vec<Effect> {
-        self.mark(id, kind);
-        if self.may_try_elsewhere(id, kind, now) {
-            return self.attempt(id, now);
-        }
-        self.fail(id, kind, after, "", now)
-    }
-
-    /// Whether the request may be sent to another upstream after `kind`; if so,
-    /// a retry is taken from the budget.
-    pub(crate) fn may_try_elsewhere(&mut self, id: u64, kind: Kind, now: Millis) -> bool {
-        self.rank_again(id, now);
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
-        let row = kind.row();
-        let safe = match row.outcome {
-            _ if request.is_answering() => request.resumable,
-            Outcome::NotRun => row.elsewhere,
-            Outcome::Unknown => request.repeatable && request.once().is_none(),
-            Outcome::Ran => request.repeatable && kind == Kind::UpstreamFailed,
-        };
-        let left = request.attempt() < self.settings.max_attempts
-            && request.reached() < request.attempts
-            && request.deadline > now
-            && !request.candidates.is_empty();
-        safe && left && self.may_go_on(id, kind)
-    }
 }
--- /dev/null
+++ b/components/routing/src/retry.rs
@@ -0,0 +1,99 @@
+//! Whether a request goes on after an attempt that failed, and what that costs.
+
+use clock::Millis;
+use errors::{Kind, Outcome};
+
+use crate::state::State;
+use crate::{Budget, Effect, Path};
+
+impl State {
+    /// After an attempt that gave nothing to the caller: the next candidate if
+    /// that is safe and allowed, else the final answer.
+    pub(crate) fn try_elsewhere(
+        &mut self,
+        id: u64,
+        kind: Kind,
+        after: u64,
+        now: Millis,
+    ) -> Vec<Effect> {
+        self.mark(id, kind);
+        if self.may_try_elsewhere(id, kind, now) {
+            return self.attempt(id, now);
+        }
+        self.fail(id, kind, after, "", now)
+    }
+
+    /// Whether the request may be sent to another upstream after `kind`; if so,
+    /// a retry is taken from the budget.
+    pub(crate) fn may_try_elsewhere(&mut self, id: u64, kind: Kind, now: Millis) -> bool {
+        self.rank_again(id, now);
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let row = kind.row();
+        let safe = match row.outcome {
+            _ if request.is_answering() => request.resumable,
+            Outcome::NotRun => row.elsewhere,
+            Outcome::Unknown => request.repeatable && request.once().is_none(),
+            Outcome::Ran => request.repeatable && kind == Kind::UpstreamFailed,
+        };
+        let left = request.attempt() < self.settings.max_attempts
+            && request.reached() < request.attempts
+            && request.deadline > now
+            && !request.candidates.is_empty();
+        safe && left && self.may_go_on(id, kind)
+    }
+
+    /// Whether the budget for going on after `kind` has something left.
+    fn may_go_on(&mut self, id: u64, kind: Kind) -> bool {
+        match kind {
+            // Nothing has come to the upstreams yet.
+            Kind::Unreachable if self.settings.path == Path::Direct => true,
+            _ if self.settings.path == Path::Direct => self.budget(id).spend(),
+            // Following a chat to its context is not a retry.
+            Kind::Moved => true,
+            Kind::OverBound | Kind::QueueFull | Kind::WouldMiss | Kind::Leaving => {
+                self.hops.spend()
+            }
+            _ => self.budget(id).spend(),
+        }
+    }
+
+    /// Notes why the current attempt failed.
+    pub(crate) fn mark(&mut self, id: u64, kind: Kind) {
+        self.release(id);
+        let last = self.requests.get_mut(&id).and_then(|it| it.tries.last_mut());
+        if let Some(last) = last {
+            last.error = Some(kind);
+        }
+    }
+
+    /// The retry budget of a request's pool.
+    pub(crate) fn budget(&mut self, id: u64) -> &mut Budget {
+        let pool = self.requests.get(&id).map(|it| it.pool.clone()).unwrap_or_default();
+        let (share, burst) = (self.settings.retry_share, self.burst());
+        self.budgets.entry(pool).or_insert_with(|| Budget::new(share, burst))
+    }
+
+    /// The fixed part of the retry budget is divided among the routers.
+    pub(crate) fn divide(&mut self, routers: usize) -> Vec<Effect> {
+        self.routers = routers.max(1);
+        self.change_budgets();
+        Vec::new()
+    }
+
+    /// Puts the present settings in force for the budgets there are; nothing is
+    /// given back that was spent.
+    pub(crate) fn change_budgets(&mut self) {
+        let (share, burst) = (self.settings.retry_share, self.burst());
+        for budget in self.budgets.values_mut() {
+            budget.change(share, burst);
+        }
+    }
+
+    /// This router's part of the fixed retry budget.
+    #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
+    pub(crate) fn burst(&self) -> f64 {
+        self.settings.retry_burst / self.routers as f64
+    }
+}
--- /dev/null
+++ b/components/routing/src/sending.rs
@@ -0,0 +1,131 @@
+//! Sends a request to an upstream.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::Kind;
+use placement::key;
+
+use crate::choice::Upstreams;
+use crate::outlook::Outlook;
+use crate::request::{Phase, Request};
+use crate::state::State;
+use crate::upstream::OVER_BOUND;
+use crate::warmth::Warmth;
+use crate::{Attempt, Effect, Path, Try};
+
+impl State {
+    /// Sends to the next candidate, or gives up.
+    pub(crate) fn attempt(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(upstream) = self.next_candidate(id) else {
+            let passed = self.requests.get(&id).and_then(|it| it.passed.first());
+            let detail = passed.map_or("", |it| it.why);
+            let kind = if detail == OVER_BOUND { Kind::OverBound } else { Kind::NoUpstream };
+            return self.fail(id, kind, 0, detail, now);
+        };
+        if self.should_wait(id, &upstream, now) {
+            return self.wait(id);
+        }
+        self.send(id, &upstream, 0, now)
+    }
+
+    /// The next candidate by rank. After a refusal over load it is the one that
+    /// is known to carry least: the chat's context is elsewhere in any case.
+    fn next_candidate(&mut self, id: u64) -> Option<Arc<str>> {
+        let request = self.requests.get_mut(&id)?;
+        let error = request.tries.last().and_then(|it| it.error);
+        let crowded = matches!(error, Some(Kind::OverBound | Kind::QueueFull | Kind::WouldMiss));
+        let hinted = request.candidates.last().is_some_and(|it| request.hints.contains(it));
+        if !crowded || hinted {
+            return request.candidates.pop();
+        }
+        let load = |name: &Arc<str>| self.upstreams.get(name).map_or(u64::MAX, |it| it.status.load);
+        let place =
+            (0..request.candidates.len()).min_by_key(|it| load(&request.candidates[*it]))?;
+        Some(request.candidates.remove(place))
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        id: u64,
+        name: &Arc<str>,
+        incarnation: u64,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return Vec::new();
+        };
+        let resume = request.is_answering();
+        if !resume {
+            request.phase = Phase::Sent;
+        }
+        let load = upstream.load_at(&Outlook { now, ..request.outlook });
+        upstream.take(request.ask.weight);
+        let warm = source(&self.warmth, &self.upstreams, request, name);
+        let reading = self.begin_reading(id, name, now);
+        let upstream = &self.upstreams[name];
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
+        request.tries.push(Try {
+            upstream: name.clone(),
+            sent: now,
+            heard: now,
+            load,
+            warm: warm.clone(),
+            error: None,
+            over: false,
+        });
+        let timeout = match self.settings.path {
+            Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
+            Path::Direct => request.silence(),
+        };
+        let mut effects = vec![Effect::Send(Attempt {
+            number: request.attempt(),
+            upstream: name.clone(),
+            address: upstream.host.address.clone(),
+            incarnation,
+            weight: request.ask.weight,
+            priority: request.priority,
+            remaining: now.until(request.deadline),
+            timeout,
+            generation: request.generation,
+            chat: key(&request.ask.workspace, &request.ask.chat),
+            home: request.hints.is_empty() && request.home.as_ref() == Some(name),
+            warm,
+            resume,
+        })];
+        effects.extend(reading);
+        effects
+    }
+}
+
+/// The address of an upstream from which `name` may copy what it lacks of the
+/// prompt; none where `name` has read all of it before.
+///
+/// The longest part counts that is known to be warm anywhere. A chat that is
+/// sent past its first upstream in rank finds its context there, even if other
+/// routers sent all its earlier requests.
+fn source(
+    warmth: &Warmth,
+    upstreams: &Upstreams,
+    request: &Request,
+    name: &Arc<str>,
+) -> Option<Arc<str>> {
+    let address = |it: &Arc<str>| upstreams.get(it).map(|it| it.host.address.clone());
+    let first = request.first.as_ref().filter(|it| *it != name);
+    for (depth, part) in request.ask.shared.iter().rev().enumerate() {
+        if warmth.holds(*part, name) {
+            return None;
+        }
+        let known = warmth.places(*part).find_map(address);
+        let source = known.or_else(|| first.filter(|_| depth == 0).and_then(address));
+        if source.is_some() {
+            return source;
+        }
+    }
+    None
+}
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -8,7 +8,7 @@
 use wire::Status;
 
 use crate::outlook::{Outlook, count};
-use crate::state::POOL;
+use crate::ranking::POOL;
 use crate::{Host, Path, Settings};
 
 /// The most doublings of the time that a failing upstream is left alone.
