--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -4,75 +4,98 @@
 
 use clock::Millis;
 use errors::Kind;
-use intents::Miss;
+use intents::{Miss, Plan, Target};
 
 use crate::request::{Phase, Request};
 use crate::share::patience;
 use crate::state::State;
 use crate::{Ask, Effect, Owner};
 
+/// Why a request is refused before anything is decided on it: the error, and what
+/// is said of it beyond its name.
+type Refusal = (Kind, String);
+
+impl Ask {
+    /// What `plan` decides for the request.
+    pub(crate) fn target<'a>(&self, plan: &'a Plan) -> Result<Target<'a>, Miss> {
+        plan.find(&self.workspace, &self.kind, self.model.as_deref())
+    }
+}
+
 impl State {
+    /// Takes a request: it is refused at once, or sent to the best upstream.
     pub(crate) fn ask(&mut self, ask: Ask, now: Millis) -> Vec<Effect> {
-        if self.draining {
-            return self.refuse(&ask, Kind::Draining, "", now);
-        }
-        let Some(plan) = self.plan.clone() else {
-            return self.refuse(&ask, Kind::NoConfiguration, "", now);
-        };
-        let target = match plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) {
+        let plan = self.plan.clone();
+        let target = match self.admit(plan.as_deref(), &ask, now) {
             Ok(target) => target,
-            Err(Miss::NoIntent) => return self.refuse(&ask, Kind::NoIntent, "", now),
-            Err(Miss::UnknownModel) => return self.refuse(&ask, Kind::UnknownModel, "", now),
-            Err(Miss::Ambiguous(one, other)) => {
-                let detail = format!("{one} and {other}");
-                return self.refuse(&ask, Kind::AmbiguousIntent, &detail, now);
-            }
+            Err((kind, detail)) => return self.refuse(&ask, kind, &detail, now),
         };
-        if !target.repeatable && !target.kind.keyless && ask.once.is_none() {
-            return self.refuse(&ask, Kind::KeyMissing, "", now);
-        }
-        if !target.kind.anonymous && !self.is_proved(self.settings.current_ms, now) {
-            return self.refuse(&ask, Kind::StaleConfiguration, "", now);
-        }
-        let allowed = Millis(target.intent.deadline_ms);
         let id = ask.id;
-        self.requests.insert(
-            id,
-            Request {
-                deadline: now + ask.deadline.map_or(allowed, |it| it.min(allowed)),
-                ask,
-                came: now,
-                proof_ms: self.proof_ms(now),
-                status: None,
-                outlook: self.outlook(target.intent, now),
-                objective_ms: target.intent.objective_ms,
-                patience: patience(target.intent.objective_ms, now),
-                phase: Phase::Sent,
-                repeatable: target.repeatable,
-                resumable: target.kind.resumable,
-                attempts: target.intent.attempts.unwrap_or(self.settings.max_attempts),
-                pool: "".into(),
-                priority: target.priority,
-                intent: target.intent.name.clone(),
-                generation: plan.generation(),
-                candidates: Vec::new(),
-                passed: Vec::new(),
-                home: None,
-                first: None,
-                hints: Vec::new(),
-                tries: Vec::new(),
-            },
-        );
+        let request = self.request(ask, &target, now);
+        self.requests.insert(id, request);
         self.rank(id, now);
         self.budget(id).earn();
         self.hops.earn();
         self.start(id, now)
     }
 
+    /// What `plan` decides for a request that may be served at all.
+    fn admit<'a>(
+        &self,
+        plan: Option<&'a Plan>,
+        ask: &Ask,
+        now: Millis,
+    ) -> Result<Target<'a>, Refusal> {
+        if self.draining {
+            return Err((Kind::Draining, String::new()));
+        }
+        let Some(plan) = plan else {
+            return Err((Kind::NoConfiguration, String::new()));
+        };
+        let target = ask.target(plan).map_err(refusal)?;
+        if !target.repeatable && !target.kind.keyless && ask.once.is_none() {
+            return Err((Kind::KeyMissing, String::new()));
+        }
+        if !target.kind.anonymous && !self.is_proved(self.settings.current_ms, now) {
+            return Err((Kind::StaleConfiguration, String::new()));
+        }
+        Ok(target)
+    }
+
+    /// The state of a request that has come and is not ranked yet.
+    fn request(&self, ask: Ask, target: &Target<'_>, now: Millis) -> Request {
+        let intent = target.intent;
+        let allowed = Millis(intent.deadline_ms);
+        Request {
+            deadline: now + ask.deadline.map_or(allowed, |it| it.min(allowed)),
+            ask,
+            came: now,
+            proof_ms: self.proof_ms(now),
+            status: None,
+            outlook: self.outlook(intent, now),
+            objective_ms: intent.objective_ms,
+            patience: patience(intent.objective_ms, now),
+            phase: Phase::Sent,
+            repeatable: target.repeatable,
+            resumable: target.kind.resumable,
+            attempts: intent.attempts.unwrap_or(self.settings.max_attempts),
+            pool: "".into(),
+            priority: target.priority,
+            intent: intent.name.clone(),
+            generation: self.generation(),
+            candidates: Vec::new(),
+            passed: Vec::new(),
+            home: None,
+            first: None,
+            hints: Vec::new(),
+            tries: Vec::new(),
+        }
+    }
+
     /// The first attempt: at the owner for a call with a key, else at the best
     /// candidate.
     fn start(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
         let Some(once) = request.ask.once.clone() else {
@@ -81,12 +104,29 @@
         if let Some(owner) = once.owner {
             return self.send_to_owner(id, &owner, now);
         }
+        self.bind(id, once.key, now)
+    }
+
+    /// Has the best upstream that is known to live made the owner of a fresh key.
+    fn bind(&mut self, id: u64, key: Arc<str>, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Vec::new();
+        };
         let met = |name: &&Arc<str>| self.upstreams.get(*name).is_some_and(|it| it.incarnation > 0);
         let Some(upstream) = request.candidates.iter().rev().find(met).cloned() else {
             return self.fail(id, Kind::KeyUnsettled, 0, "no fitting upstream is available", now);
         };
         request.phase = Phase::Binding;
         let incarnation = self.upstreams[&upstream].incarnation;
-        vec![Effect::Bind { key: once.key, owner: Owner { upstream, incarnation } }]
+        vec![Effect::Bind { key, owner: Owner { upstream, incarnation } }]
+    }
+}
+
+/// Why a request is refused that no intent decides.
+fn refusal(miss: Miss) -> Refusal {
+    match miss {
+        Miss::NoIntent => (Kind::NoIntent, String::new()),
+        Miss::UnknownModel => (Kind::UnknownModel, String::new()),
+        Miss::Ambiguous(one, other) => (Kind::AmbiguousIntent, format!("{one} and {other}")),
     }
 }
--- a/components/routing/src/ending.rs
+++ b/components/routing/src/ending.rs
@@ -10,6 +10,7 @@
 use crate::{Ask, Decision, Effect, Path};
 
 impl State {
+    /// Refuses a request on which nothing was decided.
     pub(crate) fn refuse(&self, ask: &Ask, kind: Kind, detail: &str, now: Millis) -> Vec<Effect> {
         let after = self.retry_after_ms(kind, now);
         let decision = Decision {
@@ -18,7 +19,7 @@
             kind: ask.kind.clone(),
             model: ask.model.clone(),
             intent: None,
-            generation: self.plan.as_ref().map_or(0, |it| it.generation()),
+            generation: self.generation(),
             proof_ms: self.proof_ms(now),
             status: None,
             came: now,
@@ -33,6 +34,7 @@
         vec![Effect::Fail(answer), Effect::Record(Arc::new(decision))]
     }
 
+    /// The caller has gone away.
     pub(crate) fn quit(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
@@ -47,6 +49,7 @@
         effects
     }
 
+    /// The time of a request is over.
     pub(crate) fn expire(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
@@ -61,6 +64,7 @@
         effects
     }
 
+    /// Ends a request and the attempt that is under way.
     pub(crate) fn cut(&mut self, id: u64, kind: Kind, now: Millis) -> Vec<Effect> {
         let mut effects = vec![Effect::Cancel];
         effects.extend(self.fail(id, kind, 0, "", now));
@@ -150,6 +154,7 @@
         }
     }
 
+    /// Takes no more requests; those under way are finished.
     pub(crate) fn drain(&mut self) -> Vec<Effect> {
         self.draining = true;
         if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -15,6 +15,7 @@
 const DIRECT_LIFE: u64 = 1;
 
 impl State {
+    /// Takes the list of upstreams: what is known of those that stay is kept.
     pub(crate) fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
         self.index.clear();
         let mut known = std::mem::take(&mut self.upstreams);
@@ -50,6 +51,7 @@
             .collect()
     }
 
+    /// Takes the welcome of a sidecar.
     pub(crate) fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
         if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
             upstream.hear(welcome.status, now);
@@ -57,6 +59,7 @@
         Vec::new()
     }
 
+    /// Takes the load that an answer told of its upstream, in requests.
     pub(crate) fn load(&mut self, upstream: &str, requests: u64, now: Millis) -> Vec<Effect> {
         let Some(upstream) = self.upstreams.get_mut(upstream) else {
             return Vec::new();
@@ -68,6 +71,7 @@
         Vec::new()
     }
 
+    /// Takes the status that a sidecar told with a reply.
     pub(crate) fn hear(&mut self, id: u64, status: Status, now: Millis) {
         let name = self.requests.get(&id).and_then(|it| it.upstream());
         let told = self.settings.path == Path::Sidecar;
@@ -76,6 +80,7 @@
         }
     }
 
+    /// Something came from an upstream: it is no longer left alone.
     pub(crate) fn alive(&mut self, upstream: &str) -> Vec<Effect> {
         if let Some(it) = self.upstreams.get_mut(upstream) {
             if it.suspect_until > Millis::ZERO {
@@ -86,6 +91,7 @@
         Vec::new()
     }
 
+    /// An upstream could not be connected to.
     pub(crate) fn missed(&mut self, upstream: &str, now: Millis) -> Vec<Effect> {
         self.suspect(upstream, now);
         Vec::new()
@@ -114,6 +120,7 @@
         }
     }
 
+    /// Leaves an upstream alone for a while that failed.
     pub(crate) fn suspect(&mut self, upstream: &str, now: Millis) {
         let jitter = self.random.random::<f64>();
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
--- a/components/routing/src/ownership.rs
+++ b/components/routing/src/ownership.rs
@@ -8,6 +8,7 @@
 use crate::{Ask, Effect, Owner, Upstream};
 
 impl State {
+    /// Takes the answer to who owns a key.
     pub(crate) fn bound(&mut self, id: u64, owner: Option<&Owner>, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
@@ -34,6 +35,8 @@
         self.send(id, &owner.upstream, owner.incarnation, now)
     }
 
+    /// Whether the owner lives still, and the intents in force let the request go
+    /// there.
     fn may_own(&self, id: u64, owner: &Owner) -> bool {
         let lives = |it: &Upstream| it.incarnation <= owner.incarnation;
         self.upstreams.get(&owner.upstream).is_some_and(lives) && self.may_go(id, &owner.upstream)
--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/ranking.rs
@@ -20,7 +20,7 @@
             return;
         };
         let ask = &request.ask;
-        let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
+        let Ok(target) = ask.target(&plan) else {
             return;
         };
         let outlook = self.outlook(target.intent, now);
@@ -62,7 +62,7 @@
             return false;
         };
         let ask = &request.ask;
-        let Ok(target) = plan.find(&ask.workspace, &ask.kind, ask.model.as_deref()) else {
+        let Ok(target) = ask.target(plan) else {
             return false;
         };
         let fits =
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/sending.rs
@@ -45,6 +45,8 @@
         Some(request.candidates.remove(place))
     }
 
+    /// Sends a request to an upstream: to the life `incarnation` of it, or to any
+    /// if that is zero.
     pub(crate) fn send(
         &mut self,
         id: u64,
@@ -52,54 +54,60 @@
         incarnation: u64,
         now: Millis,
     ) -> Vec<Effect> {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return Vec::new();
-        };
-        let Some(upstream) = self.upstreams.get_mut(name) else {
+        if self.begin(id, name, now).is_none() {
             return Vec::new();
+        }
+        let reading = self.begin_reading(id, name, now);
+        let (request, upstream) = (&self.requests[&id], &self.upstreams[name]);
+        let attempt = Attempt {
+            number: request.attempt(),
+            upstream: name.clone(),
+            address: upstream.host.address.clone(),
+            incarnation,
+            weight: request.ask.weight,
+            priority: request.priority,
+            remaining: now.until(request.deadline),
+            timeout: self.timeout(request, now),
+            generation: request.generation,
+            chat: key(&request.ask.workspace, &request.ask.chat),
+            home: request.hints.is_empty() && request.home.as_ref() == Some(name),
+            warm: request.tries.last().and_then(|it| it.warm.clone()),
+            resume: request.is_answering(),
         };
-        let resume = request.is_answering();
-        if !resume {
+        let mut effects = vec![Effect::Send(attempt)];
+        effects.extend(reading);
+        effects
+    }
+
+    /// Takes down a new attempt, and its load at the upstream; `None` if the
+    /// request or the upstream is gone.
+    fn begin(&mut self, id: u64, name: &Arc<str>, now: Millis) -> Option<()> {
+        let request = self.requests.get_mut(&id)?;
+        let upstream = self.upstreams.get_mut(name)?;
+        if !request.is_answering() {
             request.phase = Phase::Sent;
         }
         let load = upstream.load_at(&Outlook { now, ..request.outlook });
         upstream.take(request.ask.weight);
         let warm = source(&self.warmth, &self.upstreams, request, name);
-        let reading = self.begin_reading(id, name, now);
-        let upstream = &self.upstreams[name];
-        let Some(request) = self.requests.get_mut(&id) else {
-            return Vec::new();
-        };
         request.tries.push(Try {
             upstream: name.clone(),
             sent: now,
             heard: now,
             load,
-            warm: warm.clone(),
+            warm,
             error: None,
             over: false,
         });
-        let timeout = match self.settings.path {
+        Some(())
+    }
+
+    /// How long the upstream of an attempt may say nothing.
+    fn timeout(&self, request: &Request, now: Millis) -> Millis {
+        match self.settings.path {
             Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
             Path::Direct => request.silence(),
-        };
-        let mut effects = vec![Effect::Send(Attempt {
-            number: request.attempt(),
-            upstream: name.clone(),
-            address: upstream.host.address.clone(),
-            incarnation,
-            weight: request.ask.weight,
-            priority: request.priority,
-            remaining: now.until(request.deadline),
-            timeout,
-            generation: request.generation,
-            chat: key(&request.ask.workspace, &request.ask.chat),
-            home: request.hints.is_empty() && request.home.as_ref() == Some(name),
-            warm,
-            resume,
-        })];
-        effects.extend(reading);
-        effects
+        }
     }
 }
 
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -71,6 +71,11 @@
         self.plan.as_ref()
     }
 
+    /// The generation of the configuration in force; 0 if there is none.
+    pub(crate) fn generation(&self) -> u64 {
+        self.plan.as_ref().map_or(0, |it| it.generation())
+    }
+
     /// The upstreams known, by name.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -163,8 +168,7 @@
 
     /// A lower or equal generation changes nothing.
     fn configure(&mut self, plan: Arc<Plan>) -> Vec<Effect> {
-        let current = self.plan.as_ref().map_or(0, |it| it.generation());
-        if plan.generation() <= current {
+        if plan.generation() <= self.generation() {
             return Vec::new();
         }
         for upstream in self.upstreams.values_mut() {
