--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,7 +18,7 @@
 
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
-use crate::{announcement, feed, memory, peers};
+use crate::{announcement, feed, hints, memory};
 
 /// How often the file of the intents is looked at.
 const INTENTS_EVERY: Duration = Duration::from_secs(1);
@@ -40,8 +40,8 @@
             tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms), memory));
             tasks.spawn_local(memory::keep(core.clone(), hosts));
             tasks.spawn_local(announcement::keep_up(core.clone()));
-            tasks.spawn_local(peers::listen(core.clone()));
-            tasks.spawn_local(peers::tell_loads(core.clone()));
+            tasks.spawn_local(hints::listen(core.clone()));
+            tasks.spawn_local(hints::tell_loads(core.clone()));
         } else {
             tasks.spawn_local(follow_hosts(core.clone()));
             tasks.spawn_local(follow_intents(core.clone()));
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -14,13 +14,13 @@
 use routing::{Decision, Effect, Event, Owner, State};
 use spdlog::error;
 use telemetry::{Metrics, Tracer};
-use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
 use wire::{Frame, Heard, Hello, Loads, Warm};
 
 use crate::decisions::Decisions;
 use crate::peers::Peers;
-use crate::{background, report};
+use crate::report;
 
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -96,15 +96,15 @@
 }
 
 impl Core {
-    /// A router with `plan` in force, if there is one yet, and its background
-    /// tasks running. `direct` is set on a platform.
-    pub(crate) async fn start(
+    /// A router with `plan` in force, if there is one yet, and the notes that it
+    /// wants sent. `direct` is set on a platform.
+    pub(crate) async fn new(
         settings: Arc<settings::Router>,
         plan: Option<Arc<Plan>>,
         direct: Option<Direct>,
         stop: process::Stop,
         reload: watch::Receiver<settings::Router>,
-    ) -> Rc<Self> {
+    ) -> (Rc<Self>, Receiver<Effect>) {
         let clock = Clock::new();
         let started = clock.now();
         let mut state = State::new(settings.routing.clone(), started.0);
@@ -133,8 +133,7 @@
             started,
             requests: Cell::new(0),
         });
-        background::spawn(&core, outbox);
-        core
+        (core, outbox)
     }
 
     /// Waits for the first configuration, for as long as one usually takes to
--- /dev/null
+++ b/components/router/src/hints.rs
@@ -0,0 +1,111 @@
+//! Telling and taking hints between the routers of a fleet: where parts of prompts
+//! are warm, and what loads upstreams carry.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clock::Millis;
+use routing::Event;
+use spdlog::{debug, info};
+use wire::{Frame, Loads, Reader, Warm};
+
+use crate::core::Core;
+use crate::peers::{Peers, Tally};
+
+/// The longest datagram that is read: a frame of 100 parts has less than 1,100.
+const MAX_DATAGRAM: usize = 1_500;
+
+/// How often a router's own load is told if it has changed. A request of the sites
+/// takes 20 to 500 ms.
+const TELL_EVERY: Millis = Millis(100);
+
+/// After how many such times it is told even if it hasn't changed.
+const ROUNDS: u32 = 4;
+
+/// How often hints that were taken are logged.
+const LOG_EVERY: Millis = Millis(1_000);
+
+/// The most other routers to which loads are told: what all tell all grows with
+/// the square of their number. Among more, a router goes by what answers tell.
+const MOST_PEERS: usize = 8;
+
+/// Tells the others of this router's own load, until the process stops.
+pub(crate) async fn tell_loads(core: Rc<Core>) {
+    let Some(peers) = core.peers() else { return };
+    let mut told = Loads::default();
+    let mut rounds = 0;
+    let mut logged = core.clock.now();
+    loop {
+        tokio::time::sleep(TELL_EVERY.duration()).await;
+        if logged.until(core.clock.now()) >= LOG_EVERY {
+            logged = core.clock.now();
+            log_hints(peers);
+        }
+        rounds += 1;
+        if peers.count() > MOST_PEERS {
+            if rounds >= ROUNDS {
+                rounds = 0;
+                tell_heard(&core, peers);
+            }
+            continue;
+        }
+        let loads = core.loads();
+        if loads == told && rounds < ROUNDS {
+            continue;
+        }
+        rounds = 0;
+        let bytes = peers.tell(&Frame::Loads(loads.clone()));
+        core.metrics.control("loads", bytes);
+        told = loads;
+    }
+}
+
+/// Tells the others what answers have told of loads.
+fn tell_heard(core: &Core, peers: &Peers) {
+    let bytes = peers.tell(&Frame::Heard(core.heard()));
+    core.metrics.control("heard", bytes);
+}
+
+/// Takes hints until the process stops.
+pub(crate) async fn listen(core: Rc<Core>) {
+    let Some(peers) = core.peers() else { return };
+    let mut buffer = [0; MAX_DATAGRAM];
+    loop {
+        match peers.hear(&mut buffer).await {
+            Ok((length, from)) => take(&core, &buffer[..length], from),
+            Err(fault) => debug!("no hint", kv: { fault = fault.to_string() }),
+        }
+    }
+}
+
+fn take(core: &Core, datagram: &[u8], from: SocketAddr) {
+    let mut reader = Reader::default();
+    reader.push(datagram);
+    let frame = reader.frame().ok().flatten().filter(|_| !reader.is_partial());
+    match frame {
+        Some(Frame::Warm(warm)) => take_warm(core, warm),
+        Some(Frame::Heard(heard)) => {
+            core.apply(Event::Heard(heard));
+        }
+        Some(Frame::Loads(loads)) => {
+            core.apply(Event::Loads(loads));
+        }
+        _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
+    }
+}
+
+fn take_warm(core: &Core, warm: Warm) {
+    if let Some(peers) = core.peers() {
+        peers.tally(&warm);
+    }
+    core.apply(Event::Warm(warm));
+}
+
+/// Logs the hints of the last second, if there were any: a line for each would be
+/// many times those of all requests in a large fleet.
+fn log_hints(peers: &Peers) {
+    let Tally { reading, read, parts } = peers.take_tally();
+    if reading + read > 0 {
+        info!("routers told of warm parts", kv: { reading, read, parts });
+    }
+}
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod feed;
 mod headers;
+mod hints;
 mod http;
 mod ingress;
 mod key;
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -55,8 +55,9 @@
         let (shared, asked, changes) = (settings.clone(), stop.clone(), reload.subscribe());
         let factory = async move || {
             let plan = Some(plan.clone());
-            let core =
-                Core::start(shared.clone(), plan, None, asked.clone(), changes.clone()).await;
+            let (core, outbox) =
+                Core::new(shared.clone(), plan, None, asked.clone(), changes.clone()).await;
+            background::spawn(&core, outbox);
             web::App::new().state(core).configure(http::routes)
         };
         let server = web::HttpServer::new(factory)
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -8,6 +8,7 @@
 use spdlog::error;
 use tokio::sync::{OnceCell, watch};
 
+use crate::background;
 use crate::core::{Core, Direct};
 
 /// The pause before clients are made once more.
@@ -34,10 +35,14 @@
         cell.get_or_init(|| self.start()).await.clone()
     }
 
+    /// Makes the state and starts the tasks that keep it up to date.
     async fn start(&self) -> Rc<Core> {
         let direct = self.direct().await;
         let (stop, reload) = (self.stop.clone(), self.reload.clone());
-        Core::start(self.settings.clone(), None, Some(direct), stop, reload).await
+        let (core, outbox) =
+            Core::new(self.settings.clone(), None, Some(direct), stop, reload).await;
+        background::spawn(&core, outbox);
+        core
     }
 
     /// What reaches the platform and upstreams; it is tried until it can be made,
