--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -12,12 +12,12 @@
 use spdlog::{error, info};
 use store::Reading;
 use tokio::sync::mpsc::Receiver;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use wire::Frame;
 
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
+use crate::memory::Memory;
 use crate::{announcement, feed, hints, memory};
 
 /// How often the file of the intents is looked at.
@@ -36,7 +36,7 @@
     ntex::rt::spawn(async move {
         let mut tasks = JoinSet::new();
         if let Some(direct) = &core.settings.direct {
-            let (memory, hosts) = watch::channel(Vec::new());
+            let (memory, hosts) = Memory::new();
             tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms), memory));
             tasks.spawn_local(memory::keep(core.clone(), hosts));
             tasks.spawn_local(announcement::keep_up(core.clone()));
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -13,9 +13,10 @@
 use intents::{Document, Plan};
 use routing::{Event, Host, Listing};
 use spdlog::{info, warn};
-use tokio::sync::watch;
 
 use crate::core::Core;
+use crate::extent::Extent;
+use crate::memory::Memory;
 
 /// How many routers there are taken to be at least: when all start at once, the
 /// first looks see few of them. The sites have four, and seven with all spares.
@@ -24,14 +25,6 @@
 /// How long a look waits for a change, so that it is answered soon in any case.
 const WAIT: Millis = Millis(250);
 
-/// The length of an answer, in bytes, from which on looks ask for less. A look brings
-/// every configuration since the last one whole: on a grown site 1.4 MB, 1.2 s over
-/// the 10 Mbit/s of its thinnest hosts. The newest one alone has a tenth of that.
-const LONG: usize = 512 * 1024;
-
-/// How long looks then ask for less; a storm of configurations lasts 4 s there.
-const LESS_FOR: Millis = Millis(6_000);
-
 /// How long looks may fail until everything is read anew in place of all that has
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
@@ -40,7 +33,7 @@
 pub(crate) const PAUSE: Millis = Millis(300);
 
 /// Follows the store until the process stops.
-pub(crate) async fn follow(core: Rc<Core>, look: Millis, memory: watch::Sender<Vec<Host>>) {
+pub(crate) async fn follow(core: Rc<Core>, look: Millis, memory: Memory) {
     let mut feed = Feed {
         core,
         listing: Listing::default(),
@@ -49,7 +42,7 @@
         revision: None,
         lost: None,
         started: false,
-        less_until: None,
+        extent: Extent::default(),
         memory,
     };
     feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
@@ -95,18 +88,17 @@
     lost: Option<Millis>,
     /// Whether anything has been read.
     started: bool,
-    /// Until when looks ask for less.
-    less_until: Option<Millis>,
-    /// Takes the upstreams that are to be remembered.
-    memory: watch::Sender<Vec<Host>>,
+    extent: Extent,
+    memory: Memory,
 }
 
 impl Feed {
+    /// Looks at the store once, and takes what it says.
     async fn look(&mut self) -> Result<(), Fault> {
         let store = self.core.edges().store.clone();
         let whole = self.revision.is_none();
         let batch = match self.revision {
-            Some(revision) if self.less_until.is_some() => store.watch_less(revision, WAIT).await?,
+            Some(revision) if self.extent.is_narrow() => store.watch_less(revision, WAIT).await?,
             Some(revision) => store.watch(revision, WAIT).await?,
             None => store.read().await?,
         };
@@ -117,26 +109,10 @@
         }
         self.take(batch, whole);
         self.listing.settle();
-        self.narrow(bytes);
-        Ok(())
-    }
-
-    /// Has looks ask for less for a while after one that brought `bytes`; then
-    /// everything is read once.
-    fn narrow(&mut self, bytes: usize) {
-        let now = self.core.clock.now();
-        match self.less_until {
-            None if bytes >= LONG => {
-                info!("looks at the store ask for less", kv: { bytes });
-                self.less_until = Some(now + LESS_FOR);
-            }
-            Some(until) if now >= until => {
-                info!("looks at the store ask for all again");
-                self.less_until = None;
-                self.revision = None;
-            }
-            _ => {}
+        if self.extent.take(bytes, self.core.clock.now()) {
+            self.revision = None;
         }
+        Ok(())
     }
 
     /// How long to wait until the next look: `look`, half of it after a long answer,
@@ -144,10 +120,12 @@
     fn pause(&self, look: Millis) -> Millis {
         let now = self.core.clock.now();
         // A look that takes long, or fails once, leaves less time for the next one.
-        let look = if self.less_until.is_some() { Millis(look.0 / 2) } else { look };
+        let look = if self.extent.is_narrow() { Millis(look.0 / 2) } else { look };
         self.listing.next_expiry().map_or(look, |at| now.until(at).min(look))
     }
 
+    /// A look failed. After a long outage, or where the store has no history,
+    /// everything is read anew.
     fn failed(&mut self, fault: &Fault) {
         if *fault == Fault::HistoryGone {
             info!("the store's history is gone; everything is read anew");
@@ -187,7 +165,10 @@
             self.publish(batch.revision);
         }
         self.revision = Some(batch.revision);
-        self.remember();
+        // One router writes for the whole fleet: the first by name.
+        if self.routers.first() == Some(&self.core.settings.name) {
+            self.memory.remember(&self.listing);
+        }
     }
 
     /// At the start, upstreams that were remembered and are not listed.
@@ -200,24 +181,7 @@
         missing
     }
 
-    /// Has the upstreams remembered, if they have changed and this is the router to
-    /// do it: the first by name.
-    fn remember(&self) {
-        let first = self.routers.first() == Some(&self.core.settings.name);
-        if !first || self.listing.is_in_doubt() {
-            return;
-        }
-        let mut hosts = self.listing.hosts();
-        hosts.retain(|it| !it.leaving);
-        self.memory.send_if_modified(|known| {
-            let changed = !hosts.is_empty() && *known != hosts;
-            if changed {
-                *known = hosts;
-            }
-            changed
-        });
-    }
-
+    /// Takes one fact of a batch; what waits for the end of it goes to `summary`.
     fn note(&mut self, fact: Fact, summary: &mut Summary) {
         match fact {
             Fact::Upstream { host, sequence } => {
@@ -274,6 +238,7 @@
         self.core.apply(Event::Routers(routers));
     }
 
+    /// Compiles a configuration and hands it to the reducer.
     fn configure(&self, document: Document, revision: u64) {
         let generation = document.generation;
         match Plan::compile(document) {
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod decisions;
 mod direct;
 mod error;
+mod extent;
 mod feed;
 mod headers;
 mod hints;
