--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -4,25 +4,16 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use errors::{Kind, Outcome};
-use intents::{Intent, Plan, Selector};
-use rand::{Rng, SeedableRng};
+use errors::Kind;
+use intents::Plan;
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use wire::Welcome;
 
 use crate::choice::{Index, Upstreams};
 use crate::loads::Peers;
-use crate::outlook::{self, Outlook};
 use crate::request::Request;
 use crate::warmth::Warmth;
-use crate::{Budget, Decision, Effect, Event, Host, Path, Settings, Upstream};
-
-/// The label that names the pool an upstream belongs to.
-pub(crate) const POOL: &str = "service";
-
-/// The life of an upstream that is reached directly: its name stands for one
-/// start only.
-const DIRECT_LIFE: u64 = 1;
+use crate::{Budget, Effect, Event, Path, Settings, Upstream};
 
 /// Everything that a router knows.
 #[derive(Debug)]
@@ -80,6 +71,11 @@
         self.plan.as_ref()
     }
 
+    /// The generation of the configuration in force; 0 if there is none.
+    pub(crate) fn generation(&self) -> u64 {
+        self.plan.as_ref().map_or(0, |it| it.generation())
+    }
+
     /// The upstreams known, by name.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -172,8 +168,7 @@
 
     /// A lower or equal generation changes nothing.
     fn configure(&mut self, plan: Arc<Plan>) -> Vec<Effect> {
-        let current = self.plan.as_ref().map_or(0, |it| it.generation());
-        if plan.generation() <= current {
+        if plan.generation() <= self.generation() {
             return Vec::new();
         }
         for upstream in self.upstreams.values_mut() {
@@ -188,207 +183,4 @@
         self.current = self.current.max(Some(at));
         Vec::new()
     }
-
-    /// The view on the pool of an intent's upstreams.
-    pub(crate) fn outlook(&self, intent: &Intent, now: Millis) -> Outlook {
-        let pool = intent.upstreams.iter().find_map(|it| match it {
-            Selector::Equals { label, value } if &**label == POOL => Some(value),
-            _ => None,
-        });
-        let mean = pool.and_then(|it| self.means.get(it)).copied().unwrap_or_default();
-        #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
-        let routers = self.routers as f64;
-        let known = self.peers.are_known(now);
-        Outlook { path: self.settings.path, now, routers, mean, known }
-    }
-
-    /// The fixed part of the retry budget is divided among the routers.
-    fn divide(&mut self, routers: usize) -> Vec<Effect> {
-        self.routers = routers.max(1);
-        self.change_budgets();
-        Vec::new()
-    }
-
-    /// Puts the present settings in force for the budgets there are; nothing is
-    /// given back that was spent.
-    fn change_budgets(&mut self) {
-        let (share, burst) = (self.settings.retry_share, self.burst());
-        for budget in self.budgets.values_mut() {
-            budget.change(share, burst);
-        }
-    }
-
-    /// This router's part of the fixed retry budget.
-    #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
-    pub(crate) fn burst(&self) -> f64 {
-        self.settings.retry_burst / self.routers as f64
-    }
-
-    fn load(&mut self, upstream: &str, requests: u64, now: Millis) -> Vec<Effect> {
-        let Some(upstream) = self.upstreams.get_mut(upstream) else {
-            return Vec::new();
-        };
-        upstream.tell(requests, now);
-        upstream.heard_load = Some((requests, now));
-        let mean = self.means.entry(upstream.pool()).or_default();
-        *mean = outlook::average(*mean, requests);
-        Vec::new()
-    }
-
-    fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
-        self.index.clear();
-        let mut known = std::mem::take(&mut self.upstreams);
-        for host in hosts {
-            let labels = match &self.plan {
-                Some(plan) => plan.labels(&host.name, &host.labels),
-                None => host.labels.clone(),
-            };
-            let mut upstream = known
-                .swap_remove(&host.name)
-                .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
-            upstream.list(host, labels);
-            if self.settings.path == Path::Direct {
-                upstream.connected = true;
-                upstream.incarnation = DIRECT_LIFE;
-            }
-            self.upstreams.insert(upstream.host.name.clone(), upstream);
-        }
-        self.connects(now)
-    }
-
-    /// The connections to open next, a few at a time, so that a region that
-    /// comes back is not met by all at once.
-    fn connects(&self, now: Millis) -> Vec<Effect> {
-        self.upstreams
-            .values()
-            .filter(|upstream| !upstream.connected && !upstream.is_suspect(now))
-            .take(self.settings.connects)
-            .map(|upstream| Effect::Connect {
-                upstream: upstream.host.name.clone(),
-                address: upstream.host.address.clone(),
-            })
-            .collect()
-    }
-
-    fn met(&mut self, welcome: &Welcome, now: Millis) -> Vec<Effect> {
-        if let Some(upstream) = self.upstreams.get_mut(&welcome.name) {
-            upstream.hear(welcome.status, now);
-        }
-        Vec::new()
-    }
-
-    pub(crate) fn alive(&mut self, upstream: &str) -> Vec<Effect> {
-        if let Some(it) = self.upstreams.get_mut(upstream) {
-            if it.suspect_until > Millis::ZERO {
-                self.notices.push(Effect::Revive { upstream: it.host.name.clone() });
-            }
-            it.revive();
-        }
-        Vec::new()
-    }
-
-    fn missed(&mut self, upstream: &str, now: Millis) -> Vec<Effect> {
-        self.suspect(upstream, now);
-        Vec::new()
-    }
-
-    pub(crate) fn suspect(&mut self, upstream: &str, now: Millis) {
-        let jitter = self.random.random::<f64>();
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.miss(&self.settings, jitter, now);
-            self.notices.push(Effect::Suspect {
-                upstream: upstream.host.name.clone(),
-                failures: upstream.failures,
-                until: upstream.suspect_until,
-            });
-        }
-    }
-
-    fn drain(&mut self) -> Vec<Effect> {
-        self.draining = true;
-        if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
-    }
-
-    /// The current attempt is over: its load is no longer at its upstream. A
-    /// sidecar tells its load itself.
-    pub(crate) fn release(&mut self, id: u64) {
-        if self.settings.path != Path::Direct {
-            return;
-        }
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(last) = request.tries.last_mut().filter(|it| !it.over) else { return };
-        last.over = true;
-        let weight = request.ask.weight;
-        if let Some(upstream) = self.upstreams.get_mut(&last.upstream) {
-            upstream.release(weight);
-        }
-    }
-
-    /// Takes the request out and records its decision.
-    pub(crate) fn close(
-        &mut self,
-        id: u64,
-        error: Option<Kind>,
-        detail: &str,
-        now: Millis,
-    ) -> Vec<Effect> {
-        self.release(id);
-        let Some(mut request) = self.requests.remove(&id) else {
-            return Vec::new();
-        };
-        if let Some(last) = request.tries.last_mut()
-            && last.error.is_none()
-        {
-            last.error = error;
-        }
-        let decision = Decision {
-            request: request.ask.request,
-            workspace: request.ask.workspace,
-            kind: request.ask.kind,
-            model: request.ask.model,
-            intent: Some(request.intent),
-            generation: request.generation,
-            proof_ms: request.proof_ms,
-            status: request.status,
-            came: request.came,
-            ended: now,
-            passed: request.passed,
-            tries: request.tries,
-            outcome: error.map_or(Outcome::Ran, |kind| kind.row().outcome),
-            error,
-            detail: detail.into(),
-        };
-        let mut effects = vec![Effect::Record(Arc::new(decision))];
-        if self.draining && self.requests.is_empty() {
-            effects.push(Effect::Drained);
-        }
-        effects
-    }
-
-    /// Ends the request with an error.
-    ///
-    /// An earlier attempt that may have run outweighs a later one that did not:
-    /// the answer is the earlier one's.
-    pub(crate) fn fail(
-        &mut self,
-        id: u64,
-        kind: Kind,
-        retry_after_ms: u64,
-        detail: &str,
-        now: Millis,
-    ) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else {
-            return Vec::new();
-        };
-        let kind = match kind.row().outcome {
-            Outcome::NotRun => request.uncertain().unwrap_or(kind),
-            Outcome::Unknown | Outcome::Ran => kind,
-        };
-        let retry_after_ms = retry_after_ms.max(self.retry_after_ms(kind, now));
-        let answer = Effect::answer(kind, &request.ask.request, retry_after_ms, detail);
-        let first = if request.is_answering() { Effect::Cut(answer) } else { Effect::Fail(answer) };
-        let mut effects = vec![first];
-        effects.extend(self.close(id, Some(kind), detail, now));
-        effects
-    }
 }
