--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -9,7 +9,8 @@
 mod core;
 mod error;
 mod peers;
+mod server;
 mod upstream;
 
-pub use crate::core::Sidecar;
 pub use error::Error;
+pub use server::Sidecar;
