--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use clock::{Clock, Millis};
-use edge::{Connect, Edges};
+use edge::Edges;
 use errors::Kind;
 use intents::Plan;
 use link::Links;
 use outbound::Client;
 use routing::{Decision, Effect, Event, Owner, State};
-use spdlog::error;
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
@@ -20,6 +19,7 @@
 
 use crate::decisions::Decisions;
 use crate::peers::Peers;
+use crate::reach::Direct;
 use crate::report;
 
 /// The name of this kind of process in metrics and traces.
@@ -28,51 +28,10 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
-/// How long an idle connection to an upstream is kept, unless its answers tell of
-/// less. Upstreams of the sites close theirs after 10 s.
-const UPSTREAM_IDLE: Duration = Duration::from_secs(8);
-
 /// How long a request waits for the first configuration. A router that starts
 /// has it after 60 to 140 ms on the sites.
 const FIRST_PLAN: Duration = Duration::from_millis(300);
 
-/// What reaches the platform and upstreams directly.
-pub(crate) struct Direct {
-    edges: Edges,
-    client: Client,
-    peers: Option<Peers>,
-}
-
-impl Direct {
-    /// Makes the platform's edges, the client that reaches upstreams and the socket
-    /// for hints of other routers.
-    ///
-    /// # Errors
-    ///
-    /// The runtime can't make a client.
-    pub(crate) async fn connect(
-        connect: &Connect,
-        settings: &settings::Router,
-    ) -> Result<Self, String> {
-        let edges = connect().await?;
-        let limit = Duration::from_millis(process::CONNECT_TIMEOUT.0.into());
-        let client = Client::new(UPSTREAM_IDLE, limit);
-        let hints = settings.direct.as_ref().and_then(|it| it.hints.as_deref());
-        Ok(Self { edges, client, peers: hints.and_then(|it| peers(&settings.name, it)) })
-    }
-}
-
-/// The socket for hints; a router does without where it can't be had.
-fn peers(name: &Arc<str>, address: &str) -> Option<Peers> {
-    match Peers::bind(name.clone(), address) {
-        Ok(peers) => Some(peers),
-        Err(fault) => {
-            error!("no hints are exchanged", kv: { address, fault = fault.to_string() });
-            None
-        }
-    }
-}
-
 /// The state of a router and its edges.
 pub(crate) struct Core {
     pub settings: Arc<settings::Router>,
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -15,7 +15,7 @@
 
 use crate::core::Core;
 use crate::headers;
-use crate::relay::Template;
+use crate::template::Template;
 
 /// The status of an upstream that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -16,7 +16,8 @@
 use crate::answer::{self, REQUEST_ID, UPSTREAM, event};
 use crate::core::Core;
 use crate::prompt::Prompt;
-use crate::relay::{Relay, Step, Template};
+use crate::relay::{Relay, Step};
+use crate::template::Template;
 use crate::{body, headers, key};
 
 /// The kind of a chat request that names none.
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -13,8 +13,9 @@
 use routing::Ask;
 
 use crate::core::Core;
-use crate::relay::{Relay, Step, Template};
+use crate::relay::{Relay, Step};
 use crate::target::Target;
+use crate::template::Template;
 use crate::{answer, body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -21,11 +21,13 @@
 mod memory;
 mod peers;
 mod prompt;
+mod reach;
 mod relay;
 mod report;
 mod server;
 mod shared;
 mod target;
+mod template;
 
 pub use error::Error;
 pub use server::Router;
--- a/components/router/src/shared.rs
+++ b/components/router/src/shared.rs
@@ -9,7 +9,8 @@
 use tokio::sync::{OnceCell, watch};
 
 use crate::background;
-use crate::core::{Core, Direct};
+use crate::core::Core;
+use crate::reach::Direct;
 
 /// The pause before clients are made once more.
 const AGAIN: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/components/router/src/template.rs
@@ -0,0 +1,29 @@
+//! A request as every attempt sends it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+/// What every attempt sends of the request: to the sidecar, or straight to the
+/// upstream.
+#[derive(Debug)]
+pub(crate) struct Template {
+    pub method: Arc<str>,
+    pub path: Arc<str>,
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    pub body: Bytes,
+    /// The trace context that came with the request.
+    pub traceparent: Option<Arc<str>>,
+    /// Whether the answer is a stream of events; of concern to direct sendings.
+    pub events: bool,
+    /// Whether the caller has no workspace of its own.
+    pub anonymous: bool,
+}
+
+impl Template {
+    /// Says that the body is JSON, whatever the caller said: it was read as such.
+    pub(crate) fn say_json(&mut self) {
+        self.headers.retain(|(name, _)| &**name != "content-type");
+        self.headers.push(("content-type".into(), "application/json".into()));
+    }
+}
