--- a/components/outbound/tests/client.rs
+++ b/components/outbound/tests/client.rs
@@ -29,7 +29,7 @@
 }
 
 /// A server that plays one script for each connection, in order. Returns its
-/// address and a receiver of the number of each connection that its client ended.
+/// address and a receiver of the number of each connection that has ended.
 fn server(scripts: Vec<Script>, end: End) -> (Arc<str>, Receiver<usize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("an address").to_string();
@@ -39,33 +39,31 @@
             let (stream, _) = listener.accept().expect("a connection");
             let sender = sender.clone();
             std::thread::spawn(move || {
-                if play(stream, &script, end) {
-                    let _ = sender.send(number);
-                }
+                play(stream, &script, end);
+                let _ = sender.send(number);
             });
         }
     });
     (address.into(), ended)
 }
 
-/// Plays a script; returns whether the client ended the connection.
-fn play(stream: TcpStream, script: &[&str], end: End) -> bool {
+/// Plays a script; the connection has ended when this returns.
+fn play(stream: TcpStream, script: &[&str], end: End) {
     let mut writer = stream.try_clone().expect("a connection");
     let mut reader = BufReader::new(stream);
     for answer in script {
         if !read_request(&mut reader) {
-            return true;
+            return;
         }
         writer.write_all(answer.as_bytes()).expect("the client listens");
     }
     match end {
-        End::Close => false,
+        End::Close => {}
         End::Reset => {
             let linger = nix::libc::linger { l_onoff: 1, l_linger: 0 };
             setsockopt(&writer, sockopt::Linger, &linger).expect("an option");
-            false
         }
-        End::Wait => !matches!(reader.read(&mut [0]), Ok(1)),
+        End::Wait => assert!(!matches!(reader.read(&mut [0]), Ok(1)), "a surplus byte"),
     }
 }
 
@@ -164,10 +162,12 @@
 
 #[test]
 fn a_kept_connection_that_has_ended_costs_no_request() {
-    let (address, _ended) = server(vec![vec![WHOLE], vec![WHOLE]], End::Close);
+    let (address, ended) = server(vec![vec![WHOLE], vec![WHOLE]], End::Close);
     run(async {
         let client = Client::new(KEEP, CONNECT);
         ask(&client, &address).await.expect("an answer");
+        // Its end is on the way to the client's task.
+        assert_eq!(ended.recv_timeout(KEEP), Ok(0));
         tokio::time::sleep(Duration::from_millis(50)).await;
         assert_eq!(ask(&client, &address).await.expect("an answer"), (200, "whole".into()));
     });
