Have a router that stops take the requests that will have ended in time

A stop takes up to 7.5 s, of which requests were taken for 3; the balancer sends new connections there while its neighbours stop too.

Ruled out: connections that callers keep (requests come at the full rate), routers that start (nothing refused there).

Now a stopping router goes by the longest answer of the kind seen lately, half as much again, against the time that is left; what doesn't fit is refused as before, with 50 ms to come back where another router is current.

Two of the tests were seen failing with the taking switched off.

--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -50,7 +50,8 @@
         tasks.spawn_local(send_notes(core.clone(), outbox));
         core.stop.asked().await;
         tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
-        core.apply(Event::Drain);
+        let until = core.clock.now() + Millis(core.settings.drain_ms);
+        core.apply(Event::Drain { until });
         core.stop.finished().await;
         tasks.shutdown().await;
     })
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/ask.rs
@@ -46,9 +46,6 @@
         ask: &Ask,
         now: Millis,
     ) -> Result<Target<'a>, Refusal> {
-        if self.draining {
-            return Err((Kind::Draining, String::new()));
-        }
         let Some(plan) = plan else {
             return Err((Kind::NoConfiguration, String::new()));
         };
@@ -56,6 +53,10 @@
         if !target.repeatable && !target.kind.keyless && ask.once.is_none() {
             return Err((Kind::KeyMissing, String::new()));
         }
+        let allowed = Millis(target.intent.deadline_ms);
+        if !self.has_time_for(&ask.kind, ask.deadline.map_or(allowed, |it| it.min(allowed)), now) {
+            return Err((Kind::Draining, String::new()));
+        }
         if !target.kind.anonymous && !self.is_proved(self.settings.current_ms, now) {
             return Err((Kind::StaleConfiguration, String::new()));
         }
--- a/components/routing/src/ending.rs
+++ b/components/routing/src/ending.rs
@@ -118,6 +118,9 @@
         {
             last.error = error;
         }
+        if error.is_none() {
+            self.durations.note(&request.ask.kind, request.came.until(now));
+        }
         let shared = request.ask.shared.last().copied();
         let decision = Decision {
             request: request.ask.request,
@@ -140,9 +143,7 @@
             detail: detail.into(),
         };
         let mut effects = vec![Effect::Record(Arc::new(decision))];
-        if self.draining && self.requests.is_empty() {
-            effects.push(Effect::Drained);
-        }
+        effects.extend(self.drained());
         effects
     }
 
@@ -160,10 +161,4 @@
             upstream.release(weight);
         }
     }
-
-    /// Takes no more requests; those under way are finished.
-    pub(crate) fn drain(&mut self) -> Vec<Effect> {
-        self.draining = true;
-        if self.requests.is_empty() { vec![Effect::Drained] } else { Vec::new() }
-    }
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -103,7 +103,10 @@
         id: u64,
     },
     /// The router is to stop.
-    Drain,
+    Drain {
+        /// When requests are cut that have not ended.
+        until: Millis,
+    },
 }
 
 /// A whole request.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod share;
 mod silence;
 mod state;
+mod stopping;
 mod upstream;
 mod warmth;
 
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -12,6 +12,7 @@
 use crate::choice::{Index, Upstreams};
 use crate::loads::Peers;
 use crate::request::Request;
+use crate::stopping::{Durations, Stop};
 use crate::warmth::Warmth;
 use crate::{Budget, Effect, Event, Path, Settings, Upstream};
 
@@ -31,7 +32,10 @@
     pub(crate) means: HashMap<Arc<str>, f64>,
     /// Among how many routers the retry budget is divided.
     pub(crate) routers: usize,
-    pub(crate) draining: bool,
+    /// Set once the router is to stop.
+    pub(crate) stop: Option<Stop>,
+    /// How long answers took lately.
+    pub(crate) durations: Durations,
     /// Where parts of prompts are warm; kept for direct upstreams only.
     pub(crate) warmth: Warmth,
     /// When the configuration in force was last known to be the newest.
@@ -57,7 +61,8 @@
             hops,
             means: HashMap::new(),
             routers: 1,
-            draining: false,
+            stop: None,
+            durations: Durations::default(),
             warmth: Warmth::default(),
             current: None,
             peers: Peers::default(),
@@ -92,7 +97,7 @@
         let up = self.upstreams.values().any(|upstream| upstream.is_up(now));
         let up = up || self.settings.path == Path::Direct;
         let proved = self.is_proved(self.settings.ready_ms, now);
-        self.plan.is_some() && up && proved && !self.draining
+        self.plan.is_some() && up && proved && self.stop.is_none()
     }
 
     /// Whether the configuration in force is proved to have been the newest in
@@ -109,7 +114,8 @@
     /// When a caller that is refused for `kind` is told to come back at the earliest,
     /// in milliseconds.
     pub fn retry_after_ms(&self, kind: Kind, now: Millis) -> u64 {
-        if kind == Kind::StaleConfiguration && self.others_are_current(now) {
+        let elsewhere = matches!(kind, Kind::StaleConfiguration | Kind::Draining);
+        if elsewhere && self.others_are_current(now) {
             return self.settings.elsewhere_retry_after_ms;
         }
         self.settings.retry_after_ms(kind)
@@ -154,7 +160,7 @@
                 Vec::new()
             }
             Event::Waited { id } => self.waited(id, now),
-            Event::Drain => self.drain(),
+            Event::Drain { until } => self.drain(until),
         }
     }
 
--- /dev/null
+++ b/components/routing/src/stopping.rs
@@ -0,0 +1,83 @@
+//! A planned stop: which requests are still taken.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use clock::Millis;
+
+use crate::Effect;
+use crate::state::State;
+
+/// How much of the longest answer seen lately, in hundredths, a request of its kind is
+/// given. The longest of 200 answers is 3 times the mean; none of the sites' is longer
+/// than 1.5 times that.
+const ROOM_HUNDREDTHS: u64 = 150;
+
+/// How much of the longest answer is kept with each further one, in thousandths, so
+/// that it is the longest of the last few hundred.
+const KEPT_THOUSANDTHS: u64 = 998;
+
+/// How long answers take, by kind of request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Durations {
+    longest: HashMap<Arc<str>, Millis>,
+}
+
+impl Durations {
+    /// Takes the time that a whole answer took.
+    pub(crate) fn note(&mut self, kind: &Arc<str>, took: Millis) {
+        if let Some(longest) = self.longest.get_mut(kind) {
+            *longest = took.max(Millis(longest.0 * KEPT_THOUSANDTHS / 1_000));
+            return;
+        }
+        self.longest.insert(kind.clone(), took);
+    }
+
+    /// How long a request of `kind` may take; none if none has been answered.
+    fn expected(&self, kind: &str) -> Option<Millis> {
+        self.longest.get(kind).map(|it| Millis(it.0 * ROOM_HUNDREDTHS / 100))
+    }
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// Requests are taken that will have ended by then.
+    Draining { until: Millis },
+    /// Nothing is in flight any more, and nothing is taken.
+    Drained,
+}
+
+impl State {
+    /// Whether a request of `kind` with `deadline` from now may be taken. While this
+    /// router stops, those are that will be answered in time: on a day on which four
+    /// routers were stopped in turn, 168 of 1,600 requests were refused and came late
+    /// for it.
+    pub(crate) fn has_time_for(&self, kind: &str, deadline: Millis, now: Millis) -> bool {
+        match self.stop {
+            None => true,
+            Some(Stop::Drained) => false,
+            Some(Stop::Draining { until }) => {
+                let expected = self.durations.expected(kind).unwrap_or(deadline);
+                now + expected.min(deadline) <= until
+            }
+        }
+    }
+
+    /// Takes only requests that will have ended by `until`; those under way are
+    /// finished.
+    pub(crate) fn drain(&mut self, until: Millis) -> Vec<Effect> {
+        self.stop = Some(Stop::Draining { until });
+        self.drained().into_iter().collect()
+    }
+
+    /// The end of a planned stop, once nothing is in flight.
+    pub(crate) fn drained(&mut self) -> Option<Effect> {
+        let drains = matches!(self.stop, Some(Stop::Draining { .. }));
+        if !drains || !self.requests.is_empty() {
+            return None;
+        }
+        self.stop = Some(Stop::Drained);
+        Some(Effect::Drained)
+    }
+}
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod loads;
 mod silence;
+mod stopping;
 mod warmth;
--- /dev/null
+++ b/components/routing/tests/direct/stopping.rs
@@ -0,0 +1,71 @@
+//! Which requests a router that stops still takes.
+
+use clock::Millis;
+use errors::Kind;
+use routing::{Effect, Event, Reply, State};
+use wire::{Chunk, End, Head, Heard, Status};
+
+use crate::fleet::{NOW, ask, failed, router, sent, settings};
+
+/// When requests in flight are cut.
+const UNTIL: Millis = Millis(1_006_000);
+
+/// Has a request answered that takes `took` in all.
+fn answer(state: &mut State, id: u64, took: Millis) -> Vec<Effect> {
+    let reply = |reply| Event::Reply { id, attempt: 1, reply };
+    let head = Head { attempt: 1, status: 200, headers: Vec::new() };
+    state.apply(reply(Reply::Head(head)), NOW + took);
+    let chunk = Chunk { attempt: 1, sequence: 0, bytes: "x".into() };
+    state.apply(reply(Reply::Chunk(chunk)), NOW + took);
+    let end = End { attempt: 1, chunks: 1, bytes: 1, status: Status::default() };
+    state.apply(reply(Reply::End(end)), NOW + took)
+}
+
+/// A router that stops, has seen a stream of 800 ms and has one in flight.
+fn stopping() -> State {
+    let mut state = router(settings());
+    state.apply(ask(1, "stream", "chat"), NOW);
+    answer(&mut state, 1, Millis(800));
+    state.apply(ask(2, "stream", "chat"), NOW);
+    state.apply(Event::Drain { until: UNTIL }, NOW);
+    state
+}
+
+#[test]
+fn a_request_is_taken_that_will_have_ended_in_time() {
+    let mut state = stopping();
+    state.apply(Event::Current { at: UNTIL }, NOW);
+    // Half as long again as the longest seen.
+    let last = Millis(UNTIL.0 - 1_200);
+    assert!(sent(&state.apply(ask(3, "stream", "chat"), last)).is_some());
+    let late = state.apply(ask(4, "stream", "chat"), last + Millis(1));
+    assert_eq!(failed(&late), Some(Kind::Draining));
+}
+
+#[test]
+fn a_request_of_a_kind_without_answers_is_taken_only_for_as_long_as_it_may_last() {
+    let mut state = stopping();
+    state.apply(Event::Current { at: UNTIL }, NOW);
+    // Its deadline is 5 s.
+    let last = Millis(UNTIL.0 - 5_000);
+    assert!(sent(&state.apply(ask(3, "safe", "r-3"), last)).is_some());
+    let late = state.apply(ask(4, "safe", "r-4"), last + Millis(1));
+    assert_eq!(failed(&late), Some(Kind::Draining));
+}
+
+#[test]
+fn nothing_is_taken_once_nothing_is_in_flight() {
+    let mut state = stopping();
+    let effects = answer(&mut state, 2, Millis(500));
+    assert!(effects.iter().any(|it| matches!(it, Effect::Drained)));
+    let next = state.apply(ask(3, "stream", "chat"), NOW + Millis(501));
+    assert_eq!(failed(&next), Some(Kind::Draining));
+}
+
+#[test]
+fn callers_are_sent_to_other_routers_at_once_if_there_are_any() {
+    let mut state = stopping();
+    assert_eq!(state.retry_after_ms(Kind::Draining, NOW), 250);
+    state.apply(Event::Heard(Heard { current: true, upstreams: Vec::new() }), NOW);
+    assert_eq!(state.retry_after_ms(Kind::Draining, NOW), 50);
+}
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -266,7 +266,7 @@
             Step::Tick(passed) => self.now = self.now + Millis(passed),
             Step::Drain => {
                 self.draining = true;
-                let effects = self.state.apply(Event::Drain, self.now);
+                let effects = self.state.apply(Event::Drain { until: self.now }, self.now);
                 self.carry_out(0, effects);
             }
         }
