Remember where parts of prompts are warm, for routers that start

Hypothesis: a router that starts asks for readings and copies by rank alone.

The first router by name writes the latest 4,096 parts into the store, 2 s apart at most, as one frame an engine (about 6 KB here); one that starts takes them with its first look. Weighed against it: asking a neighbour (none lives after a power cut), lists of the engines (each stalls its engine).

The test was seen failing with the recall left out. The stand-in of the store kept written values only if they were text; it keeps bytes now.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use clock::Millis;
 use futures_util::future::LocalBoxFuture;
 use intents::Document;
@@ -29,6 +30,8 @@
     RouterGone(Arc<str>),
     /// The upstreams that a router has remembered.
     Remembered(Vec<Host>),
+    /// What a router has remembered of warm parts of prompts, as it wrote it.
+    RememberedParts(Bytes),
     /// An entry that can't be read.
     Unreadable {
         /// Its key.
@@ -99,6 +102,9 @@
     /// Remembers upstreams for routers that start.
     fn remember(&self, hosts: Vec<Host>) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
+    /// Remembers warm parts of prompts for routers that start.
+    fn remember_parts(&self, parts: Bytes) -> LocalBoxFuture<'_, Result<(), Fault>>;
+
     /// Renews a lease; `false` means that it is over.
     fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<bool, Fault>>;
 
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -36,9 +36,10 @@
     ntex::rt::spawn(async move {
         let mut tasks = JoinSet::new();
         if let Some(direct) = &core.settings.direct {
-            let (memory, hosts) = Memory::new();
+            let (memory, pending) = Memory::new();
             tasks.spawn_local(feed::follow(core.clone(), Millis(direct.look_ms), memory));
-            tasks.spawn_local(memory::keep(core.clone(), hosts));
+            tasks.spawn_local(memory::keep_hosts(core.clone(), pending.clone()));
+            tasks.spawn_local(memory::keep_parts(core.clone(), pending));
             tasks.spawn_local(announcement::keep_up(core.clone()));
             tasks.spawn_local(hints::listen(core.clone()));
             tasks.spawn_local(hints::tell_loads(core.clone()));
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -153,6 +153,11 @@
         self.state.borrow().loads(&self.settings.name, self.clock.now())
     }
 
+    /// What is known of warm parts, and how often it has changed.
+    pub(crate) fn warm_parts(&self) -> (u64, Vec<Warm>) {
+        self.state.borrow().warm_parts()
+    }
+
     /// What answers have told of loads since this was asked last.
     pub(crate) fn heard(&self) -> Heard {
         self.state.borrow_mut().heard(self.clock.now())
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use clock::Millis;
 use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
@@ -16,7 +17,7 @@
 
 use crate::core::Core;
 use crate::extent::Extent;
-use crate::memory::Memory;
+use crate::memory::{self, Memory};
 
 /// How many routers there are taken to be at least: when all start at once, the
 /// first looks see few of them. The sites have four, and seven with all spares.
@@ -73,6 +74,8 @@
     newest: Option<Box<Document>>,
     /// What was remembered of the upstreams.
     remembered: Vec<Host>,
+    /// What was remembered of warm parts.
+    parts: Bytes,
 }
 
 struct Feed {
@@ -157,16 +160,22 @@
         if whole {
             summary.changed |= self.listing.keep_only(&summary.names);
         }
-        if !std::mem::replace(&mut self.started, true) {
+        let starts = !std::mem::replace(&mut self.started, true);
+        if starts {
             summary.changed |= self.recall(summary.remembered, now);
         }
         summary.changed |= self.listing.expire(now);
         if summary.changed {
             self.publish(batch.revision);
         }
+        if starts {
+            self.recall_parts(&summary.parts);
+        }
         self.revision = Some(batch.revision);
         // One router writes for the whole fleet: the first by name.
-        if self.routers.first() == Some(&self.core.settings.name) {
+        let writes = self.routers.first() == Some(&self.core.settings.name);
+        self.memory.write(writes);
+        if writes {
             self.memory.remember(&self.listing);
         }
     }
@@ -181,6 +190,18 @@
         missing
     }
 
+    /// At the start, where parts were warm when that was last written down.
+    fn recall_parts(&self, remembered: &[u8]) {
+        let warm = memory::decode(remembered);
+        let parts: usize = warm.iter().map(|it| it.parts.len()).sum();
+        if parts > 0 {
+            info!("warm parts recalled", kv: { upstreams = warm.len(), parts });
+        }
+        for warm in warm {
+            self.core.apply(Event::Warm(warm));
+        }
+    }
+
     /// Takes one fact of a batch; what waits for the end of it goes to `summary`.
     fn note(&mut self, fact: Fact, summary: &mut Summary) {
         match fact {
@@ -208,6 +229,7 @@
                 }
             }
             Fact::Remembered(hosts) => summary.remembered = hosts,
+            Fact::RememberedParts(parts) => summary.parts = parts,
             Fact::Unreadable { key, reason } => {
                 warn!("an entry can't be read", kv: { key = &*key, reason });
             }
--- a/components/router/src/memory.rs
+++ b/components/router/src/memory.rs
@@ -6,10 +6,12 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use clock::Millis;
 use routing::{Host, Listing};
 use spdlog::{info, warn};
 use tokio::sync::watch;
+use wire::{Frame, Reader, Warm};
 
 use crate::core::Core;
 
@@ -17,15 +19,35 @@
 /// later; entries that come one by one are written together.
 const EVERY: Millis = Millis(3_000);
 
-/// Takes the upstreams that are to be remembered.
+/// The same for warm parts, of which some are new with most requests.
+const PARTS_EVERY: Millis = Millis(2_000);
+
+/// Takes what is to be remembered.
 #[derive(Debug)]
-pub(crate) struct Memory(watch::Sender<Vec<Host>>);
+pub(crate) struct Memory {
+    hosts: watch::Sender<Vec<Host>>,
+    /// Whether this router is the one that writes.
+    writes: watch::Sender<bool>,
+}
+
+/// What is to be written.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    hosts: watch::Receiver<Vec<Host>>,
+    writes: watch::Receiver<bool>,
+}
 
 impl Memory {
     /// The memory, and what is to be written of it.
-    pub(crate) fn new() -> (Self, watch::Receiver<Vec<Host>>) {
-        let (hosts, changes) = watch::channel(Vec::new());
-        (Self(hosts), changes)
+    pub(crate) fn new() -> (Self, Pending) {
+        let (hosts, changed) = watch::channel(Vec::new());
+        let (writes, writing) = watch::channel(false);
+        (Self { hosts, writes }, Pending { hosts: changed, writes: writing })
+    }
+
+    /// Says whether this router writes for the whole fleet.
+    pub(crate) fn write(&self, writes: bool) {
+        self.writes.send_if_modified(|known| std::mem::replace(known, writes) != writes);
     }
 
     /// Has the upstreams of `listing` remembered, if they have changed and none of
@@ -36,7 +58,7 @@
         }
         let mut hosts = listing.hosts();
         hosts.retain(|it| !it.leaving);
-        self.0.send_if_modified(|known| {
+        self.hosts.send_if_modified(|known| {
             let changed = !hosts.is_empty() && *known != hosts;
             if changed {
                 *known = hosts;
@@ -46,8 +68,9 @@
     }
 }
 
-/// Writes the upstreams down as they come in `hosts`, until the process stops.
-pub(crate) async fn keep(core: Rc<Core>, mut hosts: watch::Receiver<Vec<Host>>) {
+/// Writes the upstreams down as they come, until the process stops.
+pub(crate) async fn keep_hosts(core: Rc<Core>, pending: Pending) {
+    let mut hosts = pending.hosts;
     while hosts.changed().await.is_ok() {
         let known = hosts.borrow_and_update().clone();
         let upstreams = known.len();
@@ -59,3 +82,39 @@
         tokio::time::sleep(EVERY.duration()).await;
     }
 }
+
+/// Writes down where parts are warm, until the process stops.
+pub(crate) async fn keep_parts(core: Rc<Core>, pending: Pending) {
+    let mut written = 0;
+    loop {
+        tokio::time::sleep(PARTS_EVERY.duration()).await;
+        if !*pending.writes.borrow() {
+            continue;
+        }
+        let (changes, warm) = core.warm_parts();
+        if changes == written || warm.is_empty() {
+            continue;
+        }
+        match core.edges().store.remember_parts(encode(warm)).await {
+            Ok(()) => written = changes,
+            Err(fault) => warn!("parts not remembered", kv: { reason = fault.to_string() }),
+        }
+    }
+}
+
+/// Warm parts as they are remembered: one frame for each upstream.
+fn encode(warm: Vec<Warm>) -> Bytes {
+    let frames = warm.into_iter().filter_map(|it| wire::encode(&Frame::Warm(it)).ok());
+    frames.flatten().collect()
+}
+
+/// Reads what [`encode`] wrote, as far as it can be read.
+pub(crate) fn decode(bytes: &[u8]) -> Vec<Warm> {
+    let mut reader = Reader::default();
+    reader.push(bytes);
+    let next = || match reader.frame() {
+        Ok(Some(Frame::Warm(warm))) => Some(warm),
+        _ => None,
+    };
+    std::iter::from_fn(next).collect()
+}
--- a/components/routing/src/share.rs
+++ b/components/routing/src/share.rs
@@ -27,6 +27,10 @@
     now + Millis(objective_ms.unwrap_or_default() / PATIENCE)
 }
 
+/// The most parts that are remembered for routers that start, the latest; 8 bytes for
+/// each upstream that has read one.
+const MOST_REMEMBERED: usize = 4_096;
+
 /// Tells the other routers of `parts`, if there are any.
 pub(crate) fn share(upstream: &Arc<str>, mut parts: Vec<u64>, stage: Stage) -> Option<Effect> {
     parts.truncate(MAX_TOLD);
@@ -47,6 +51,15 @@
         Vec::new()
     }
 
+    /// What is known of warm parts at the upstreams there are, for routers that start,
+    /// and how often it has changed.
+    pub fn warm_parts(&self) -> (u64, Vec<Warm>) {
+        let mut held = self.warmth.latest(MOST_REMEMBERED);
+        held.retain(|upstream, _| self.upstreams.contains_key(upstream));
+        let warm = |(upstream, parts)| Warm { upstream, parts, stage: Stage::Read };
+        (self.warmth.changes(), held.into_iter().map(warm).collect())
+    }
+
     /// Whether a request that has not been sent should wait: `upstream` is reading
     /// all that it shares with another, and would read it twice.
     pub(crate) fn should_wait(&self, id: u64, upstream: &str, now: Millis) -> bool {
--- a/components/routing/src/warmth.rs
+++ b/components/routing/src/warmth.rs
@@ -1,7 +1,7 @@
 //! Where the shared parts of prompts are warm, as far as the requests of all
 //! routers tell.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
@@ -32,6 +32,8 @@
     places: HashMap<u64, Vec<Place>>,
     /// The parts, the one that came first first.
     order: VecDeque<u64>,
+    /// How often anything has changed.
+    changes: u64,
 }
 
 impl Warmth {
@@ -73,6 +75,7 @@
             places.remove(0);
         }
         places.push(place);
+        self.changes += 1;
     }
 
     /// The upstreams that have read `part`, the latest first.
@@ -91,6 +94,24 @@
         self.known(part).any(|it| &*it.upstream == upstream && since(it))
     }
 
+    /// How often anything has changed.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The latest `most` parts that were read, by upstream, the one that came first
+    /// first.
+    pub(crate) fn latest(&self, most: usize) -> BTreeMap<Arc<str>, Vec<u64>> {
+        let mut held: BTreeMap<Arc<str>, Vec<u64>> = BTreeMap::new();
+        let skipped = self.order.len().saturating_sub(most);
+        for part in self.order.iter().skip(skipped) {
+            for upstream in self.places(*part) {
+                held.entry(upstream.clone()).or_default().push(*part);
+            }
+        }
+        held
+    }
+
     fn known(&self, part: u64) -> impl DoubleEndedIterator<Item = &Place> {
         self.places.get(&part).into_iter().flatten()
     }
--- a/tests/platform/hints.rs
+++ b/tests/platform/hints.rs
@@ -83,3 +83,37 @@
     drop(caller);
     while !none(frame(&other)) {}
 }
+
+#[test]
+fn a_router_that_starts_knows_what_was_warm_before() {
+    const REMEMBERED: &str = "silverstack/parts";
+    let engine = Upstream::start(&own_host(), "i-1", "engine");
+    engine.set(&[Act::Events(1, 2, 1)]);
+    let ask = |router: &Router| {
+        assert!(
+            router.ask("POST /stream/x", &[("Prompt-Prefix", "aa:9,bb:9,cc:1")], "b").is_some()
+        );
+        router.until("logged", || router.has_logged("request ended"));
+        let line = |it: &serde_json::Value| it["payload"] == "request ended";
+        let ended = router.log().into_iter().find(line).expect("a line");
+        ended["kv"]["tries"].as_str().expect("a text").to_owned()
+    };
+    let first = Router::start(&configuration(1), &[&engine]);
+    assert!(ask(&first).contains(",read=18,"));
+    first.until("remembered", || first.store.holds(REMEMBERED));
+    let remembered = first.store.bytes(REMEMBERED).expect("bytes");
+    drop(first);
+
+    let start = |remembered: &[u8]| {
+        let router = Router::start_bare(&own_host(), |store| {
+            store.put("op/config", &configuration(1));
+            store.put(&engine.key(), &engine.entry("ready", 1));
+            store.put_bytes(REMEMBERED, remembered);
+        });
+        router.until("ready", || router.is_ready());
+        router
+    };
+    assert!(ask(&start(&remembered)).contains(",read=0,"));
+    // What can't be read is of no use and does no harm.
+    assert!(ask(&start(b"\x00\x00\x00\x05 no frame")).contains(",read=18,"));
+}
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -73,10 +73,15 @@
 
     /// Writes a text as it is.
     pub fn put_text(&self, key: &str, text: &str) {
+        self.put_bytes(key, text.as_bytes());
+    }
+
+    /// Writes bytes as they are.
+    pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
-        let value = STANDARD.encode(text);
+        let value = STANDARD.encode(bytes);
         let item = item(key, &value, revision);
         state.items.insert(key.to_owned(), (value, revision));
         state.history.push((revision, item));
@@ -108,8 +113,12 @@
 
     /// What stands under a key.
     pub fn text(&self, key: &str) -> Option<String> {
-        let value = STANDARD.decode(&self.lock().items.get(key)?.0).expect("base64");
-        Some(String::from_utf8(value).expect("a text"))
+        Some(String::from_utf8(self.bytes(key)?).expect("a text"))
+    }
+
+    /// The same, whatever it is.
+    pub fn bytes(&self, key: &str) -> Option<Vec<u8>> {
+        Some(STANDARD.decode(&self.lock().items.get(key)?.0).expect("base64"))
     }
 
     /// What the calls that have come asked for.
@@ -183,7 +192,7 @@
         if request.target == "/v1/kv-txn" {
             let text = |name| body["writes"][0][name].as_str().expect("one write").to_owned();
             let value = STANDARD.decode(text("value")).expect("base64");
-            self.put_text(&text("privateKey"), &String::from_utf8_lossy(&value));
+            self.put_bytes(&text("privateKey"), &value);
             return (200, json!({ "revision": self.lock().revision }));
         }
         if request.target == "/v1/kv-lease-end/7" {
