Send a request where all that it shares is warm, before rank

The test that a copy is asked for where parts are warm held rank against the new policy; in its place one asks that four requests go to the warm engine, and that the fifth, past the bound, goes to the first in rank and copies from there.

--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/ranking.rs
@@ -24,8 +24,14 @@
             return;
         };
         let outlook = self.outlook(target.intent, now);
-        let Choice { candidates, passed, home, first } =
+        let Choice { mut candidates, passed, home, first } =
             self.index.choose(&self.upstreams, target.intent, ask, &self.settings, &outlook);
+        if self.settings.path == Path::Direct
+            && let Some(part) = ask.shared.last()
+        {
+            // Best last: those that hold all that may be shared come last.
+            candidates.sort_by_key(|it| self.warmth.holds(part.hash, it));
+        }
         let pool = self.pool(candidates.last());
         if let Some(request) = self.requests.get_mut(&id) {
             request.pool = pool;
