Pass over upstreams that fail more of their requests than their pool

Hypothesis: an engine that fails part of its requests and answers the rest in time keeps its share: silence counts only if nothing at all comes, a failure only until the next answer.

Ruled out: the retry budget (it is not used up), the load bound (others have room).

Each router counts good and bad outcomes at each upstream, fading by half in 3 s, and tells them to the others each 400 ms; an upstream is passed over that has 1.5 failures more than its pool's share and two standard deviations would bring, unless the pool itself fails more than a quarter. There are no probes: it comes back as its failures fade.

Tests seen failing with nobody passed over, and with all failing alike not told apart.

--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -20,6 +20,10 @@
 /// takes 20 to 500 ms.
 const TELL_EVERY: Millis = Millis(100);
 
+/// How often routers tell how their requests ended. A second of failures at an engine
+/// that fails part of them is 4 requests of a caller in 100.
+const OUTCOMES_EVERY: Millis = Millis(400);
+
 /// After how many such times it is told even if it hasn't changed.
 const ROUNDS: u32 = 4;
 
@@ -36,6 +40,7 @@
     let mut told = Loads::default();
     let mut rounds = 0;
     let mut logged = core.clock.now();
+    let mut judged = logged;
     loop {
         tokio::time::sleep(TELL_EVERY.duration()).await;
         if logged.until(core.clock.now()) >= LOG_EVERY {
@@ -43,6 +48,10 @@
             log_hints(peers);
         }
         rounds += 1;
+        if judged.until(core.clock.now()) >= OUTCOMES_EVERY {
+            judged = core.clock.now();
+            tell_outcomes(&core, peers);
+        }
         if peers.count() > MOST_PEERS {
             if rounds >= ROUNDS {
                 rounds = 0;
@@ -67,6 +76,15 @@
     core.metrics.control("heard", bytes);
 }
 
+/// Tells the others how requests have ended.
+fn tell_outcomes(core: &Core, peers: &Peers) {
+    let outcomes = core.outcomes();
+    if !outcomes.is_empty() {
+        let bytes = peers.tell(&Frame::Outcomes(outcomes));
+        core.metrics.control("outcomes", bytes);
+    }
+}
+
 /// Takes hints until the process stops.
 pub(crate) async fn listen(core: Rc<Core>) {
     let Some(peers) = core.peers() else { return };
@@ -91,6 +109,9 @@
         Some(Frame::Loads(loads)) => {
             core.apply(Event::Loads(loads));
         }
+        Some(Frame::Outcomes(outcomes)) => {
+            core.apply(Event::Outcomes(outcomes));
+        }
         _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
     }
 }
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -7,8 +7,9 @@
 use intents::{Intent, Selector};
 use placement::{Pool, key, top};
 
+use crate::health::Outcomes;
 use crate::outlook::Outlook;
-use crate::upstream::{OVER_BOUND, SUSPECT};
+use crate::upstream::{OVER_BOUND, POOR, SUSPECT};
 use crate::{Ask, Passed, Path, Policy, Settings, Upstream};
 
 /// The most upstreams that one request may be tried at.
@@ -137,8 +138,12 @@
     ) -> Self {
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
         let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone(), outlook));
+        let mut outcomes = Outcomes::default();
+        for upstream in fitting.clone().filter(|_| settings.path == Path::Direct) {
+            outcomes.add(upstream.health.outcomes(outlook.now));
+        }
         for upstream in fitting {
-            match upstream.objection(weight, pool, settings, outlook) {
+            match upstream.objection(weight, pool, outcomes, settings, outlook) {
                 None => sorted.open.push(upstream),
                 Some(why) => sorted.objected.push((upstream, why)),
             }
@@ -163,17 +168,21 @@
         if !self.open.is_empty() {
             return self.open;
         }
+        let poor = self.objected_for(POOR);
+        if !poor.is_empty() {
+            return poor;
+        }
         let least = self.full().min_by_key(|it| it.load_at(outlook));
         match outlook.path {
             Path::Sidecar => least.into_iter().collect(),
-            Path::Direct => least.map_or_else(|| self.suspects(), |it| vec![it]),
+            Path::Direct => least.map_or_else(|| self.objected_for(SUSPECT), |it| vec![it]),
         }
     }
 
-    /// Those that failed lately: better than none where nobody else can say
-    /// whether they are back.
-    fn suspects(&self) -> Vec<&'a Upstream> {
-        self.objected.iter().filter(|(_, why)| *why == SUSPECT).map(|(it, _)| *it).collect()
+    /// Those that were objected to for `reason`. Those that failed lately are better
+    /// than none where nobody else can say whether they are back.
+    fn objected_for(&self, reason: &str) -> Vec<&'a Upstream> {
+        self.objected.iter().filter(|(_, why)| *why == reason).map(|(it, _)| *it).collect()
     }
 }
 
--- a/components/routing/src/decision.rs
+++ b/components/routing/src/decision.rs
@@ -79,6 +79,9 @@
     pub warm: Option<Arc<str>>,
     /// Why it failed, if it did.
     pub error: Option<Kind>,
+    /// What its outcome was counted as, if it has been.
+    #[serde(skip)]
+    pub(crate) judged: Option<bool>,
     /// Whether it is no longer under way.
     #[serde(skip)]
     pub(crate) over: bool,
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -6,7 +6,9 @@
 use errors::{Answer, Kind};
 use intents::{Labels, Plan};
 use serde::{Deserialize, Serialize};
-use wire::{Admitted, Broken, Chunk, End, Frame, Head, Heard, Loads, Note, Refused, Warm, Welcome};
+use wire::{
+    Admitted, Broken, Chunk, End, Frame, Head, Heard, Loads, Note, Outcome, Refused, Warm, Welcome,
+};
 
 use crate::{Decision, Settings};
 
@@ -97,6 +99,8 @@
     Loads(Loads),
     /// Another router told what answers told it of loads.
     Heard(Heard),
+    /// Another router told how its requests ended.
+    Outcomes(Vec<Outcome>),
     /// The pause of a request that waits is over.
     Waited {
         /// The request.
@@ -214,7 +218,8 @@
             | Frame::Note(_)
             | Frame::Warm(_)
             | Frame::Loads(_)
-            | Frame::Heard(_) => Self::Strange,
+            | Frame::Heard(_)
+            | Frame::Outcomes(_) => Self::Strange,
         }
     }
 }
--- /dev/null
+++ b/components/routing/src/health.rs
@@ -0,0 +1,93 @@
+//! How the latest requests at an upstream ended, and whether it does worse than its
+//! pool.
+//!
+//! An upstream that fails part of its requests answers the others in time, so that
+//! nothing tells it from a sound one but the share of those that fail.
+
+use clock::Millis;
+
+/// After how long an outcome counts half, in milliseconds. A router sends an upstream
+/// of the sites 2 to 10 requests a second, so that it has some to go by.
+const HALF_LIFE_MS: f64 = 3_000.0;
+
+/// How many failures more than the pool's share would bring say anything.
+const EXCESS: f64 = 1.5;
+
+/// How many standard deviations more, so that chance seldom does.
+const DEVIATIONS: f64 = 2.0;
+
+/// The share of failures of the pool beyond which nobody does worse: where most fail,
+/// other upstreams promise nothing.
+const MOST_USUAL: f64 = 0.25;
+
+/// The outcomes of requests, fading with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Health {
+    good: f64,
+    bad: f64,
+    at: Millis,
+    /// Own outcomes of which other routers have not been told, good and bad.
+    untold: (u32, u32),
+}
+
+/// Outcomes as they count at one time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcomes {
+    pub good: f64,
+    pub bad: f64,
+}
+
+impl Health {
+    /// Takes an outcome.
+    pub(crate) fn note(&mut self, good: bool, now: Millis) {
+        let (more, worse) = if good { (1, 0) } else { (0, 1) };
+        self.hear(more, worse, now);
+        self.untold = (self.untold.0 + more, self.untold.1 + worse);
+    }
+
+    /// Takes outcomes that another router has told of.
+    pub(crate) fn hear(&mut self, more: u32, worse: u32, now: Millis) {
+        let Outcomes { good, bad } = self.outcomes(now);
+        self.good = good + f64::from(more);
+        self.bad = bad + f64::from(worse);
+        self.at = now;
+    }
+
+    /// The own outcomes since this was asked last, if there are any.
+    pub(crate) fn tell(&mut self) -> Option<(u32, u32)> {
+        let untold = std::mem::take(&mut self.untold);
+        (untold != (0, 0)).then_some(untold)
+    }
+
+    /// What the outcomes count at `now`.
+    pub(crate) fn outcomes(&self, now: Millis) -> Outcomes {
+        #[expect(clippy::cast_precision_loss, reason = "ages stay far below 2^53")]
+        let kept = 0.5_f64.powf(self.at.until(now).0 as f64 / HALF_LIFE_MS);
+        Outcomes { good: self.good * kept, bad: self.bad * kept }
+    }
+}
+
+impl Outcomes {
+    pub(crate) fn add(&mut self, other: Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+    }
+
+    /// The share that failed; zero without any.
+    fn share(self) -> f64 {
+        let all = self.good + self.bad;
+        if all > 0.0 { self.bad / all } else { 0.0 }
+    }
+
+    /// Whether these are clearly worse than those of the rest of `pool`, which holds
+    /// these too.
+    pub(crate) fn are_poor(self, pool: Self) -> bool {
+        let rest = Self { good: pool.good - self.good, bad: pool.bad - self.bad };
+        let (count, usual) = (self.good + self.bad, rest.share());
+        if usual > MOST_USUAL {
+            return false;
+        }
+        let spread = (count * usual * (1.0 - usual)).max(0.0).sqrt();
+        self.bad >= count * usual + DEVIATIONS * spread + EXCESS
+    }
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod ending;
 mod event;
 mod fleet;
+mod health;
 mod listing;
 mod loads;
 mod outlook;
--- a/components/routing/src/loads.rs
+++ b/components/routing/src/loads.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use wire::{Heard, Loads, Told};
+use wire::{Heard, Loads, Outcome, Told};
 
+use crate::Effect;
 use crate::choice::Upstreams;
 use crate::outlook;
 use crate::state::State;
@@ -92,6 +93,25 @@
         }
     }
 
+    /// Takes how requests of another router ended.
+    pub(crate) fn hear_outcomes(&mut self, outcomes: &[Outcome], now: Millis) -> Vec<Effect> {
+        for told in outcomes {
+            if let Some(upstream) = self.upstreams.get_mut(&told.upstream) {
+                upstream.health.hear(told.good, told.bad, now);
+            }
+        }
+        Vec::new()
+    }
+
+    /// How this router's requests have ended since it was asked last, for the others.
+    pub fn outcomes(&mut self) -> Vec<Outcome> {
+        let told = |it: &mut Upstream| {
+            let (good, bad) = it.health.tell()?;
+            Some(Outcome { upstream: it.name().clone(), good, bad })
+        };
+        self.upstreams.values_mut().filter_map(told).take(MOST_TOLD).collect()
+    }
+
     /// What answers have told this router since it was asked last, for the others.
     pub fn heard(&mut self, now: Millis) -> Heard {
         let told = |it: &mut Upstream| {
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -115,6 +115,10 @@
         if request.is_answering() {
             return self.resumed(id, head.status, now);
         }
+        self.judge(id, head.status < FAILURES, now);
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
         if head.status >= FAILURES && request.repeatable && self.settings.path == Path::Direct {
             return self.failed(id, head, now);
         }
@@ -228,6 +232,9 @@
             return Vec::new();
         };
         let (answering, upstream) = (request.is_answering(), request.upstream().cloned());
+        if sent {
+            self.judge(id, false, now);
+        }
         if let Some(upstream) = upstream {
             self.blame(&upstream, sent, now);
         }
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/sending.rs
@@ -99,6 +99,7 @@
             read: need.read,
             warm: need.source,
             error: None,
+            judged: None,
             over: false,
         });
         Some(())
--- a/components/routing/src/silence.rs
+++ b/components/routing/src/silence.rs
@@ -65,6 +65,7 @@
         if request.quiet(now) < silence {
             return Vec::new();
         }
+        self.judge(id, false, now);
         if self.is_silent(&upstream, silence, now) {
             self.put_on_trial(&upstream, now);
         }
@@ -78,6 +79,22 @@
         effects
     }
 
+    /// Takes how the current attempt of a request goes, once for each attempt, and once more
+    /// if it began well and then failed.
+    pub(crate) fn judge(&mut self, id: u64, good: bool, now: Millis) {
+        let Some(last) = self.requests.get_mut(&id).and_then(|it| it.tries.last_mut()) else {
+            return;
+        };
+        let before = last.judged.replace(good);
+        if before.is_some_and(|it| !it || good) {
+            last.judged = before;
+            return;
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&last.upstream) {
+            upstream.health.note(good, now);
+        }
+    }
+
     /// Leaves an upstream alone for a while, and then gives it one request at a time
     /// until it answers.
     fn put_on_trial(&mut self, upstream: &Arc<str>, now: Millis) {
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -159,6 +159,7 @@
                 self.hear_others(&heard, now);
                 Vec::new()
             }
+            Event::Outcomes(outcomes) => self.hear_outcomes(&outcomes, now),
             Event::Waited { id } => self.waited(id, now),
             Event::Drain { until } => self.drain(until),
         }
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -7,6 +7,7 @@
 use placement::Pool;
 use wire::Status;
 
+use crate::health::{Health, Outcomes};
 use crate::outlook::{Outlook, count};
 use crate::ranking::POOL;
 use crate::{Host, Path, Settings};
@@ -26,6 +27,9 @@
 /// Why an upstream is passed over that failed lately.
 pub(crate) const SUSPECT: &str = "suspect";
 
+/// Why an upstream is passed over that fails more of its requests than its pool.
+pub(crate) const POOR: &str = "fails more than its pool";
+
 /// Why an upstream is passed over whose bound leaves no room.
 pub(crate) const OVER_BOUND: &str = "over the load bound";
 
@@ -52,6 +56,8 @@
     /// Whether the last that was tried of opening a connection succeeded.
     pub(crate) reachable: bool,
     pub(crate) suspect_until: Millis,
+    /// How its latest requests ended.
+    pub(crate) health: Health,
 }
 
 impl Upstream {
@@ -70,6 +76,7 @@
             failures: 0,
             reachable: true,
             suspect_until: Millis::ZERO,
+            health: Health::default(),
         }
     }
 
@@ -206,6 +213,7 @@
         &self,
         weight: u64,
         pool: Option<Pool>,
+        outcomes: Outcomes,
         settings: &Settings,
         outlook: &Outlook,
     ) -> Option<&'static str> {
@@ -225,6 +233,9 @@
         if fresh && over {
             return Some(OVER_BOUND);
         }
+        if self.health.outcomes(now).are_poor(outcomes) {
+            return Some(POOR);
+        }
         None
     }
 }
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod fleet;
+mod health;
 mod loads;
 mod silence;
 mod stopping;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -45,6 +45,8 @@
     Loads(Loads),
     /// What answers told one router of upstreams' loads, told to the others.
     Heard(Heard),
+    /// To other routers: how requests ended.
+    Outcomes(Vec<Outcome>),
 }
 
 /// Who connects, and the proof that it may.
@@ -248,6 +250,17 @@
     pub upstreams: Vec<Told>,
 }
 
+/// How requests of a router ended at an upstream since it was told last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// Answers that began well and in time.
+    pub good: u32,
+    /// Failures, and what came late or never.
+    pub bad: u32,
+}
+
 /// What an answer told of an upstream's load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -4,8 +4,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use wire::{
-    Chunk, End, Error, Frame, Heard, Loads, MAX_FRAME, Open, Reader, Report, Stage, Status, Told,
-    Warm, encode,
+    Chunk, End, Error, Frame, Heard, Loads, MAX_FRAME, Open, Outcome, Reader, Report, Stage,
+    Status, Told, Warm, encode,
 };
 
 /// The seed of the cases, so that every run is the same.
@@ -69,6 +69,14 @@
                 Frame::Heard(Heard { current, upstreams: told.collect() })
             }
         ),
+        prop::collection::vec(any::<(String, u32, u32)>(), 0..40).prop_map(|outcomes| {
+            let outcome = |(upstream, good, bad): (String, u32, u32)| Outcome {
+                upstream: upstream.into(),
+                good,
+                bad,
+            };
+            Frame::Outcomes(outcomes.into_iter().map(outcome).collect())
+        }),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
                 name: name.into(),
