Let mechanisms be switched off one by one

For operators who suspect one and for measuring what each is worth: routing.mechanisms in the router's own settings, and on the platform a JSON file that SILVERSTACK_MECHANISMS names. All are on unless a file says no; promises to callers rest on none of them. The first line of the log tells them.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -142,7 +142,8 @@
 
     /// Tells the other routers where parts of prompts are warm.
     fn share(&self, warm: &Warm) {
-        if let Some(peers) = self.peers() {
+        let peers = self.peers().filter(|_| self.settings.routing.mechanisms.hints);
+        if let Some(peers) = peers {
             let bytes = peers.tell(&Frame::Warm(warm.clone()));
             self.metrics.control("warm", bytes);
         }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -161,14 +161,15 @@
             summary.changed |= self.listing.keep_only(&summary.names);
         }
         let starts = !std::mem::replace(&mut self.started, true);
-        if starts {
+        let mechanisms = self.core.settings.routing.mechanisms;
+        if starts && mechanisms.upstreams {
             summary.changed |= self.recall(summary.remembered, now);
         }
         summary.changed |= self.listing.expire(now);
         if summary.changed {
             self.publish(batch.revision);
         }
-        if starts {
+        if starts && mechanisms.parts {
             self.recall_parts(&summary.parts);
         }
         self.revision = Some(batch.revision);
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -139,7 +139,8 @@
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
         let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone(), outlook));
         let mut outcomes = Outcomes::default();
-        for upstream in fitting.clone().filter(|_| settings.path == Path::Direct) {
+        let judged = settings.path == Path::Direct && settings.mechanisms.health;
+        for upstream in fitting.clone().filter(|_| judged) {
             outcomes.add(upstream.health.outcomes(outlook.now));
         }
         for upstream in fitting {
--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/ranking.rs
@@ -27,6 +27,7 @@
         let Choice { mut candidates, passed, home, first } =
             self.index.choose(&self.upstreams, target.intent, ask, &self.settings, &outlook);
         if self.settings.path == Path::Direct
+            && self.settings.mechanisms.warm_first
             && let Some(part) = ask.shared.last()
         {
             // Best last: those that hold all that may be shared come last.
@@ -90,7 +91,7 @@
         let mean = pool.and_then(|it| self.means.get(it)).copied().unwrap_or_default();
         #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
         let routers = self.routers as f64;
-        let known = self.peers.are_known(now);
+        let known = self.settings.mechanisms.loads && self.peers.are_known(now);
         Outlook { path: self.settings.path, now, routers, mean, known }
     }
 }
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -249,7 +249,12 @@
     /// run there.
     pub(crate) fn stalled(&mut self, id: u64, attempt: u32, now: Millis) -> Vec<Effect> {
         if self.settings.path == Path::Direct {
-            return if self.is_current(id, attempt) { self.quiet(id, now) } else { Vec::new() };
+            let looks = self.settings.mechanisms.silence;
+            return if looks && self.is_current(id, attempt) {
+                self.quiet(id, now)
+            } else {
+                Vec::new()
+            };
         }
         let waiting = self.requests.get(&id).is_some_and(|it| it.phase == Phase::Sent);
         if !waiting || !self.is_current(id, attempt) {
--- a/components/routing/src/retry.rs
+++ b/components/routing/src/retry.rs
@@ -41,7 +41,7 @@
             && request.reached() < request.attempts
             && request.deadline > now
             && !request.candidates.is_empty();
-        safe && left && self.may_go_on(id, kind)
+        safe && left && self.settings.mechanisms.retries && self.may_go_on(id, kind)
     }
 
     /// Whether the budget for going on after `kind` has something left.
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/sending.rs
@@ -12,7 +12,7 @@
 use crate::state::State;
 use crate::upstream::OVER_BOUND;
 use crate::warmth::Warmth;
-use crate::{Attempt, Effect, Path, Try};
+use crate::{Attempt, Effect, Mechanisms, Path, Try, Upstream};
 
 impl State {
     /// Sends to the next candidate, or gives up.
@@ -89,7 +89,7 @@
         }
         let load = upstream.load_at(&Outlook { now, ..request.outlook });
         upstream.take(request.ask.weight);
-        let need = need(&self.warmth, &self.upstreams, request, name);
+        let need = need(&self.warmth, &self.upstreams, request, name, self.settings.mechanisms);
         request.tries.push(Try {
             upstream: name.clone(),
             sent: now,
@@ -130,9 +130,16 @@
 /// The longest part counts that is known to be warm anywhere. A chat that is
 /// sent past its first upstream in rank finds its context there, even if other
 /// routers sent all its earlier requests.
-fn need(warmth: &Warmth, upstreams: &Upstreams, request: &Request, name: &Arc<str>) -> Need {
+fn need(
+    warmth: &Warmth,
+    upstreams: &Upstreams,
+    request: &Request,
+    name: &Arc<str>,
+    mechanisms: Mechanisms,
+) -> Need {
     let address = |name: &Arc<str>, lacks: u64| {
-        let source = upstreams.get(name).filter(|it| it.may_be_copied_from(lacks))?;
+        let sound = |it: &&Upstream| !mechanisms.doubts || it.may_be_copied_from(lacks);
+        let source = upstreams.get(name).filter(sound).filter(|_| mechanisms.copies)?;
         Some(source.host.address.clone())
     };
     let first = request.first.as_ref().filter(|it| *it != name);
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -4,6 +4,8 @@
 use placement::Bound;
 use serde::{Deserialize, Serialize};
 
+use crate::Mechanisms;
+
 /// How an upstream is chosen among those that fit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -39,6 +41,8 @@
     pub policy: Policy,
     /// How upstreams are reached.
     pub path: Path,
+    /// Which mechanisms are in use.
+    pub mechanisms: Mechanisms,
     /// How old the proof may be that the configuration in force is the newest,
     /// in milliseconds; callers with a key are refused beyond it. Zero asks for
     /// no proof.
@@ -93,6 +97,7 @@
         Self {
             policy: Policy::default(),
             path: Path::default(),
+            mechanisms: Mechanisms::default(),
             current_ms: 0,
             ready_ms: 0,
             unknown_ms: 0,
--- a/components/routing/src/share.rs
+++ b/components/routing/src/share.rs
@@ -67,7 +67,8 @@
             return false;
         };
         let reading = |part: &Part| self.warmth.is_reading(part.hash, upstream, now);
-        request.tries.is_empty()
+        self.settings.mechanisms.waits
+            && request.tries.is_empty()
             && now < request.patience
             && request.ask.shared.last().is_some_and(reading)
     }
--- a/components/routing/src/stopping.rs
+++ b/components/routing/src/stopping.rs
@@ -57,6 +57,7 @@
         match self.stop {
             None => true,
             Some(Stop::Drained) => false,
+            Some(Stop::Draining { .. }) if !self.settings.mechanisms.late_takes => false,
             Some(Stop::Draining { until }) => {
                 let expected = self.durations.expected(kind).unwrap_or(deadline);
                 now + expected.min(deadline) <= until
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -233,7 +233,7 @@
         if fresh && over {
             return Some(OVER_BOUND);
         }
-        if self.health.outcomes(now).are_poor(outcomes) {
+        if settings.mechanisms.health && self.health.outcomes(now).are_poor(outcomes) {
             return Some(POOR);
         }
         None
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -22,6 +22,13 @@
     fn check(&self) -> Result<(), Error>;
 }
 
+/// Switches are all that a type can hold.
+impl Check for routing::Mechanisms {
+    fn check(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
 pub(crate) fn rule(
     holds: bool,
     path: &'static str,
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -17,6 +17,10 @@
 /// The program's name.
 const NAME: &str = "silverstack-router";
 
+/// The environment variable with the path of a file that switches mechanisms off, on a
+/// platform.
+const MECHANISMS: &str = "SILVERSTACK_MECHANISMS";
+
 #[ntex::main]
 async fn main() -> ExitCode {
     match std::env::var_os(platform::SETTINGS) {
@@ -42,7 +46,6 @@
 }
 
 async fn on_platform(path: &Path) -> ExitCode {
-    let read = |path: &Path| platform::read(path).map_err(|fault| fault.to_string());
     let read_first = |named: Option<&Path>| read(named.unwrap_or(path));
     let (settings, _logs) = match cli::begin_with(NAME, Stream::Output, read_first) {
         Ok(settings) => settings,
@@ -52,7 +55,13 @@
         return cli::fail(NAME, "the settings name no way to upstreams", cli::USAGE);
     };
     let own = settings.router.clone();
-    info!("router starts", kv: { name = &*own.name, domain = &*own.domain, listen = &*own.listen });
+    let mechanisms = serde_json::to_string(&own.routing.mechanisms).unwrap_or_default();
+    info!("router starts", kv: {
+        name = &*own.name,
+        domain = &*own.domain,
+        listen = &*own.listen,
+        mechanisms,
+    });
     let connect: edge::Connect = Arc::new(move || {
         let settings = settings.clone();
         async move { settings.connect().await }.boxed_local()
@@ -68,6 +77,17 @@
     }
 }
 
+/// Reads the platform's settings file, and which mechanisms are in use where a file of
+/// our own says so.
+fn read(path: &Path) -> Result<platform::Settings, String> {
+    let mut settings = platform::read(path).map_err(|fault| fault.to_string())?;
+    if let Some(file) = std::env::var_os(MECHANISMS) {
+        let mechanisms = settings::load(Path::new(&file)).map_err(|fault| fault.to_string())?;
+        settings.router.routing.mechanisms = mechanisms;
+    }
+    Ok(settings)
+}
+
 async fn serve(router: Router) -> ExitCode {
     cli::stop_on_signal(router.stop());
     let whole = router.run().await;
