Close kept connections after a silence, and retry on a new one

Cause: open connections may fall silent for good while new ones work. A request that may be repeated left such a connection after its silence and was sent on the next kept one, which was silent too: 504 after 5 s, though both upstreams were sound.

Ruled out: the store (its client drops a connection that a look gave up on; the new test passed at once), other routers (datagrams, no connections).

Seen failing: connections_that_fall_silent_are_not_tried_one_after_the_other, with 504.

In the tests of the reducer a request that stays where it is may have the new effect beside it, which closes idle connections only.

--- a/components/outbound/src/client.rs
+++ b/components/outbound/src/client.rs
@@ -94,15 +94,22 @@
         Self { kept: Rc::new(Kept { idle: RefCell::default(), keep }), connect }
     }
 
-    /// Sends a request to `address` and waits for the head of its answer. Dropping
-    /// the future, or the answer before its end, ends the connection.
+    /// Sends a request to `address` on a kept connection, or on a new one if there is
+    /// none or it is to be `fresh`, and waits for the head of its answer. Dropping the
+    /// future, or the answer before its end, ends the connection.
     ///
     /// # Errors
     ///
     /// No connection could be opened, or the one used ended.
-    pub async fn send(&self, address: Arc<str>, request: Request) -> Result<Answer, Fault> {
+    pub async fn send(
+        &self,
+        address: Arc<str>,
+        request: Request,
+        fresh: bool,
+    ) -> Result<Answer, Fault> {
         let mut request = request.build()?;
-        while let Some(mut connection) = self.kept.take(&address) {
+        let kept = || if fresh { None } else { self.kept.take(&address) };
+        while let Some(mut connection) = kept() {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answer(address, connection, response)),
                 Err(mut fault) => match fault.take_message() {
@@ -117,6 +124,11 @@
         Ok(self.answer(address, connection, sent.context(EndedSnafu)?))
     }
 
+    /// Closes the connections to `address` that wait for a request.
+    pub fn forget(&self, address: &str) {
+        self.kept.idle.borrow_mut().remove(address);
+    }
+
     fn answer(
         &self,
         address: Arc<str>,
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -94,7 +94,8 @@
         };
         let outgoing = outgoing(core, template, &sending);
         let (client, address) = (core.client().clone(), attempt.address.clone());
-        let answer = Box::pin(async move { client.send(address, outgoing).await });
+        let fresh = attempt.fresh;
+        let answer = Box::pin(async move { client.send(address, outgoing, fresh).await });
         Self {
             core: core.clone(),
             request: request.clone(),
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -167,6 +167,7 @@
             Effect::Bind { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
             Effect::Note { .. } => self.core.tell(effect),
+            Effect::Forget { address } => self.core.client().forget(&address),
             Effect::Wait(pause) => self.pause = Some(Instant::now() + pause.duration()),
             Effect::Record(_)
             | Effect::Connect { .. }
--- a/components/routing/src/decision.rs
+++ b/components/routing/src/decision.rs
@@ -79,6 +79,9 @@
     pub warm: Option<Arc<str>>,
     /// Why it failed, if it did.
     pub error: Option<Kind>,
+    /// Whether nothing came for too long.
+    #[serde(skip)]
+    pub(crate) silent: bool,
     /// What its outcome was counted as, if it has been.
     #[serde(skip)]
     pub(crate) judged: Option<bool>,
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -45,6 +45,11 @@
     },
     /// Tell the other routers where parts of prompts are warm.
     Share(Warm),
+    /// Close the connections to an upstream that wait for a request.
+    Forget {
+        /// Its address.
+        address: Arc<str>,
+    },
     /// Wait before the request is sent.
     Wait(Millis),
     /// An upstream is left alone for a while; a line for the log.
@@ -103,6 +108,9 @@
     pub warm: Option<Arc<str>>,
     /// Whether the upstream is to go on with an answer that another one began.
     pub resume: bool,
+    /// Whether it goes on a new connection: an earlier one fell silent, and others that
+    /// are kept may have too.
+    pub fresh: bool,
 }
 
 impl Effect {
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/sending.rs
@@ -72,6 +72,7 @@
             home: request.hints.is_empty() && request.home.as_ref() == Some(name),
             warm: request.tries.last().and_then(|it| it.warm.clone()),
             resume: request.is_answering(),
+            fresh: request.tries.iter().any(|it| it.silent),
         };
         let mut effects = vec![Effect::Send(attempt)];
         effects.extend(reading);
@@ -99,6 +100,7 @@
             read: need.read,
             warm: need.source,
             error: None,
+            silent: false,
             judged: None,
             over: false,
         });
--- a/components/routing/src/silence.rs
+++ b/components/routing/src/silence.rs
@@ -55,30 +55,42 @@
     /// safe, and waits on if not; an upstream that says nothing to anybody is left
     /// alone.
     pub(crate) fn quiet(&mut self, id: u64, now: Millis) -> Vec<Effect> {
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
         let (silence, answers) = (request.silence(), request.is_answering());
-        let Some(upstream) = request.upstream().cloned() else {
-            return Vec::new();
-        };
         if request.quiet(now) < silence {
             return Vec::new();
         }
+        let Some(last) = request.tries.last_mut() else {
+            return Vec::new();
+        };
+        let upstream = last.upstream.clone();
+        let first = !std::mem::replace(&mut last.silent, true);
+        let forget = self.forget(&upstream).filter(|_| first);
         self.judge(id, false, now);
         if self.is_silent(&upstream, silence, now) {
             self.put_on_trial(&upstream, now);
         }
         let kind = if answers { Kind::Truncated } else { Kind::Silent };
         if !self.may_try_elsewhere(id, kind, now) {
-            return Vec::new();
+            return forget.into_iter().collect();
         }
         self.mark(id, kind);
         let mut effects = vec![Effect::Cancel];
+        effects.extend(forget);
         effects.extend(self.attempt(id, now));
         effects
     }
 
+    /// Closes the kept connections to an upstream: they may have fallen silent too, while
+    /// new ones work. Without it requests that may be repeated fail at one such connection
+    /// after the other.
+    fn forget(&self, upstream: &Arc<str>) -> Option<Effect> {
+        let address = self.upstreams.get(upstream)?.host.address.clone();
+        Some(Effect::Forget { address })
+    }
+
     /// Takes how the current attempt of a request goes, once for each attempt, and once more
     /// if it began well and then failed.
     pub(crate) fn judge(&mut self, id: u64, good: bool, now: Millis) {
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -423,6 +423,7 @@
                 | Effect::Cancel
                 | Effect::Connect { .. }
                 | Effect::Suspect { .. }
+                | Effect::Forget { .. }
                 | Effect::Revive { .. }
                 | Effect::Drained => {}
             }
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -162,3 +162,14 @@
     assert_eq!(check(r#"{ "health": false }"#), Some(0));
     assert_eq!(check(r#"{ "helth": false }"#), Some(2));
 }
+
+#[test]
+fn a_connection_to_the_store_that_falls_silent_is_left() {
+    let upstream = plain();
+    let router = Router::start(&configuration(1), &[&upstream]);
+    router.store.silence_connections();
+    let mut changed = configuration(2);
+    changed["routes"].as_array_mut().expect("routes").remove(0);
+    router.store.put("op/config", &changed);
+    router.until("in force", || router.ask("GET /safe/x", &[], "").unwrap().status == 404);
+}
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -142,3 +142,20 @@
     listen(&socket, Backlog::new(1).expect("a length")).expect("a listener");
     TcpListener::from(socket)
 }
+
+#[test]
+fn connections_that_fall_silent_are_not_tried_one_after_the_other() {
+    let [one, two] = pair();
+    let router = Router::start(&configuration(1), &[&one, &two]);
+    // Both have connections that are kept.
+    for number in 0..20 {
+        let id = format!("id-{number}");
+        router.ask("GET /safe/x", &[("Attempt-Identifier", &id)], "").expect("an answer");
+    }
+    assert!(!one.requests().is_empty() && !two.requests().is_empty());
+    one.silence_connections();
+    two.silence_connections();
+    assert_eq!(router.ask("GET /safe/x", &[], "").unwrap().status, 200);
+    // The upstreams themselves are sound.
+    assert_eq!(router.ask("GET /safe/x", &[], "").unwrap().status, 200);
+}
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -33,6 +33,9 @@
     history: Vec<(u64, Value)>,
     /// Changes up to this revision are no longer kept.
     forgotten: u64,
+    /// Connections with a lower number say nothing any more.
+    silenced: usize,
+    connections: usize,
     calls: usize,
     targets: Vec<String>,
 }
@@ -66,6 +69,12 @@
         self.state.1.notify_all();
     }
 
+    /// Has the connections that are open fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        let mut state = self.lock();
+        state.silenced = state.connections;
+    }
+
     /// Writes a JSON value.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_text(key, &value.to_string());
@@ -138,7 +147,14 @@
     fn serve(&self, stream: TcpStream) {
         let mut writer = stream.try_clone().expect("the stand-in's connection");
         let mut reader = BufReader::new(stream);
+        let mut state = self.lock();
+        let number = state.connections;
+        state.connections += 1;
+        drop(state);
         while let Some(request) = Request::read(&mut reader) {
+            if number < self.lock().silenced {
+                continue;
+            }
             let Some((status, body)) = self.answer(&request) else { return };
             let body = body.to_string();
             let head = format!(
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -50,6 +50,9 @@
     requests: Vec<Request>,
     /// Connections that ended while the stand-in was writing.
     left: usize,
+    /// Connections with a lower number say nothing any more.
+    silenced: usize,
+    connections: usize,
 }
 
 /// The upstream; it serves until the test ends.
@@ -88,6 +91,12 @@
         self.state.lock().expect("no stand-in panics").acts = acts.to_vec();
     }
 
+    /// Has the connections that are open fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        let mut state = self.state.lock().expect("no stand-in panics");
+        state.silenced = state.connections;
+    }
+
     /// The requests that have come.
     pub fn requests(&self) -> Vec<Request> {
         self.state.lock().expect("no stand-in panics").requests.clone()
@@ -121,7 +130,14 @@
     fn serve(&self, stream: TcpStream) {
         let mut writer = stream.try_clone().expect("the stand-in's connection");
         let mut reader = BufReader::new(stream);
+        let mut state = self.state.lock().expect("no stand-in panics");
+        let number = state.connections;
+        state.connections += 1;
+        drop(state);
         while let Some(request) = Request::read(&mut reader) {
+            if number < self.state.lock().expect("no stand-in panics").silenced {
+                continue;
+            }
             let act = self.next(&request);
             if !self.act(&act, &request, &mut writer) {
                 if !matches!(act, Act::Reset(_)) {
