--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -20,8 +20,8 @@
 /// takes 20 to 500 ms.
 const TELL_EVERY: Millis = Millis(100);
 
-/// How often routers tell how their requests ended. A second of failures at an engine
-/// that fails part of them is 4 requests of a caller in 100.
+/// How often routers tell how their requests ended. Four failures among ten requests are
+/// enough to pass an upstream over; at the sites' rates that many come in a second.
 const OUTCOMES_EVERY: Millis = Millis(400);
 
 /// After how many such times it is told even if it hasn't changed.
