Play patterns of load on a laptop, and tell in the log what a request waits for

`silverstack-experiment` prints what became of each second's requests under a pattern, with and without admission.

--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -59,7 +59,7 @@
 }
 
 /// The attempts as one word each: where, when after the request came, the load
-/// believed to be there, the shared tokens to be read and copied, where from, and why
+/// believed to be there, what of it waits and for how long, the shared tokens to be read and copied, where from, and why
 /// it failed.
 fn tries(decision: &Decision) -> String {
     let one = |it: &Try| {
@@ -68,8 +68,8 @@
         let (copied, read) = (it.copied, it.read);
         let after = decision.came.until(it.sent).0;
         format!(
-            "{}@{after}ms,load={},wait={},read={read},copied={copied},copy={warm},{error}",
-            it.upstream, it.load, it.wait_ms
+            "{}@{after}ms,load={},queued={},wait={},read={read},copied={copied},copy={warm},{error}",
+            it.upstream, it.load, it.queued, it.wait_ms
         )
     };
     decision.tries.iter().map(one).collect::<Vec<_>>().join(" ")
--- a/tests/end_to_end/commands.rs
+++ b/tests/end_to_end/commands.rs
@@ -10,6 +10,8 @@
 const SIDECAR: &str = env!("CARGO_BIN_EXE_silverstack-sidecar");
 const LOCAL: &str = env!("CARGO_BIN_EXE_silverstack-local");
 
+const EXPERIMENT: &str = env!("CARGO_BIN_EXE_silverstack-experiment");
+
 fn run(binary: &str, arguments: &[&str]) -> Output {
     Command::new(binary).args(arguments).output().expect("the binary starts")
 }
@@ -20,7 +22,7 @@
 
 #[test]
 fn help_and_version_need_no_settings() {
-    for binary in [ROUTER, SIDECAR, LOCAL] {
+    for binary in [ROUTER, SIDECAR, LOCAL, EXPERIMENT] {
         assert_eq!(code(binary, &["--help"]), Some(0));
         let version = run(binary, &["--version"]);
         assert_eq!(version.status.code(), Some(0));
@@ -57,3 +59,15 @@
     assert_eq!(output.status.code(), Some(0), "{text}");
     assert!(text.contains("18 chat turns and 18 calls answered whole; 0 lost"), "{text}");
 }
+
+#[test]
+fn a_pattern_of_load_is_played_and_an_unknown_one_is_not() {
+    let output = run(EXPERIMENT, &["calm", "--json"]);
+    assert_eq!(output.status.code(), Some(0));
+    let report: Value = serde_json::from_slice(&output.stdout).expect("a line of JSON");
+    assert_eq!(report["pattern"], "calm");
+    assert_eq!(report["report"]["expired"], 0);
+    let output = run(EXPERIMENT, &["storm"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("engines-lost"));
+}
