Tell waits in a step of their own, and count a resumed answer as begun

Cause: a resumed answer stayed counted among those that wait at its upstream until it ended, so that others were kept away from there.

--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -20,7 +20,7 @@
 /// takes 20 to 500 ms.
 const TELL_EVERY: Millis = Millis(100);
 
-/// How often routers tell how their requests ended. Two failures are enough to pass
+/// How often routers tell how their requests ended, and how long they waited. Two failures are enough to pass
 /// an upstream over where the pool has none; all routers of a site see those in half a
 /// second at an upstream that fails half of its requests.
 const OUTCOMES_EVERY: Millis = Millis(400);
@@ -52,6 +52,7 @@
         if judged.until(core.clock.now()) >= OUTCOMES_EVERY {
             judged = core.clock.now();
             tell_outcomes(&core, peers);
+            tell_delays(&core, peers);
         }
         if peers.count() > MOST_PEERS {
             if rounds >= ROUNDS {
@@ -84,6 +85,10 @@
         let bytes = peers.tell(&Frame::Outcomes(outcomes));
         core.metrics.control("outcomes", bytes);
     }
+}
+
+/// Tells the others how long requests have waited.
+fn tell_delays(core: &Core, peers: &Peers) {
     let delays = core.delays();
     if !delays.is_empty() {
         let bytes = peers.tell(&Frame::Delays(delays));
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -126,16 +126,13 @@
             return Vec::new();
         };
         request.answer(head.status, now);
-        self.begin_answer(id, now);
-        let Some(request) = self.requests.get(&id) else {
-            return Vec::new();
-        };
         let mut effects = vec![Effect::Head(head)];
         if let Some(upstream) = request.upstream().cloned() {
             let parts = self.warmth.read(&request.ask.hashes(), &upstream);
             effects.extend(share(&upstream, parts, Stage::Read));
             self.alive(&upstream);
         }
+        self.begin_answer(id, now);
         effects
     }
 
@@ -147,6 +144,7 @@
             return self.cut(id, Kind::Crossed, now);
         }
         if status < NO_SUCCESS {
+            self.begin_answer(id, now);
             return Vec::new();
         }
         let mut effects = vec![Effect::Cancel];
