Take a rate of completions from a router's start on, not from nothing

Cause: a router that has started has seen nothing end, took that for one request a second and told all callers whom it turned away to come back after 4 s.

--- a/components/routing/src/admission/returns.rs
+++ b/components/routing/src/admission/returns.rs
@@ -11,8 +11,8 @@
 /// for those who come for the first time.
 const SHARE: f64 = 0.25;
 
-/// The least rate of completions that is reckoned with, a second.
-const LEAST_RATE: f64 = 1.0;
+/// The shortest time, in milliseconds, over which completions are taken for a rate.
+const LEAST_AGE_MS: f64 = 100.0;
 
 /// The longest that a caller is told to stay away, in milliseconds. Callers of the sites have
 /// 10 to 12 s and honour a third of what is left.
@@ -24,6 +24,8 @@
     /// Completions, fading, as of `at`.
     completed: f64,
     at: Millis,
+    /// When the first one was.
+    since: Option<Millis>,
     /// The time of the latest booking.
     booked: Millis,
 }
@@ -33,6 +35,7 @@
     pub(crate) fn ended(&mut self, now: Millis) {
         self.completed = self.completed(now) + 1.0;
         self.at = now;
+        self.since.get_or_insert(now);
     }
 
     /// Books a time to come back, `soonest` from now at the earliest; returns how long it is
@@ -44,15 +47,23 @@
         now.until(self.booked)
     }
 
-    /// How long after one booking the next one is.
+    /// How long after one booking the next one is. A router that has not seen a request
+    /// end, as after its start, knows of no rate, and sends callers away for no longer than
+    /// others wait.
     fn gap(&self, now: Millis) -> Millis {
-        let rate = self.completed(now) * std::f64::consts::LN_2 * 1_000.0 / HALF_LIFE_MS;
+        let Some(since) = self.since else {
+            return Millis::ZERO;
+        };
+        let age = ms(since.until(now)).max(LEAST_AGE_MS);
+        let seen = 1.0 - 0.5_f64.powf(age / HALF_LIFE_MS);
+        let rate = self.completed(now) / seen * std::f64::consts::LN_2 / HALF_LIFE_MS;
+        let gap = (1.0 / (SHARE * rate)).min(ms(LONGEST));
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "at most a few seconds"
+            reason = "a few seconds"
         )]
-        let gap = (1_000.0 / (SHARE * rate.max(LEAST_RATE))) as u64;
+        let gap = gap as u64;
         Millis(gap)
     }
 
