Split the model of a fleet under load by job

Change: the run and its events stay in fleet.rs; callers, what passes between routers and engines, hints, and names and settings have files of their own, with the constants that only they use.

--- a/components/experiment/src/overload/fleet.rs
+++ b/components/experiment/src/overload/fleet.rs
@@ -1,21 +1,23 @@
 //! Callers, routers and engines, and what passes between them.
 
+mod callers;
+mod engines;
+mod hints;
+mod names;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use clock::Millis;
-use errors::{Answer, Outcome};
 use intents::{Document, Plan};
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use routing::{
-    Ask, Attempt, Bound, Effect, Event, Host, Mechanisms, Part, Path, Policy, Reply, State,
-};
-use wire::{Chunk, Head, Refused, Status};
+use routing::{Effect, Event, Mechanisms, State};
 
+use self::hints::{LOADS_EVERY, WAITS_EVERY};
+use self::names::{host, settings};
 use super::engine::{Engine, Owner, Run};
-use super::kind::{KINDS, Kind, document};
+use super::kind::{Kind, document};
 use super::pattern::Pattern;
 use super::report::{End, Report};
 use crate::queue::Queue;
@@ -24,20 +26,9 @@
 const ROUTERS: usize = 4;
 const ENGINES: usize = 6;
 
-/// When callers stop sending, and when the run is over.
-const LAST_ASK: Millis = Millis(20_000);
+/// When the run is over.
 const LAST: Millis = Millis(34_000);
 
-/// One way between a router and an engine, or two routers.
-const DELAY: Millis = Millis(1);
-
-/// How often routers tell each other of loads, and of waits and outcomes.
-const LOADS_EVERY: Millis = Millis(100);
-const WAITS_EVERY: Millis = Millis(400);
-
-/// The share of the time left that a caller stays away at most, as one part in so many.
-const HONOURED: u64 = 3;
-
 #[derive(Debug)]
 enum Happening {
     /// A caller sends its next request.
@@ -195,56 +186,6 @@
         self.list();
     }
 
-    fn arrive(&mut self) {
-        if self.now >= LAST_ASK {
-            return;
-        }
-        let mut draw = self.arrivals.random_range(0..100);
-        let kind = KINDS.iter().find(|it| {
-            let drawn = draw < it.percent;
-            draw = draw.saturating_sub(it.percent);
-            drawn
-        });
-        let kind = kind.unwrap_or(&KINDS[0]);
-        let chat = self.arrivals.random_range(0..kind.chats);
-        let caller = Caller { kind, chat, first: self.now, returned: false };
-        self.report.ask(self.now);
-        self.ask(caller);
-        let wait = -self.arrivals.random::<f64>().ln() * 1_000.0 / self.pattern.rate(self.now);
-        self.queue.add(self.now + whole(wait), Happening::Arrive);
-    }
-
-    fn ask(&mut self, caller: Caller) {
-        self.next_id += 1;
-        let id = self.next_id;
-        let router = self.random.random_range(0..ROUTERS);
-        let deadline = caller.first + caller.kind.deadline;
-        let open = Open {
-            caller,
-            deadline,
-            attempt: 0,
-            engine: None,
-            chunks: 0,
-            begun: None,
-            heard: self.now,
-        };
-        self.open.insert((router, id), open);
-        self.queue.add(deadline, Happening::GiveUp { router, id });
-        let ask = Ask {
-            id,
-            request: format!("r-{id}").into(),
-            workspace: "w".into(),
-            kind: caller.kind.name.into(),
-            model: Some("m".into()),
-            chat: format!("{}-{}", caller.kind.name, caller.chat).into(),
-            shared: vec![Part { hash: part(&caller), tokens: caller.kind.shared }],
-            once: None,
-            weight: 1,
-            deadline: Some(self.now.until(deadline)),
-        };
-        self.apply(router, id, Event::Ask(ask));
-    }
-
     /// Takes an event about a request to its router, and carries out what follows.
     fn apply(&mut self, router: usize, id: u64, event: Event) {
         for effect in self.routers[router].apply(event, self.now) {
@@ -267,251 +208,4 @@
             }
         }
     }
-
-    fn send(&mut self, router: usize, id: u64, attempt: &Attempt) {
-        let Some(open) = self.open.get_mut(&(router, id)) else { return };
-        let engine = place(&attempt.upstream);
-        open.attempt = attempt.number;
-        open.engine = Some(engine);
-        open.chunks = 0;
-        open.heard = self.now;
-        let owner = Owner { router, id, attempt: attempt.number };
-        let kind = open.caller.kind;
-        let copied = attempt.warm.is_some();
-        let run = Run {
-            owner,
-            priority: attempt.priority,
-            part: part(&open.caller),
-            shared: if copied { 0 } else { kind.shared },
-            own: kind.own,
-            events: kind.events,
-            unread: 0,
-        };
-        self.queue.add(self.now + DELAY, Happening::Reach { engine, run });
-        let silence = Happening::Silence { owner, timeout: attempt.timeout };
-        self.queue.add(self.now + attempt.timeout, silence);
-    }
-
-    fn cancel(&mut self, router: usize, id: u64) {
-        let Some(open) = self.open.get(&(router, id)) else { return };
-        let owner = Owner { router, id, attempt: open.attempt };
-        if let Some(engine) = open.engine {
-            self.engines[engine].cancel(owner);
-        }
-    }
-
-    fn reach(&mut self, engine: usize, run: Run) {
-        let owner = run.owner;
-        if self.pattern.is_gone(engine, self.now) {
-            return self.signal(owner, Millis::ZERO, Signal::Lost);
-        }
-        if !self.engines[engine].take(run) {
-            return self.signal(owner, Millis::ZERO, Signal::Refused);
-        }
-        self.report.fullest = self.report.fullest.max(self.engines[engine].load());
-        if !std::mem::replace(&mut self.working[engine], true) {
-            self.queue.add(self.now, Happening::Step(engine));
-        }
-    }
-
-    /// Sends something back to the router of a request, `after` from now.
-    fn signal(&mut self, owner: Owner, after: Millis, signal: Signal) {
-        self.queue.add(self.now + after + DELAY, Happening::Answer { owner, signal });
-    }
-
-    fn step(&mut self, engine: usize) {
-        if self.engines[engine].is_idle() {
-            self.working[engine] = false;
-            return;
-        }
-        let (took, events) = self.engines[engine].step();
-        let took = whole(took * self.pattern.slowness(engine, self.now));
-        for event in events {
-            self.signal(event.owner, took, Signal::Event { last: event.last });
-        }
-        self.queue.add(self.now + took, Happening::Step(engine));
-    }
-
-    fn answer(&mut self, owner: Owner, signal: Signal) {
-        let Owner { router, id, attempt } = owner;
-        let Some(open) = self.open.get_mut(&(router, id)) else { return };
-        if open.attempt != attempt {
-            return;
-        }
-        open.heard = self.now;
-        match signal {
-            Signal::Lost => self.apply(router, id, Event::Lost { id, attempt, sent: true }),
-            Signal::Refused => {
-                let reply = Reply::Refused(refused());
-                self.apply(router, id, Event::Reply { id, attempt, reply });
-            }
-            Signal::Event { last } => self.pass(owner, last),
-        }
-    }
-
-    /// Passes an event of an answer on: with the head before the first one, and the end
-    /// after the last one.
-    fn pass(&mut self, owner: Owner, last: bool) {
-        let Owner { router, id, attempt } = owner;
-        let Some(open) = self.open.get_mut(&(router, id)) else { return };
-        let sequence = open.chunks;
-        open.chunks += 1;
-        let mut replies = Vec::new();
-        if sequence == 0 {
-            if let Some(engine) = open.engine {
-                let (requests, waiting) =
-                    (self.engines[engine].load(), self.engines[engine].waiting());
-                let told = Event::Load { upstream: name(engine), requests, waiting };
-                self.routers[router].apply(told, self.now);
-            }
-            replies.push(Reply::Head(Head { attempt, status: 200, headers: Vec::new() }));
-        }
-        replies.push(Reply::Chunk(Chunk { attempt, sequence, bytes: Bytes::from_static(b"e") }));
-        if last {
-            let (chunks, status) = (sequence + 1, Status::default());
-            replies.push(Reply::End(wire::End { attempt, chunks, bytes: chunks, status }));
-        }
-        for reply in replies {
-            self.apply(router, id, Event::Reply { id, attempt, reply });
-        }
-    }
-
-    fn silence(&mut self, owner: Owner, timeout: Millis) {
-        let Owner { router, id, attempt } = owner;
-        let Some(open) = self.open.get(&(router, id)) else { return };
-        if open.attempt != attempt {
-            return;
-        }
-        let quiet = open.heard.until(self.now);
-        if quiet >= timeout {
-            self.apply(router, id, Event::Stalled { id, attempt });
-        }
-        let next = if quiet >= timeout { timeout } else { Millis(timeout.0 - quiet.0) };
-        self.queue.add(self.now + next, Happening::Silence { owner, timeout });
-    }
-
-    fn begin(&mut self, router: usize, id: u64) {
-        if let Some(open) = self.open.get_mut(&(router, id)) {
-            open.begun.get_or_insert(self.now);
-        }
-    }
-
-    fn finish(&mut self, router: usize, id: u64) {
-        let Some(open) = self.open.get(&(router, id)) else { return };
-        let took = open.caller.first.until(open.begun.unwrap_or(self.now));
-        let end = if took <= open.caller.kind.objective { End::InTime } else { End::Late };
-        self.end(router, id, end);
-    }
-
-    /// The caller gets an error. One that says that the request has not run may come back
-    /// once.
-    fn fail(&mut self, router: usize, id: u64, answer: &Answer) {
-        let Some(open) = self.open.get(&(router, id)) else { return };
-        let (mut caller, left) = (open.caller, self.now.until(open.deadline));
-        if answer.outcome != Outcome::NotRun {
-            return self.end(router, id, End::Failed);
-        }
-        if caller.returned {
-            return self.end(router, id, End::Refused);
-        }
-        self.open.remove(&(router, id));
-        caller.returned = true;
-        let after = Millis(answer.retry_after_ms.unwrap_or(0).min(left.0 / HONOURED));
-        self.queue.add(self.now + after, Happening::Return(caller));
-    }
-
-    fn give_up(&mut self, router: usize, id: u64) {
-        if self.open.contains_key(&(router, id)) {
-            self.report.expired += 1;
-            self.apply(router, id, Event::Quit { id });
-            self.end(router, id, End::Failed);
-        }
-    }
-
-    fn end(&mut self, router: usize, id: u64, end: End) {
-        if let Some(open) = self.open.remove(&(router, id)) {
-            self.report.end(open.caller.first, end);
-        }
-    }
-
-    fn tell_loads(&mut self) {
-        for router in 0..ROUTERS {
-            let loads = self.routers[router].loads(&router_name(router), self.now);
-            self.tell(router, &Event::Loads(loads));
-        }
-        self.queue.add(self.now + LOADS_EVERY, Happening::Loads);
-    }
-
-    fn tell_waits(&mut self) {
-        for router in 0..ROUTERS {
-            let outcomes = self.routers[router].outcomes();
-            self.tell(router, &Event::Outcomes(outcomes));
-            let delays = self.routers[router].delays();
-            self.tell(router, &Event::Delays(delays));
-        }
-        self.queue.add(self.now + WAITS_EVERY, Happening::Waits);
-    }
-
-    fn tell(&mut self, from: usize, event: &Event) {
-        for other in (0..ROUTERS).filter(|it| *it != from) {
-            self.routers[other].apply(event.clone(), self.now);
-        }
-    }
-}
-
-fn settings(mechanisms: Mechanisms) -> routing::Settings {
-    routing::Settings {
-        path: Path::Direct,
-        policy: Policy::Ranked,
-        mechanisms,
-        bound: Bound { multiple: 2.0, floor: 4, margin: 0.1, extra: 1 },
-        known_bound: Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 2 },
-        ..routing::Settings::default()
-    }
-}
-
-fn refused() -> Refused {
-    Refused {
-        kind: errors::Kind::QueueFull,
-        retry_after_ms: 0,
-        hints: Vec::new(),
-        status: Status::default(),
-    }
-}
-
-fn host(engine: usize) -> Host {
-    Host {
-        name: name(engine),
-        address: format!("{}:1", name(engine)).into(),
-        domain: "d".into(),
-        labels: [("service", "engine"), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
-        leaving: false,
-    }
-}
-
-fn name(engine: usize) -> Arc<str> {
-    format!("engine-{engine}").into()
-}
-
-fn router_name(router: usize) -> Arc<str> {
-    format!("router-{router}").into()
-}
-
-/// The number of the engine of that name.
-fn place(name: &str) -> usize {
-    name.rsplit('-').next().and_then(|it| it.parse().ok()).unwrap_or_default()
-}
-
-/// The hash of the part of a prompt that a caller shares with others.
-fn part(caller: &Caller) -> u64 {
-    placement::key(caller.kind.name, &caller.chat.to_string())
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a few seconds, not negative"
-)]
-fn whole(ms: f64) -> Millis {
-    Millis(ms.round() as u64)
 }
