Leave evacuated domains, deal out what cold upstreams bear, keep work in its regions

Cause: routers read neither op/evacuate nor cold times, so that requests went on to a domain that the operator had left, and engines that came back empty got most of what came.

A domain that is left takes nothing, by an objection like leaving: also for retries, for requests that wait for a reading, for upstreams that are listed or recalled later, and where nothing else is left. Upstreams of a domain that is taken back count as cold for their pool's time.

What a cold upstream bears over all routers is cut into whole requests beforehand and dealt out by rank among the routers that have announced themselves; a router takes part only once the others count it, and while it hears from the store.

Regions come from the platform's settings as a label of upstreams; intents and workspaces select by it.

--- a/components/edge/src/dialect.rs
+++ b/components/edge/src/dialect.rs
@@ -71,6 +71,8 @@
     pub signed: bool,
     /// Requests that run and wait there.
     pub load: Option<Load>,
+    /// How much longer the upstream is cold.
+    pub cold: Option<Millis>,
 }
 
 /// The load that an upstream tells, in requests.
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -21,9 +21,17 @@
         host: Host,
         /// Grows with what the upstream says of itself; a lower one is older.
         sequence: u64,
+        /// How much longer it is cold.
+        cold: Millis,
     },
     /// An upstream's entry was removed.
     Gone(Arc<str>),
+    /// A failure domain is to take nothing until that is taken back.
+    Evacuated(Arc<str>),
+    /// A failure domain may take work again.
+    Restored(Arc<str>),
+    /// All failure domains may take work, but for those that are named after this.
+    AllRestored,
     /// A router of the fleet has announced itself.
     Router(Peer),
     /// A router's announcement was removed or has lapsed.
--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -27,10 +27,27 @@
     /// Labels that operators add to upstreams.
     #[serde(default)]
     pub upstreams: Vec<Upstream>,
+    /// What is known of pools of upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pools: Vec<Pool>,
     /// The intents.
     pub intents: Vec<Intent>,
 }
 
+/// A pool of upstreams: those whose label `service` is its name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The name.
+    pub name: Arc<str>,
+    /// How long an upstream is cold after it has started, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+    /// How many requests a second a cold one bears; zero sets no limit.
+    #[serde(default)]
+    pub cold_per_s: f64,
+}
+
 /// A workspace and the digest of its key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -47,6 +64,9 @@
     /// The labels.
     #[serde(default)]
     pub labels: Labels,
+    /// Which upstreams its work may go to, beside what the intents say; all, if empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub upstreams: Vec<Selector>,
 }
 
 /// A kind of request.
--- a/components/intents/src/plan.rs
+++ b/components/intents/src/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::check::check;
 use crate::digest::digest;
-use crate::{Document, Error, Intent, Kind, Labels, Selector, Workspace};
+use crate::{Document, Error, Intent, Kind, Labels, Pool, Selector, Workspace};
 
 /// The label that holds a thing's own name.
 const NAME: &str = "name";
@@ -42,6 +42,8 @@
     pub kind: &'a Kind,
     /// The priority of the workspace, else of the intent.
     pub priority: i32,
+    /// Which upstreams the workspace's work may go to, beside what the intent says.
+    pub homes: &'a [Selector],
 }
 
 /// Why no intent decided.
@@ -151,7 +153,13 @@
         }
         let kind = &self.document.kinds[kind];
         let priority = workspace.priority.unwrap_or(intent.priority);
-        Ok(Target { intent, repeatable: kind.repeatable, kind, priority })
+        let homes = &workspace.upstreams;
+        Ok(Target { intent, repeatable: kind.repeatable, kind, priority, homes })
+    }
+
+    /// What is known of the pool called `name`.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.document.pools.iter().find(|it| &*it.name == name)
     }
 
     /// The labels of an upstream: what its host reports and what operators add.
--- a/components/intents/tests/matching.rs
+++ b/components/intents/tests/matching.rs
@@ -51,6 +51,7 @@
                     key_sha256: vec!["0".repeat(64).into()],
                     priority: None,
                     labels,
+                    upstreams: Vec::new(),
                 })
                 .collect(),
             kinds: kinds
@@ -69,6 +70,7 @@
                 .collect(),
             models: vec!["a".into(), "b".into(), "c".into()],
             upstreams: Vec::new(),
+            pools: Vec::new(),
             intents: intents
                 .into_iter()
                 .enumerate()
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -157,6 +157,9 @@
             let (upstream, requests) = (self.upstream.clone(), running.saturating_add(waiting));
             self.core.apply(Event::Load { upstream, requests, waiting });
         }
+        if let Some(left) = told.cold {
+            self.core.apply(Event::Cold { upstream: self.upstream.clone(), left });
+        }
         if told.not_run {
             self.queue(refused(status));
             return Ok(());
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -39,6 +39,9 @@
         core,
         listing: Listing::default(),
         routers: BTreeSet::new(),
+        known_routers: BTreeSet::new(),
+        evacuated: BTreeSet::new(),
+        known_evacuated: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
         revision: None,
         lost: None,
@@ -68,6 +71,8 @@
 struct Summary {
     /// Whether the upstreams have changed.
     changed: bool,
+    /// Upstreams that say they are cold, and for how much longer.
+    cold: Vec<(Arc<str>, Millis)>,
     /// The upstreams that it names.
     names: Vec<Arc<str>>,
     /// The configuration of the highest generation; only that one is compiled.
@@ -83,6 +88,12 @@
     listing: Listing,
     /// The routers that have announced themselves, this one included.
     routers: BTreeSet<Arc<str>>,
+    /// The same, as they were told to the reducer last.
+    known_routers: BTreeSet<Arc<str>>,
+    /// The failure domains that are to take nothing.
+    evacuated: BTreeSet<Arc<str>>,
+    /// The same, as they were told to the reducer last.
+    known_evacuated: BTreeSet<Arc<str>>,
     /// The most routers that were counted.
     most_routers: usize,
     /// The revision up to which all changes were taken.
@@ -157,6 +168,7 @@
             self.note(fact, &mut summary);
         }
         self.count_routers();
+        self.meet_routers();
         if let Some(document) = summary.newest {
             self.configure(*document, batch.revision);
         }
@@ -172,6 +184,8 @@
         if summary.changed {
             self.publish(batch.revision);
         }
+        self.evacuate(batch.revision);
+        self.chill(summary.cold);
         if starts && mechanisms.parts {
             self.recall_parts(&summary.parts);
         }
@@ -209,8 +223,11 @@
     /// Takes one fact of a batch; what waits for the end of it goes to `summary`.
     fn note(&mut self, fact: Fact, summary: &mut Summary) {
         match fact {
-            Fact::Upstream { host, sequence } => {
+            Fact::Upstream { host, sequence, cold } => {
                 summary.names.push(host.name.clone());
+                if cold > Millis::ZERO {
+                    summary.cold.push((host.name.clone(), cold));
+                }
                 summary.changed |= self.listing.put(host, sequence);
             }
             Fact::Gone(name) => summary.changed |= self.listing.remove(&name),
@@ -226,6 +243,13 @@
                 }
                 self.routers.remove(&name);
             }
+            Fact::Evacuated(domain) => {
+                self.evacuated.insert(domain);
+            }
+            Fact::Restored(domain) => {
+                self.evacuated.remove(&domain);
+            }
+            Fact::AllRestored => self.evacuated.clear(),
             Fact::Configuration(document) => {
                 let known = summary.newest.as_ref().map_or(0, |it| it.generation);
                 if document.generation > known {
@@ -251,6 +275,39 @@
         self.core.apply(Event::Hosts(hosts));
     }
 
+    /// Tells the reducer which failure domains are to take nothing.
+    fn evacuate(&mut self, revision: u64) {
+        if self.evacuated == self.known_evacuated {
+            return;
+        }
+        for domain in self.evacuated.difference(&self.known_evacuated) {
+            info!("failure domain left", kv: { domain = &**domain, revision });
+        }
+        for domain in self.known_evacuated.difference(&self.evacuated) {
+            info!("failure domain taken back", kv: { domain = &**domain, revision });
+        }
+        self.known_evacuated.clone_from(&self.evacuated);
+        self.core.apply(Event::Evacuated(self.evacuated.clone()));
+    }
+
+    /// Tells the reducer which upstreams are cold.
+    fn chill(&self, cold: Vec<(Arc<str>, Millis)>) {
+        for (upstream, left) in cold {
+            info!("upstream is cold", kv: { upstream = &*upstream, ms = left.0 });
+            self.core.apply(Event::Cold { upstream, left });
+        }
+    }
+
+    /// Tells the reducer which routers share what cold upstreams bear.
+    fn meet_routers(&mut self) {
+        if self.routers == self.known_routers {
+            return;
+        }
+        self.known_routers.clone_from(&self.routers);
+        let own = self.core.settings.name.clone();
+        self.core.apply(Event::Members { own, announced: self.routers.clone() });
+    }
+
     /// Tells the reducer among how many routers the retry budget is divided.
     /// Announcements lapse in an outage of the store while their routers live:
     /// the count goes down only with a restart.
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use intents::{Intent, Selector};
+use intents::{Intent, Selector, Target};
 use placement::{Pool, key, top};
 
 use crate::health::Outcomes;
@@ -24,8 +24,9 @@
 /// The upstreams known, by name; the index relies on their places.
 pub(crate) type Upstreams = IndexMap<Arc<str>, Upstream>;
 
-/// An intent's name, the model that is asked for and the place of the share.
-type Question = (Arc<str>, Option<Arc<str>>, Option<usize>);
+/// What decides which upstreams fit: an intent's name, the model that is asked for, the place
+/// of the share, and the workspace if it has homes.
+type Question = (Arc<str>, Option<Arc<str>>, Option<usize>, Option<Arc<str>>);
 
 /// The upstreams that fit each intent and model, so that a request does not
 /// look at all of them. It is emptied when upstreams or intents change.
@@ -57,12 +58,12 @@
     pub(crate) fn choose(
         &mut self,
         upstreams: &Upstreams,
-        intent: &Intent,
+        target: &Target<'_>,
         ask: &Ask,
         settings: &Settings,
         outlook: &Outlook,
     ) -> Choice {
-        let fitting = self.fitting(upstreams, intent, ask);
+        let fitting = self.fitting(upstreams, target, ask);
         let fitting = fitting.iter().map(|place| &upstreams[*place]);
         let sorted = Sorted::new(fitting, ask.weight, settings, outlook);
         let key = key(&ask.workspace, &ask.chat);
@@ -93,19 +94,22 @@
         }
     }
 
-    fn fitting(&mut self, upstreams: &Upstreams, intent: &Intent, ask: &Ask) -> Arc<[usize]> {
+    fn fitting(&mut self, upstreams: &Upstreams, target: &Target<'_>, ask: &Ask) -> Arc<[usize]> {
+        let (intent, homes) = (target.intent, target.homes);
         let model = ask.model.as_deref();
         let share = share(intent, &ask.request);
         let selectors = share.map_or(&intent.upstreams, |place| &intent.split[place].upstreams);
         let fits = |it: &Upstream| {
             intent.serves(&it.labels, &it.host.domain, model)
                 && Selector::all(selectors, &it.labels)
+                && Selector::all(homes, &it.labels)
         };
         let find = || {
             let places = upstreams.values().enumerate().filter(|(_, it)| fits(it));
             places.map(|(place, _)| place).collect()
         };
-        let question = (intent.name.clone(), ask.model.clone(), share);
+        let workspace = (!homes.is_empty()).then(|| ask.workspace.clone());
+        let question = (intent.name.clone(), ask.model.clone(), share, workspace);
         self.fitting.entry(question).or_insert_with(find).clone()
     }
 }
--- /dev/null
+++ b/components/routing/src/evacuation.rs
@@ -0,0 +1,33 @@
+//! Failure domains that the operator has left: they take nothing until that is taken back.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use clock::Millis;
+
+use crate::Effect;
+use crate::state::State;
+
+impl State {
+    /// Takes the failure domains that are to take nothing; all others may take work. Upstreams
+    /// of those that come back have had no requests and may be cold.
+    pub(crate) fn evacuate(&mut self, domains: BTreeSet<Arc<str>>, now: Millis) -> Vec<Effect> {
+        let before = std::mem::replace(&mut self.evacuated, domains);
+        let restored = before.difference(&self.evacuated).cloned().collect();
+        self.mark_evacuated();
+        self.chill_domains(&restored, now);
+        Vec::new()
+    }
+
+    /// Marks the upstreams of failure domains that are to take nothing.
+    pub(crate) fn mark_evacuated(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.evacuated = self.evacuated.contains(&upstream.host.domain);
+        }
+    }
+
+    /// Whether an upstream's failure domain is to take nothing.
+    pub(crate) fn is_evacuated(&self, upstream: &str) -> bool {
+        self.upstreams.get(upstream).is_some_and(|it| it.evacuated)
+    }
+}
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -1,5 +1,6 @@
 //! What happens to a router.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use clock::Millis;
@@ -85,6 +86,22 @@
     },
     /// So many routers were counted, this one included.
     Routers(usize),
+    /// These routers have announced themselves.
+    Members {
+        /// This router.
+        own: Arc<str>,
+        /// All that are announced.
+        announced: BTreeSet<Arc<str>>,
+    },
+    /// These failure domains are to take nothing; all others may take work.
+    Evacuated(BTreeSet<Arc<str>>),
+    /// An upstream is cold: it bears few requests.
+    Cold {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// For how much longer.
+        left: Millis,
+    },
     /// An upstream told its load with an answer.
     Load {
         /// The upstream.
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/fleet.rs
@@ -3,27 +3,38 @@
 use std::sync::Arc;
 
 use clock::Millis;
+use intents::{Labels, Plan};
 use rand::Rng;
 use wire::{Status, Welcome};
 
 use crate::outlook;
 use crate::state::State;
-use crate::{Effect, Host, Path, Upstream};
+use crate::{Effect, Host, Path, Settings, Upstream};
 
 /// The life of an upstream that is reached directly: its name stands for one
 /// start only.
 const DIRECT_LIFE: u64 = 1;
 
+/// The label that names the region of an upstream's failure domain.
+const REGION: &str = "region";
+
+/// The labels of an upstream: what its host reports, the region of its failure domain, and
+/// what operators add.
+pub(crate) fn labels(plan: Option<&Plan>, host: &Host, settings: &Settings) -> Labels {
+    let mut reported = host.labels.clone();
+    if let Some(region) = settings.regions.get(&host.domain) {
+        reported.insert(REGION.into(), region.clone());
+    }
+    plan.map_or_else(|| reported.clone(), |it| it.labels(&host.name, &reported))
+}
+
 impl State {
     /// Takes the list of upstreams: what is known of those that stay is kept.
     pub(crate) fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
         self.index.clear();
         let mut known = std::mem::take(&mut self.upstreams);
         for host in hosts {
-            let labels = match &self.plan {
-                Some(plan) => plan.labels(&host.name, &host.labels),
-                None => host.labels.clone(),
-            };
+            let labels = labels(self.plan.as_deref(), &host, &self.settings);
             let mut upstream = known
                 .swap_remove(&host.name)
                 .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
@@ -34,6 +45,8 @@
             }
             self.upstreams.insert(upstream.host.name.clone(), upstream);
         }
+        self.mark_evacuated();
+        self.deal(now);
         self.connects(now)
     }
 
--- a/components/routing/src/outlook.rs
+++ b/components/routing/src/outlook.rs
@@ -35,6 +35,8 @@
     pub known: bool,
     /// Whether other routers tell what answers tell them of loads.
     pub told: bool,
+    /// Whether this router's part of what cold upstreams bear counts.
+    pub takes_part: bool,
 }
 
 impl Outlook {
--- a/components/routing/src/ownership.rs
+++ b/components/routing/src/ownership.rs
@@ -5,6 +5,7 @@
 
 use crate::request::Phase;
 use crate::state::State;
+use crate::upstream::EVACUATED;
 use crate::{Ask, Effect, Owner, Upstream};
 
 impl State {
@@ -29,6 +30,9 @@
         if !self.may_own(id, owner) {
             return self.fail(id, Kind::KeyOwnerGone, 0, &owner.upstream, now);
         }
+        if self.is_evacuated(&owner.upstream) {
+            return self.fail(id, Kind::KeyUnsettled, 0, EVACUATED, now);
+        }
         if let Some(request) = self.requests.get_mut(&id) {
             request.candidates.clear();
         }
@@ -45,7 +49,7 @@
     /// Where the calls of a fresh idempotency key would go best now.
     pub fn owner(&mut self, workspace: &str, kind: &str, seed: &str, now: Millis) -> Option<Owner> {
         let plan = self.plan.clone()?;
-        let intent = plan.find(workspace, kind, None).ok()?.intent;
+        let target = plan.find(workspace, kind, None).ok()?;
         let ask = Ask {
             id: 0,
             request: "".into(),
@@ -58,8 +62,8 @@
             weight: 1,
             deadline: None,
         };
-        let outlook = self.outlook(intent, now);
-        let choice = self.index.choose(&self.upstreams, intent, &ask, &self.settings, &outlook);
+        let outlook = self.outlook(target.intent, now);
+        let choice = self.index.choose(&self.upstreams, &target, &ask, &self.settings, &outlook);
         let upstreams = choice.candidates.iter().rev().filter_map(|name| self.upstreams.get(name));
         let best = upstreams.into_iter().find(|it| it.is_up(now))?;
         Some(Owner { upstream: best.host.name.clone(), incarnation: best.incarnation })
--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/ranking.rs
@@ -25,9 +25,9 @@
         };
         let outlook = self.outlook(target.intent, now);
         let Choice { mut candidates, passed, home, first } =
-            self.index.choose(&self.upstreams, target.intent, ask, &self.settings, &outlook);
+            self.index.choose(&self.upstreams, &target, ask, &self.settings, &outlook);
         self.put_warm_first(&mut candidates, ask);
-        let pool = self.pool(candidates.last());
+        let pool = candidates.last().map_or_else(|| asked_pool(target.intent), |it| self.pool(it));
         self.expect(&pool, target.priority, target.intent.objective_ms);
         self.put_in_time_first(&mut candidates, &pool, target.priority, &outlook);
         if let Some(request) = self.requests.get_mut(&id) {
@@ -63,7 +63,9 @@
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let tried = |name: &Arc<str>| request.tries.iter().any(|it| it.upstream == *name);
-        let fits = |it: &Upstream| !it.is_leaving() && it.pool() == pool && !tried(it.name());
+        let fits = |it: &Upstream| {
+            !it.is_leaving() && !it.evacuated && it.pool() == pool && !tried(it.name())
+        };
         // Where there are sidecars, they say themselves who leaves, and send a chat
         // back to where it has been.
         let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !direct || fits(it));
@@ -81,27 +83,35 @@
         let Ok(target) = ask.target(plan) else {
             return false;
         };
-        let fits =
-            |it: &Upstream| target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref());
+        let fits = |it: &Upstream| {
+            target.intent.fits(&it.labels, &it.host.domain, ask.model.as_deref())
+                && Selector::all(target.homes, &it.labels)
+        };
         self.upstreams.get(upstream).is_some_and(fits)
     }
 
     /// The pool of an upstream: the retry budget is kept for each.
-    fn pool(&self, upstream: Option<&Arc<str>>) -> Arc<str> {
-        upstream.and_then(|it| self.upstreams.get(it)).map(Upstream::pool).unwrap_or_default()
+    fn pool(&self, upstream: &str) -> Arc<str> {
+        self.upstreams.get(upstream).map(Upstream::pool).unwrap_or_default()
     }
 
     /// The view on the pool of an intent's upstreams.
     pub(crate) fn outlook(&self, intent: &Intent, now: Millis) -> Outlook {
-        let pool = intent.upstreams.iter().find_map(|it| match it {
-            Selector::Equals { label, value } if &**label == POOL => Some(value),
-            _ => None,
-        });
-        let mean = pool.and_then(|it| self.means.get(it)).copied().unwrap_or_default();
+        let mean = self.means.get(&asked_pool(intent)).copied().unwrap_or_default();
         #[expect(clippy::cast_precision_loss, reason = "fleets are small beside 2^53")]
         let routers = self.routers as f64;
         let known = self.settings.mechanisms.loads && self.peers.are_known(now);
         let told = self.peers.are_told(now);
-        Outlook { path: self.settings.path, now, routers, mean, known, told }
+        let takes_part = self.takes_part(now);
+        Outlook { path: self.settings.path, now, routers, mean, known, told, takes_part }
     }
 }
+
+/// The pool that an intent names; empty if it names none.
+fn asked_pool(intent: &Intent) -> Arc<str> {
+    let named = intent.upstreams.iter().find_map(|it| match it {
+        Selector::Equals { label, value } if &**label == POOL => Some(value.clone()),
+        _ => None,
+    });
+    named.unwrap_or_default()
+}
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/sending.rs
@@ -7,10 +7,10 @@
 use placement::key;
 
 use crate::need::Need;
-use crate::outlook::Outlook;
+use crate::outlook::{Outlook, ms};
 use crate::request::{Phase, Request};
 use crate::state::State;
-use crate::upstream::OVER_BOUND;
+use crate::upstream::{COLD, EVACUATED, OVER_BOUND};
 use crate::{Attempt, Effect, Path, Try};
 
 impl State {
@@ -20,7 +20,8 @@
             let passed = self.requests.get(&id).and_then(|it| it.passed.first());
             let detail = passed.map_or("", |it| it.why);
             let kind = if detail == OVER_BOUND { Kind::OverBound } else { Kind::NoUpstream };
-            return self.fail(id, kind, 0, detail, now);
+            let after = self.returns_after(id, detail, now);
+            return self.fail(id, kind, after, detail, now);
         };
         if self.should_wait(id, &upstream, now) {
             return self.wait(id);
@@ -31,10 +32,28 @@
         self.send(id, &upstream, 0, now)
     }
 
+    /// How long a caller is told to stay away for whom no upstream is there, in milliseconds.
+    /// Callers whom cold upstreams can't take yet come back one after the other as those open;
+    /// nobody knows when a failure domain is taken back.
+    fn returns_after(&mut self, id: u64, why: &str, now: Millis) -> u64 {
+        let pool = self.requests.get(&id).map(|it| it.pool.clone()).unwrap_or_default();
+        match why {
+            COLD => {
+                let soonest = self.opens_in(&pool, now).unwrap_or_default();
+                self.flows.entry(pool).or_default().book(ms(soonest), now)
+            }
+            EVACUATED => self.settings.evacuated_retry_after_ms,
+            _ => 0,
+        }
+    }
+
     /// The next candidate by rank. After a refusal over load it is the one that
     /// is known to carry least: the chat's context is elsewhere in any case.
     fn next_candidate(&mut self, id: u64) -> Option<Arc<str>> {
+        let evacuated = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| it.evacuated);
         let request = self.requests.get_mut(&id)?;
+        // What was ranked before its domain was left is not sent there.
+        request.candidates.retain(|it| !evacuated(it));
         let error = request.tries.last().and_then(|it| it.error);
         let crowded = matches!(error, Some(Kind::OverBound | Kind::QueueFull | Kind::WouldMiss));
         let hinted = request.candidates.last().is_some_and(|it| request.hints.contains(it));
@@ -93,6 +112,7 @@
         }
         let load = upstream.load_at(&Outlook { now, ..request.outlook });
         upstream.take(request.ask.weight);
+        upstream.cold.send(now);
         let mechanisms = self.settings.mechanisms;
         let need = Need::new(&self.warmth, &self.upstreams, request, name, mechanisms);
         request.tries.push(Try {
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -1,5 +1,8 @@
 //! What an operator may set about a router's decisions.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use errors::Kind;
 use placement::Bound;
 use serde::{Deserialize, Serialize};
@@ -56,6 +59,12 @@
     pub bound: Bound,
     /// The same while other routers tell their own loads, so that loads are known.
     pub known_bound: Bound,
+    /// How many times its pool's rate of requests a cold upstream bears in a second.
+    pub cold_multiple: f64,
+    /// How many requests more it bears in a second.
+    pub cold_extra: f64,
+    /// The region of each failure domain, where intents name regions.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// How long a sidecar's word on its load counts, in milliseconds.
     pub fresh_ms: u64,
     /// The most attempts of one request, the first included.
@@ -90,6 +99,9 @@
     /// The same where another router can confirm it, and a new connection leads
     /// there.
     pub elsewhere_retry_after_ms: u64,
+    /// The same where all upstreams are in failure domains that are to take nothing: routers
+    /// learn that one is taken back with a look at the store.
+    pub evacuated_retry_after_ms: u64,
 }
 
 impl Default for Settings {
@@ -103,6 +115,9 @@
             unknown_ms: 0,
             bound: Bound::default(),
             known_bound: Bound::default(),
+            cold_multiple: 1.0,
+            cold_extra: 0.0,
+            regions: BTreeMap::new(),
             fresh_ms: 300,
             max_attempts: 4,
             retry_share: 0.2,
@@ -117,6 +132,7 @@
             retry_after_ms: 250,
             stale_retry_after_ms: 3_000,
             elsewhere_retry_after_ms: 50,
+            evacuated_retry_after_ms: 1_500,
         }
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -1,6 +1,6 @@
 //! The state of a router and the events that concern the whole of it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use clock::Millis;
@@ -11,6 +11,8 @@
 
 use crate::admission::Flow;
 use crate::choice::{Index, Upstreams};
+use crate::cold::Members;
+use crate::fleet::labels;
 use crate::loads::Peers;
 use crate::request::Request;
 use crate::stopping::{Durations, Stop};
@@ -35,6 +37,10 @@
     pub(crate) flows: BTreeMap<Arc<str>, Flow>,
     /// Among how many routers the retry budget is divided.
     pub(crate) routers: usize,
+    /// The failure domains that are to take nothing.
+    pub(crate) evacuated: BTreeSet<Arc<str>>,
+    /// The routers that share what cold upstreams bear.
+    pub(crate) members: Members,
     /// Set once the router is to stop.
     pub(crate) stop: Option<Stop>,
     /// How long answers took lately.
@@ -65,6 +71,8 @@
             means: HashMap::new(),
             flows: BTreeMap::new(),
             routers: 1,
+            evacuated: BTreeSet::new(),
+            members: Members::default(),
             stop: None,
             durations: Durations::default(),
             warmth: Warmth::default(),
@@ -150,9 +158,18 @@
             Event::Alive { upstream } => self.alive(&upstream),
             Event::Missed { upstream } => self.missed(&upstream, now),
             Event::Settings(settings) => self.set(*settings),
-            Event::Configure(plan) => self.configure(plan),
+            Event::Configure(plan) => self.configure(plan, now),
             Event::Current { at } => self.prove(at),
             Event::Routers(count) => self.divide(count),
+            Event::Members { own, announced } => {
+                self.meet(own, announced, now);
+                Vec::new()
+            }
+            Event::Evacuated(domains) => self.evacuate(domains, now),
+            Event::Cold { upstream, left } => {
+                self.chill(&upstream, left, now);
+                Vec::new()
+            }
             Event::Load { upstream, requests, waiting } => {
                 self.load(&upstream, requests, waiting, now)
             }
@@ -181,15 +198,16 @@
     }
 
     /// A lower or equal generation changes nothing.
-    fn configure(&mut self, plan: Arc<Plan>) -> Vec<Effect> {
+    fn configure(&mut self, plan: Arc<Plan>, now: Millis) -> Vec<Effect> {
         if plan.generation() <= self.generation() {
             return Vec::new();
         }
         for upstream in self.upstreams.values_mut() {
-            upstream.labels = plan.labels(&upstream.host.name, &upstream.host.labels);
+            upstream.labels = labels(Some(&plan), &upstream.host, &self.settings);
         }
         self.plan = Some(plan);
         self.index.clear();
+        self.deal(now);
         Vec::new()
     }
 
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/upstream.rs
@@ -7,6 +7,7 @@
 use placement::Pool;
 use wire::Status;
 
+use crate::cold::Cold;
 use crate::health::{Health, Outcomes};
 use crate::outlook::{Outlook, count};
 use crate::ranking::POOL;
@@ -30,6 +31,12 @@
 /// Why an upstream is passed over that fails more of its requests than its pool.
 pub(crate) const POOR: &str = "fails more than its pool";
 
+/// Why an upstream is passed over whose failure domain is to take nothing.
+pub(crate) const EVACUATED: &str = "evacuated";
+
+/// Why an upstream is passed over that is cold and takes no more of this router for now.
+pub(crate) const COLD: &str = "cold";
+
 /// Why an upstream is passed over whose bound leaves no room.
 pub(crate) const OVER_BOUND: &str = "over the load bound";
 
@@ -64,6 +71,10 @@
     pub(crate) suspect_until: Millis,
     /// How its latest requests ended.
     pub(crate) health: Health,
+    /// Whether its failure domain is to take nothing.
+    pub(crate) evacuated: bool,
+    /// How cold it is.
+    pub(crate) cold: Cold,
 }
 
 impl Upstream {
@@ -86,6 +97,8 @@
             reachable: true,
             suspect_until: Millis::ZERO,
             health: Health::default(),
+            evacuated: false,
+            cold: Cold::default(),
         }
     }
 
@@ -259,6 +272,12 @@
         if self.is_leaving() {
             return Some("leaving");
         }
+        if self.evacuated {
+            return Some(EVACUATED);
+        }
+        if self.cold.is_cold(now) && (!outlook.takes_part || self.cold.is_used_up(now)) {
+            return Some(COLD);
+        }
         if self.is_suspect(now) || self.is_on_trial() {
             return Some(SUSPECT);
         }
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -39,6 +39,7 @@
         "generation": 1,
         "workspaces": [{ "name": "w", "key_sha256": "0".repeat(64) }],
         "models": ["m"],
+        "pools": [{ "name": "engine", "cold_ms": 3_000, "cold_per_s": 8.0 }],
         "kinds": [kind("safe", true), kind("unsafe", false), kind("stream", true), kind("bulk", true)],
         "intents": [intent("safe", "plain"), intent("unsafe", "plain"), intent("stream", "engine"), intent("bulk", "engine")],
     });
@@ -46,6 +47,26 @@
     Arc::new(Plan::compile(document).expect("a plan"))
 }
 
+/// Engines in these failure domains, in order.
+pub fn engines(domains: &[&str]) -> Event {
+    let engine = |(place, domain): (usize, &&str)| Host {
+        domain: (*domain).into(),
+        ..host(&format!("engine-{place}"), "engine")
+    };
+    Event::Hosts(domains.iter().enumerate().map(engine).collect())
+}
+
+/// These failure domains are to take nothing.
+pub fn evacuated(domains: &[&str]) -> Event {
+    Event::Evacuated(domains.iter().map(|it| Arc::from(*it)).collect())
+}
+
+/// Router `own` of the first `count` routers knows them all.
+pub fn members(own: usize, count: usize) -> Event {
+    let name = |it: usize| Arc::from(format!("router-{it}"));
+    Event::Members { own: name(own), announced: (0..count).map(name).collect() }
+}
+
 fn host(name: &str, service: &str) -> Host {
     Host {
         name: name.into(),
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -1,7 +1,9 @@
 //! A router's reducer where upstreams are reached directly.
 
 mod admission;
+mod cold;
 mod decisions;
+mod evacuation;
 mod fleet;
 mod health;
 mod loads;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod configuration;
 mod discovery;
+mod evacuation;
 mod faults;
 mod hints;
 mod path;
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -258,6 +258,9 @@
 [listenAddresses]
 front = "{host}:{CALLERS_PORT}"
 ready = "{host}:{OPERATORS_PORT}"
+[zones]
+zone-south = "south"
+zone-north = "north"
 [bounds]
 drainMs = 400
 graceS = 5
