--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -20,7 +20,7 @@
     /// The workspaces.
     pub workspaces: Vec<Workspace>,
     /// The kinds of request.
-    pub kinds: Vec<Kind>,
+    pub kinds: Vec<Arc<Kind>>,
     /// The models that may be asked for.
     #[serde(default)]
     pub models: Vec<Arc<str>>,
@@ -31,7 +31,7 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub pools: Vec<Pool>,
     /// The intents.
-    pub intents: Vec<Intent>,
+    pub intents: Vec<Arc<Intent>>,
 }
 
 /// A pool of upstreams: those whose label `service` is its name.
--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -10,6 +10,7 @@
 mod document;
 mod error;
 mod keys;
+mod matches;
 mod plan;
 mod selector;
 
--- a/components/intents/src/plan.rs
+++ b/components/intents/src/plan.rs
@@ -7,10 +7,11 @@
 
 use crate::check::check;
 use crate::digest::digest;
+use crate::matches::Matches;
 use crate::{Document, Error, Intent, Kind, Labels, Pool, Selector, Workspace};
 
 /// The label that holds a thing's own name.
-const NAME: &str = "name";
+pub(crate) const NAME: &str = "name";
 
 /// The label that tells which model an engine serves.
 const MODEL: &str = "model";
@@ -27,8 +28,7 @@
     keys: HashMap<Arc<str>, usize>,
     /// For each host, the prefixes and their kinds, the longest prefix first.
     paths: HashMap<Arc<str>, Vec<(Arc<str>, usize)>>,
-    /// For each workspace and kind, the matching intents by falling rank.
-    matches: Vec<Vec<usize>>,
+    matches: Matches,
 }
 
 /// Where a request may go, and how.
@@ -72,7 +72,7 @@
             document.upstreams.iter().map(|it| (it.name.clone(), it.labels.clone())).collect();
         let keys = keys(&document);
         let paths = paths(&document);
-        let matches = matches(&document);
+        let matches = Matches::new(&document, &kinds);
         Ok(Self { document, workspaces, kinds, models, labels, keys, paths, matches })
     }
 
@@ -140,23 +140,27 @@
         let place = *self.workspaces.get(workspace).ok_or(Miss::NoIntent)?;
         let workspace = &self.document.workspaces[place];
         let kind = *self.kinds.get(kind).ok_or(Miss::NoIntent)?;
-        let places = &self.matches[place * self.document.kinds.len() + kind];
-        let mut fitting = places
-            .iter()
-            .map(|place| &self.document.intents[*place])
-            .filter(|intent| names(&intent.models, model));
-        let intent = fitting.next().ok_or(Miss::NoIntent)?;
-        if let Some(rival) = fitting.next()
-            && rival.rank == intent.rank
-        {
-            return Err(Miss::Ambiguous(intent.name.clone(), rival.name.clone()));
-        }
+        let intent = self.decides(place, kind, model)?;
         let kind = &self.document.kinds[kind];
         let priority = workspace.priority.unwrap_or(intent.priority);
         let homes = &workspace.upstreams;
         Ok(Target { intent, repeatable: kind.repeatable, kind, priority, homes })
     }
 
+    /// The intent of the highest rank that matches a workspace and a kind, by their places.
+    fn decides(&self, workspace: usize, kind: usize, model: Option<&str>) -> Result<&Intent, Miss> {
+        let intents = &self.document.intents;
+        let matching = || self.matches.of(workspace, kind);
+        let fitting = || matching().filter(|it| names(&intents[*it].models, model));
+        let rank = fitting().map(|it| intents[it].rank).max().ok_or(Miss::NoIntent)?;
+        let highest = || fitting().filter(|it| intents[*it].rank == rank);
+        let first = highest().min().ok_or(Miss::NoIntent)?;
+        let Some(rival) = highest().filter(|it| *it != first).min() else {
+            return Ok(&intents[first]);
+        };
+        Err(Miss::Ambiguous(intents[first].name.clone(), intents[rival].name.clone()))
+    }
+
     /// What is known of the pool called `name`.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.document.pools.iter().find(|it| &*it.name == name)
@@ -196,7 +200,7 @@
     names.enumerate().map(|(place, name)| (name.clone(), place)).collect()
 }
 
-fn named(name: &Arc<str>, labels: &Labels) -> Labels {
+pub(crate) fn named(name: &Arc<str>, labels: &Labels) -> Labels {
     let mut labels = labels.clone();
     labels.insert(NAME.into(), name.clone());
     labels
@@ -221,41 +225,3 @@
     }
     paths
 }
-
-/// The places of the kinds that an intent names. Most intents select one kind
-/// by its name, which needs no look at the others.
-fn fitting_kinds(
-    intent: &Intent,
-    kinds: &[Labels],
-    places: &HashMap<Arc<str>, usize>,
-) -> Vec<usize> {
-    if let [Selector::Equals { label, value }] = &*intent.kinds
-        && &**label == NAME
-    {
-        return places.get(value).copied().into_iter().collect();
-    }
-    (0..kinds.len()).filter(|it| Selector::all(&intent.kinds, &kinds[*it])).collect()
-}
-
-fn matches(document: &Document) -> Vec<Vec<usize>> {
-    let workspaces: Vec<_> =
-        document.workspaces.iter().map(|it| named(&it.name, &it.labels)).collect();
-    let kinds: Vec<_> = document.kinds.iter().map(|it| named(&it.name, &it.labels)).collect();
-    let places = index(document.kinds.iter().map(|it| &it.name));
-    let mut matches = vec![Vec::new(); workspaces.len() * kinds.len()];
-    for (place, intent) in document.intents.iter().enumerate() {
-        let fitting = fitting_kinds(intent, &kinds, &places);
-        for (workspace, labels) in workspaces.iter().enumerate() {
-            if !Selector::all(&intent.workspaces, labels) {
-                continue;
-            }
-            for kind in &fitting {
-                matches[workspace * kinds.len() + kind].push(place);
-            }
-        }
-    }
-    for places in &mut matches {
-        places.sort_by_key(|place| std::cmp::Reverse(document.intents[*place].rank));
-    }
-    matches
-}
--- a/components/intents/tests/matching.rs
+++ b/components/intents/tests/matching.rs
@@ -67,6 +67,7 @@
                     paths: Vec::new(),
                     labels,
                 })
+                .map(Into::into)
                 .collect(),
             models: vec!["a".into(), "b".into(), "c".into()],
             upstreams: Vec::new(),
@@ -88,6 +89,7 @@
                     objective_ms: None,
                     split: Vec::new(),
                 })
+                .map(Into::into)
                 .collect(),
         })
 }
@@ -106,7 +108,7 @@
     };
     let workspace = &document.workspaces[workspace];
     let kind = &document.kinds[kind];
-    let fits = |intent: &&Intent| {
+    let fits = |intent: &&Arc<Intent>| {
         intent.workspaces.iter().all(|it| it.matches(&named(&workspace.name, &workspace.labels)))
             && intent.kinds.iter().all(|it| it.matches(&named(&kind.name, &kind.labels)))
             && (intent.models.is_empty()
--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/ranking.rs
@@ -63,9 +63,7 @@
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let tried = |name: &Arc<str>| request.tries.iter().any(|it| it.upstream == *name);
-        let fits = |it: &Upstream| {
-            !it.is_leaving() && !it.evacuated && it.pool() == pool && !tried(it.name())
-        };
+        let fits = |it: &Upstream| !it.is_leaving() && it.pool() == pool && !tried(it.name());
         // Where there are sidecars, they say themselves who leaves, and send a chat
         // back to where it has been.
         let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !direct || fits(it));
