Read a long answer of the store for as long as it comes, and further pages outside the rate

Cause: a whole read had 1.5 s for each page, though 1 MB takes 0.8 s over a thin host's 10 Mbit/s and longer where many routers start together: what keeps coming was given up and asked for anew. Two tests were seen failing: a router whose store sends 400 KB in 2.5 s never became ready; all pages counted against the service's rate.

A call is given up when nothing comes for 1.5 s. Pages after the first may be old and are outside the rate; changes since are asked for after them, so that the proof still stands.

--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -133,3 +133,50 @@
     // The history of the outage is not asked for.
     router.until("gone", || all_go_to(&router, &two));
 }
+
+#[test]
+fn a_long_answer_that_keeps_coming_is_read_to_its_end() {
+    let [one, two] = pair();
+    let mut long = configuration(1);
+    long["note"] = "x".repeat(300_000).into();
+    // 400 KB at 160 KB/s: more than the 1.5 s after which a silent store is given up.
+    let router = Router::start_bare(&own_host(), |store| {
+        store.put("op/config", &long);
+        store.put(&one.key(), &one.entry("ready", 1));
+        store.put(&two.key(), &two.entry("ready", 1));
+        store.set_pace(16_000);
+    });
+    router.until("ready", || router.is_ready());
+    assert!(!router.has_logged("the store does not answer"));
+}
+
+#[test]
+fn of_many_pages_all_but_the_first_are_outside_the_rate_and_changes_are_asked_for_after_them() {
+    let [one, two] = pair();
+    let router = Router::start_bare(&own_host(), |store| {
+        store.put("op/config", &configuration(1));
+        store.put(&one.key(), &one.entry("ready", 1));
+        store.put(&two.key(), &two.entry("ready", 1));
+        store.set_page(1);
+    });
+    router.until("ready", || router.is_ready());
+    let targets = router.store.targets();
+    let pages: Vec<_> = targets.iter().filter(|it| it.starts_with("/v1/kv-range?")).collect();
+    // One for each of three items, and one more if the router has announced itself by then.
+    assert!(pages.len() >= 3, "{pages:?}");
+    assert!(!pages[0].contains("serializable=1"));
+    assert!(pages[1..].iter().all(|it| it.contains("serializable=1")), "{pages:?}");
+    let last = targets.iter().position(|it| it == pages[pages.len() - 1]).expect("a place");
+    assert!(targets[last + 1..].iter().any(|it| it.starts_with("/v1/kv-watch?")));
+    assert!(go_to_both(&router, &one, &two));
+}
+
+/// Whether requests go to both upstreams.
+fn go_to_both(router: &Router, one: &Upstream, two: &Upstream) -> bool {
+    for number in 0..20 {
+        let id = format!("id-both-{number}");
+        let answer = router.ask("GET /safe/x", &[("Attempt-Identifier", &id)], "");
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    !one.requests().is_empty() && !two.requests().is_empty()
+}
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -38,6 +38,10 @@
     connections: usize,
     calls: usize,
     targets: Vec<String>,
+    /// How many bytes of an answer go out in a tenth of a second; all at once, if zero.
+    pace: usize,
+    /// How many items a page holds; all, if zero.
+    page: usize,
 }
 
 /// The service; it serves until the test ends.
@@ -75,6 +79,16 @@
         state.silenced = state.connections;
     }
 
+    /// Has answers go out at `bytes` in a tenth of a second.
+    pub fn set_pace(&self, bytes: usize) {
+        self.lock().pace = bytes;
+    }
+
+    /// Has a page hold `items` items.
+    pub fn set_page(&self, items: usize) {
+        self.lock().page = items;
+    }
+
     /// Writes a JSON value.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_text(key, &value.to_string());
@@ -161,12 +175,25 @@
                 "HTTP/1.1 {status} .\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
             );
-            if writer.write_all(format!("{head}{body}").as_bytes()).is_err() {
+            if self.send(&mut writer, format!("{head}{body}").as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Sends an answer, at the pace that is set.
+    fn send(&self, writer: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
+        let pace = self.lock().pace;
+        if pace == 0 {
+            return writer.write_all(answer);
+        }
+        for part in answer.chunks(pace) {
+            writer.write_all(part)?;
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Ok(())
+    }
+
     fn answer(&self, request: &Request) -> Option<(u16, Value)> {
         self.lock().calls += 1;
         self.lock().targets.push(request.target.clone());
@@ -181,7 +208,7 @@
         }
         let prefix = request.query("pathPrefix").unwrap_or("").to_owned();
         if request.target.starts_with("/v1/kv-range?") {
-            return Some((200, self.range(&prefix)));
+            return Some((200, self.range(&prefix, request.query("after").unwrap_or(""))));
         }
         if request.target.starts_with("/v1/kv-key?") {
             let key = request.query("privateKey").unwrap_or("").to_owned();
@@ -222,15 +249,19 @@
         (if request.target == "/v1/kv-keep/7" { 200 } else { 404 }, json!({}))
     }
 
-    fn range(&self, prefix: &str) -> Value {
+    fn range(&self, prefix: &str, after: &str) -> Value {
         let state = self.lock();
-        let items: Vec<_> = state
+        let mut items: Vec<_> = state
             .items
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
             .map(|(key, (value, revision))| item(key, value, *revision))
             .collect();
-        json!({ "items": items, "morePages": false, "timestamp": state.revision })
+        let more = state.page > 0 && items.len() > state.page;
+        if more {
+            items.truncate(state.page);
+        }
+        json!({ "items": items, "morePages": more, "timestamp": state.revision })
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
