Give the router's modules folders by job, and ask of a path by name what differs

Modules stand in beliefs, choosing, admission, recovery and requests; the comparisons of paths in eleven files became eight questions in one. Metrics count domains left and taken back and cold upstreams; /status names the domains. No decision changes.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -280,6 +280,7 @@
             "generation": state.plan().map_or(0, |it| it.generation()),
             "in_flight": state.in_flight(),
             "draining": self.stop.is_asked(),
+            "evacuated": state.evacuated().collect::<Vec<_>>(),
             "upstreams": upstreams,
         })
     }
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -281,9 +281,11 @@
             return;
         }
         for domain in self.evacuated.difference(&self.known_evacuated) {
+            self.core.metrics.belief("domain_left");
             info!("failure domain left", kv: { domain = &**domain, revision });
         }
         for domain in self.known_evacuated.difference(&self.evacuated) {
+            self.core.metrics.belief("domain_taken_back");
             info!("failure domain taken back", kv: { domain = &**domain, revision });
         }
         self.known_evacuated.clone_from(&self.evacuated);
@@ -293,6 +295,7 @@
     /// Tells the reducer which upstreams are cold.
     fn chill(&self, cold: Vec<(Arc<str>, Millis)>) {
         for (upstream, left) in cold {
+            self.core.metrics.belief("upstream_cold");
             info!("upstream is cold", kv: { upstream = &*upstream, ms = left.0 });
             self.core.apply(Event::Cold { upstream, left });
         }
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -25,10 +25,10 @@
 use clock::Millis;
 use wire::Delay;
 
-use crate::outlook::Outlook;
-use crate::request::Request;
+use crate::Effect;
+use crate::beliefs::outlook::Outlook;
+use crate::requests::request::Request;
 use crate::state::State;
-use crate::{Effect, Path};
 
 pub(crate) use flow::Flow;
 
@@ -101,7 +101,7 @@
 
     /// The longest wait at which a request of `priority` is sent, in milliseconds.
     fn limit_ms(&self, pool: &str, priority: i32) -> Option<f64> {
-        let applies = self.settings.path == Path::Direct && self.settings.mechanisms.admission;
+        let applies = self.settings.path.judges_upstreams() && self.settings.mechanisms.admission;
         self.flows.get(pool).filter(|_| applies)?.limit_ms(priority)
     }
 
--- a/components/routing/src/admission/flow.rs
+++ b/components/routing/src/admission/flow.rs
@@ -9,7 +9,7 @@
 use super::Forecast;
 use super::lane::Lane;
 use super::returns::Returns;
-use crate::outlook::count;
+use crate::beliefs::outlook::count;
 
 /// The share of an objective within which an answer must be expected to begin. Nine in ten
 /// begin within two and a half times the expected time. At 0.3 requests are refused while
--- a/components/routing/src/admission/lane.rs
+++ b/components/routing/src/admission/lane.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 
-use crate::outlook::{count, ms};
+use crate::beliefs::outlook::{count, ms};
 
 /// How much the latest answer counts in the time that one takes without a queue, if it took
 /// less, and if it took more: prompts that must be read first say little of it.
--- a/components/routing/src/admission/returns.rs
+++ b/components/routing/src/admission/returns.rs
@@ -2,7 +2,7 @@
 
 use clock::Millis;
 
-use crate::outlook::ms;
+use crate::beliefs::outlook::ms;
 
 /// After how long a completion counts half, in milliseconds.
 const HALF_LIFE_MS: f64 = 2_000.0;
--- a/components/routing/src/cold.rs
+++ b/components/routing/src/beliefs/cold.rs
@@ -15,8 +15,8 @@
 use placement::{key, score};
 
 use crate::Settings;
+use crate::beliefs::upstream::Upstream;
 use crate::state::State;
-use crate::upstream::Upstream;
 
 /// The span in which the requests to a cold upstream are counted, in milliseconds. The
 /// platform counts those that were sent and arrived within one second; the rest is for
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/beliefs/evacuation.rs
@@ -19,6 +19,11 @@
         Vec::new()
     }
 
+    /// The failure domains that are to take nothing.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuated.iter().map(AsRef::as_ref)
+    }
+
     /// Marks the upstreams of failure domains that are to take nothing.
     pub(crate) fn mark_evacuated(&mut self) {
         for upstream in self.upstreams.values_mut() {
--- a/components/routing/src/fleet.rs
+++ b/components/routing/src/beliefs/fleet.rs
@@ -7,9 +7,9 @@
 use rand::Rng;
 use wire::{Status, Welcome};
 
-use crate::outlook;
+use crate::beliefs::outlook;
 use crate::state::State;
-use crate::{Effect, Host, Path, Settings, Upstream};
+use crate::{Effect, Host, Settings, Upstream};
 
 /// The life of an upstream that is reached directly: its name stands for one
 /// start only.
@@ -39,7 +39,7 @@
                 .swap_remove(&host.name)
                 .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
             upstream.list(host, labels);
-            if self.settings.path == Path::Direct {
+            if self.settings.path.trusts_the_list() {
                 upstream.connected = true;
                 upstream.incarnation = DIRECT_LIFE;
             }
@@ -93,7 +93,7 @@
     /// Takes the status that a sidecar told with a reply.
     pub(crate) fn hear(&mut self, id: u64, status: Status, now: Millis) {
         let name = self.requests.get(&id).and_then(|it| it.upstream());
-        let told = self.settings.path == Path::Sidecar;
+        let told = self.settings.path.has_sidecars();
         if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)).filter(|_| told) {
             upstream.hear(status, now);
         }
@@ -127,7 +127,7 @@
             it.reachable = false;
         }
         let first = match self.upstreams.get_mut(upstream) {
-            Some(it) if it.failures == 0 && sent && self.settings.path == Path::Direct => it,
+            Some(it) if it.failures == 0 && sent && self.settings.path.forgives_once() => it,
             _ => return self.suspect(upstream, now),
         };
         first.failures = 1;
--- a/components/routing/src/loads.rs
+++ b/components/routing/src/beliefs/loads.rs
@@ -7,10 +7,10 @@
 use wire::{Heard, Load, Loads, Outcome, Told};
 
 use crate::Effect;
-use crate::choice::Upstreams;
-use crate::outlook;
+use crate::beliefs::outlook;
+use crate::beliefs::upstream::Upstream;
+use crate::choosing::choice::Upstreams;
 use crate::state::State;
-use crate::upstream::Upstream;
 
 /// How long a router's word counts that is not heard from any more. What it had
 /// under way ends with its connections when it was killed, and in a second or two
--- a/components/routing/src/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -7,11 +7,11 @@
 use placement::Pool;
 use wire::Status;
 
-use crate::cold::Cold;
-use crate::health::{Health, Outcomes};
-use crate::outlook::{Outlook, count};
-use crate::ranking::POOL;
-use crate::{Host, Path, Settings};
+use crate::beliefs::cold::Cold;
+use crate::beliefs::health::{Health, Outcomes};
+use crate::beliefs::outlook::{Outlook, count};
+use crate::choosing::ranking::POOL;
+use crate::{Host, Settings};
 
 /// The most doublings of the time that a failing upstream is left alone.
 const MAX_DOUBLINGS: u32 = 16;
@@ -169,17 +169,19 @@
     /// router that reaches the upstream directly counts its own requests.
     pub(crate) fn load_at(&self, outlook: &Outlook) -> u64 {
         let (others, told) = self.others;
-        match outlook.path {
-            Path::Sidecar => self.status.load,
-            Path::Direct if outlook.known => self.own + self.peers,
-            Path::Direct => self.own + whole(outlook.others(count(self.own), count(others), told)),
+        if outlook.path.has_sidecars() {
+            return self.status.load;
         }
+        if outlook.known {
+            return self.own + self.peers;
+        }
+        self.own + whole(outlook.others(count(self.own), count(others), told))
     }
 
     /// The load that counts in the mean of its pool.
     pub(crate) fn load_in_mean(&self, outlook: &Outlook) -> u64 {
         let (others, told) = self.others;
-        if outlook.path == Path::Direct && outlook.told && !outlook.known {
+        if !outlook.path.has_sidecars() && outlook.told && !outlook.known {
             return self.own + whole(outlook.stands(count(others), told));
         }
         self.load_at(outlook)
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choosing/choice.rs
@@ -7,10 +7,10 @@
 use intents::{Intent, Selector, Target};
 use placement::{Pool, key, top};
 
-use crate::health::Outcomes;
-use crate::outlook::Outlook;
-use crate::upstream::{OVER_BOUND, POOR, SUSPECT};
-use crate::{Ask, Passed, Path, Policy, Settings, Upstream};
+use crate::beliefs::health::Outcomes;
+use crate::beliefs::outlook::Outlook;
+use crate::beliefs::upstream::{OVER_BOUND, POOR, SUSPECT};
+use crate::{Ask, Passed, Policy, Settings, Upstream};
 
 /// The most upstreams that one request may be tried at.
 const MAX_CANDIDATES: usize = 16;
@@ -74,7 +74,7 @@
             .into_iter()
             .map(|(it, why)| Passed { upstream: it.name().clone(), why })
             .collect();
-        let policy = if settings.path == Path::Direct && !ask.is_chat() {
+        let policy = if settings.path.spreads_calls() && !ask.is_chat() {
             Policy::Lightest
         } else {
             settings.policy
@@ -141,8 +141,8 @@
         outlook: &Outlook,
     ) -> Self {
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
-        let pool = (settings.path == Path::Direct).then(|| pool(fitting.clone(), outlook));
-        let judged = settings.path == Path::Direct && settings.mechanisms.health;
+        let pool = (!settings.path.has_sidecars()).then(|| pool(fitting.clone(), outlook));
+        let judged = settings.path.judges_upstreams() && settings.mechanisms.health;
         let outcomes = judged.then(|| outcomes(fitting.clone(), outlook));
         for upstream in fitting {
             match upstream.objection(weight, pool, outcomes, settings, outlook) {
@@ -175,14 +175,12 @@
             return poor;
         }
         let least = self.full().min_by_key(|it| it.load_at(outlook));
-        match outlook.path {
-            Path::Sidecar => least.into_iter().collect(),
-            // Those that failed lately are better than none where nobody else can say
-            // whether they are back.
-            Path::Direct => {
-                least.map_or_else(|| self.objected_for(SUSPECT).collect(), |it| vec![it])
-            }
+        if outlook.path.has_sidecars() {
+            return least.into_iter().collect();
         }
+        // Those that failed lately are better than none where nobody else can say
+        // whether they are back.
+        least.map_or_else(|| self.objected_for(SUSPECT).collect(), |it| vec![it])
     }
 
     /// Those that were objected to for `reason`.
--- a/components/routing/src/need.rs
+++ b/components/routing/src/choosing/need.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::choice::Upstreams;
-use crate::request::Request;
-use crate::warmth::Warmth;
+use crate::beliefs::warmth::Warmth;
+use crate::choosing::choice::Upstreams;
+use crate::requests::request::Request;
 use crate::{Mechanisms, Upstream};
 
 /// What an upstream is believed to need before it can answer a request.
--- a/components/routing/src/ranking.rs
+++ b/components/routing/src/choosing/ranking.rs
@@ -5,10 +5,10 @@
 use clock::Millis;
 use intents::{Intent, Selector};
 
-use crate::choice::Choice;
-use crate::outlook::Outlook;
+use crate::beliefs::outlook::Outlook;
+use crate::choosing::choice::Choice;
 use crate::state::State;
-use crate::{Ask, Path, Policy, Upstream};
+use crate::{Ask, Policy, Upstream};
 
 /// The label that names the pool an upstream belongs to.
 pub(crate) const POOL: &str = "service";
@@ -45,7 +45,7 @@
     /// copies cost 0.0091 of what a day is worth in place of 0.0119, by three runs of each
     /// of five days.
     fn put_warm_first(&self, candidates: &mut [Arc<str>], ask: &Ask) {
-        if self.settings.path != Path::Direct || !self.settings.mechanisms.warm_first {
+        if !self.settings.path.follows_parts() || !self.settings.mechanisms.warm_first {
             return;
         }
         if let Some(part) = ask.shared.last() {
@@ -57,8 +57,8 @@
     /// have come to leave since it came. It stays in the pool where it began.
     pub(crate) fn rank_again(&mut self, id: u64, now: Millis) {
         let Some(pool) = self.requests.get(&id).map(|it| it.pool.clone()) else { return };
-        let direct = self.settings.path == Path::Direct;
-        if direct {
+        let anew = self.settings.path.ranks_again();
+        if anew {
             self.rank(id, now);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -66,7 +66,7 @@
         let fits = |it: &Upstream| !it.is_leaving() && it.pool() == pool && !tried(it.name());
         // Where there are sidecars, they say themselves who leaves, and send a chat
         // back to where it has been.
-        let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !direct || fits(it));
+        let open = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| !anew || fits(it));
         request.candidates.retain(open);
         request.pool = pool;
     }
--- a/components/routing/src/share.rs
+++ b/components/routing/src/choosing/share.rs
@@ -6,9 +6,9 @@
 use clock::Millis;
 use wire::{Stage, Warm};
 
-use crate::request::{Phase, Request};
+use crate::requests::request::{Phase, Request};
 use crate::state::State;
-use crate::{Effect, Part, Path};
+use crate::{Effect, Part};
 
 /// The share of its objective that a request may wait: one part in so many. With
 /// the longest common part, 10,512 tokens on the mean, read in 220 ms, a quarter
@@ -102,7 +102,7 @@
         let request = self.requests.get(&id)?;
         let last = request.ask.shared.last()?;
         let elsewhere = self.warmth.places(last.hash).any(|it| self.upstreams.contains_key(it));
-        if self.settings.path != Path::Direct || elsewhere {
+        if !self.settings.path.follows_parts() || elsewhere {
             return None;
         }
         let parts = self.warmth.begin(&request.ask.hashes(), upstream, now);
--- a/components/routing/src/retry.rs
+++ b/components/routing/src/recovery/retry.rs
@@ -4,7 +4,7 @@
 use errors::{Kind, Outcome};
 
 use crate::state::State;
-use crate::{Budget, Effect, Path};
+use crate::{Budget, Effect};
 
 impl State {
     /// After an attempt that gave nothing to the caller: the next candidate if
@@ -48,8 +48,8 @@
     fn may_go_on(&mut self, id: u64, kind: Kind) -> bool {
         match kind {
             // Nothing has come to the upstreams yet.
-            Kind::Unreachable if self.settings.path == Path::Direct => true,
-            _ if self.settings.path == Path::Direct => self.budget(id).spend(),
+            Kind::Unreachable if !self.settings.path.counts_hops_apart() => true,
+            _ if !self.settings.path.counts_hops_apart() => self.budget(id).spend(),
             // Following a chat to its context is not a retry.
             Kind::Moved => true,
             Kind::OverBound | Kind::QueueFull | Kind::WouldMiss | Kind::Leaving => {
--- a/components/routing/src/silence.rs
+++ b/components/routing/src/recovery/silence.rs
@@ -10,9 +10,9 @@
 use errors::Kind;
 
 use crate::Effect;
-use crate::request::Request;
+use crate::beliefs::upstream::FAILURES;
+use crate::requests::request::Request;
 use crate::state::State;
-use crate::upstream::FAILURES;
 
 /// How much of its objective, in hundredths, a request waits while nothing comes.
 /// It is late by then; callers of the sites give a stream up after four times the
--- a/components/routing/src/ask.rs
+++ b/components/routing/src/requests/ask.rs
@@ -6,8 +6,8 @@
 use errors::Kind;
 use intents::{Miss, Plan, Target};
 
-use crate::request::{Phase, Request};
-use crate::share::patience;
+use crate::choosing::share::patience;
+use crate::requests::request::{Phase, Request};
 use crate::state::State;
 use crate::{Ask, Effect, Owner};
 
--- a/components/routing/src/ending.rs
+++ b/components/routing/src/requests/ending.rs
@@ -5,9 +5,9 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 
-use crate::request::Phase;
+use crate::requests::request::Phase;
 use crate::state::State;
-use crate::{Ask, Decision, Effect, Path};
+use crate::{Ask, Decision, Effect};
 
 impl State {
     /// Refuses a request on which nothing was decided.
@@ -151,7 +151,7 @@
     /// The current attempt is over: its load is no longer at its upstream. A
     /// sidecar tells its load itself.
     pub(crate) fn release(&mut self, id: u64) {
-        if self.settings.path != Path::Direct {
+        if self.settings.path.has_sidecars() {
             return;
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/components/routing/src/ownership.rs
+++ b/components/routing/src/requests/ownership.rs
@@ -3,9 +3,9 @@
 use clock::Millis;
 use errors::Kind;
 
-use crate::request::Phase;
+use crate::beliefs::upstream::EVACUATED;
+use crate::requests::request::Phase;
 use crate::state::State;
-use crate::upstream::EVACUATED;
 use crate::{Ask, Effect, Owner, Upstream};
 
 impl State {
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/requests/reply.rs
@@ -7,10 +7,10 @@
 use placement::key;
 use wire::{Broken, Chunk, End, Head, Note, Refused, Stage, Status};
 
-use crate::request::{Phase, Request};
-use crate::share::share;
+use crate::choosing::share::share;
+use crate::requests::request::{Phase, Request};
 use crate::state::State;
-use crate::{Effect, Path, Reply};
+use crate::{Effect, Reply};
 
 /// The lowest HTTP status that is no success.
 const NO_SUCCESS: u16 = 300;
@@ -53,7 +53,7 @@
         if !refused.hints.is_empty() {
             self.follow(id, refused);
         }
-        if refused.kind == Kind::Leaving && self.settings.path == Path::Direct {
+        if refused.kind == Kind::Leaving && self.settings.path.judges_upstreams() {
             self.replaced(id, now);
         }
         self.try_elsewhere(id, refused.kind, refused.retry_after_ms, now)
@@ -119,7 +119,7 @@
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
-        if head.status >= FAILURES && request.repeatable && self.settings.path == Path::Direct {
+        if head.status >= FAILURES && request.repeatable && self.settings.path.judges_upstreams() {
             return self.failed(id, head, now);
         }
         let Some(request) = self.requests.get_mut(&id) else {
@@ -250,7 +250,7 @@
     /// A sidecar that says nothing is frozen or cut off; the request may still
     /// run there.
     pub(crate) fn stalled(&mut self, id: u64, attempt: u32, now: Millis) -> Vec<Effect> {
-        if self.settings.path == Path::Direct {
+        if self.settings.path.judges_upstreams() {
             let looks = self.settings.mechanisms.silence;
             return if looks && self.is_current(id, attempt) {
                 self.quiet(id, now)
--- a/components/routing/src/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 
-use crate::outlook::Outlook;
+use crate::beliefs::outlook::Outlook;
 use crate::{Ask, Once, Passed, Try};
 
 /// How far the current attempt has come.
--- a/components/routing/src/sending.rs
+++ b/components/routing/src/requests/sending.rs
@@ -6,12 +6,12 @@
 use errors::Kind;
 use placement::key;
 
-use crate::need::Need;
-use crate::outlook::{Outlook, ms};
-use crate::request::{Phase, Request};
+use crate::beliefs::outlook::{Outlook, ms};
+use crate::beliefs::upstream::{COLD, EVACUATED, OVER_BOUND};
+use crate::choosing::need::Need;
+use crate::requests::request::{Phase, Request};
 use crate::state::State;
-use crate::upstream::{COLD, EVACUATED, OVER_BOUND};
-use crate::{Attempt, Effect, Path, Try};
+use crate::{Attempt, Effect, Try};
 
 impl State {
     /// Sends to the next candidate, or gives up.
@@ -136,9 +136,9 @@
 
     /// How long the upstream of an attempt may say nothing.
     fn timeout(&self, request: &Request, now: Millis) -> Millis {
-        match self.settings.path {
-            Path::Sidecar => Millis(self.settings.admit_ms).min(now.until(request.deadline)),
-            Path::Direct => request.silence(),
+        if self.settings.path.judges_upstreams() {
+            return request.silence();
         }
+        Millis(self.settings.admit_ms).min(now.until(request.deadline))
     }
 }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -7,7 +7,7 @@
 use placement::Bound;
 use serde::{Deserialize, Serialize};
 
-use crate::Mechanisms;
+use crate::{Mechanisms, Path};
 
 /// How an upstream is chosen among those that fit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,17 +25,6 @@
     Directory,
 }
 
-/// How a router reaches its upstreams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Path {
-    /// Through the sidecar on the upstream's host, which has the last word.
-    #[default]
-    Sidecar,
-    /// Directly: the router knows its own requests and what answers tell.
-    Direct,
-}
-
 /// The settings of the reducer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -10,14 +10,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::admission::Flow;
-use crate::choice::{Index, Upstreams};
-use crate::cold::Members;
-use crate::fleet::labels;
-use crate::loads::Peers;
-use crate::request::Request;
-use crate::stopping::{Durations, Stop};
-use crate::warmth::Warmth;
-use crate::{Budget, Effect, Event, Path, Settings, Upstream};
+use crate::beliefs::cold::Members;
+use crate::beliefs::fleet::labels;
+use crate::beliefs::loads::Peers;
+use crate::beliefs::warmth::Warmth;
+use crate::choosing::choice::{Index, Upstreams};
+use crate::recovery::stopping::{Durations, Stop};
+use crate::requests::request::Request;
+use crate::{Budget, Effect, Event, Settings, Upstream};
 
 /// Everything that a router knows.
 #[derive(Debug)]
@@ -107,7 +107,7 @@
     /// upstream is up, and the router is not stopping.
     pub fn is_ready(&self, now: Millis) -> bool {
         let up = self.upstreams.values().any(|upstream| upstream.is_up(now));
-        let up = up || self.settings.path == Path::Direct;
+        let up = up || self.settings.path.trusts_the_list();
         let proved = self.is_proved(self.settings.ready_ms, now);
         self.plan.is_some() && up && proved && self.stop.is_none()
     }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -19,6 +19,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     control: Counter<u64>,
+    beliefs: Counter<u64>,
     first_token: Histogram<f64>,
     queue: Histogram<f64>,
 }
@@ -39,6 +40,7 @@
             refusals: count("silverstack_refusals", "Errors answered, by kind"),
             attempts: count("silverstack_attempts", "Attempts sent to sidecars"),
             control: count("silverstack_control_bytes", "Bytes of control traffic, by kind"),
+            beliefs: count("silverstack_beliefs", "Changes of what is believed, by kind"),
             first_token: time("silverstack_first_token", "From arrival to the answer's head"),
             queue: time("silverstack_queue", "From arrival at the sidecar to the upstream"),
             exporter,
@@ -65,6 +67,11 @@
         self.control.add(bytes as u64, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a change of what the process believes: `domain_left`, `upstream_cold` and so on.
+    pub fn belief(&self, kind: &'static str) {
+        self.beliefs.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the time to an answer's head, in milliseconds.
     pub fn first_token(&self, ms: u64) {
         self.first_token.record(seconds(ms), &[]);
--- a/tests/platform/evacuation.rs
+++ b/tests/platform/evacuation.rs
@@ -43,6 +43,8 @@
     router.store.put("op/evacuate/zone-a", &json!({}));
     router.until("left", || router.has_logged("failure domain left"));
     assert_eq!((go_to(&router, &left), go_to(&router, &stays)), (0, 10));
+    assert!(router.page("/status").contains(r#""evacuated":["zone-a"]"#));
+    assert!(router.page("/metrics").contains(r#"silverstack_beliefs_total{kind="domain_left"} 1"#));
     router.store.remove("op/evacuate/zone-a");
     router.until("taken back", || go_to(&router, &left) > 0);
     assert!(router.has_logged("failure domain taken back"));
