Tell a crowded engine who else holds a part that it may have dropped

Engines whose memory is taken by what runs drop parts, and nobody tells; the request goes there without a source to copy from. Ruled out: parts read by two engines at once (a trial in which requests waited for the other's reading brought nothing).

Where an engine runs a quarter of its slots, a second holder is named beside the believed one.

--- a/components/experiment/src/document.rs
+++ b/components/experiment/src/document.rs
@@ -51,6 +51,7 @@
             domain: format!("domain-{}", place % domains).into(),
             labels: BTreeMap::from([("model".into(), format!("model-{}", place % models).into())]),
             leaving: false,
+            slots: 0,
         })
         .collect()
 }
--- a/components/experiment/src/overload/fleet/names.rs
+++ b/components/experiment/src/overload/fleet/names.rs
@@ -25,6 +25,7 @@
         domain: "d".into(),
         labels: [("service", "engine"), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
         leaving: false,
+        slots: 0,
     }
 }
 
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -99,6 +99,7 @@
         domain: entry.domain,
         labels: entry.labels,
         leaving: entry.leaving,
+        slots: 0,
     }
 }
 
--- a/components/routing/src/choosing/need.rs
+++ b/components/routing/src/choosing/need.rs
@@ -7,10 +7,20 @@
 use crate::requests::request::Request;
 use crate::{Mechanisms, Upstream};
 
+/// From which share of its slots, one in so many, an upstream is taken to drop parts: the
+/// memory of those that run is no longer there for parts. In calm, copies that were asked for
+/// in vain cost 0.005 of what a day is worth; they carry 2 to 8 requests then.
+const CROWDED: u64 = 4;
+
+/// From how many tokens on a second upstream is named to copy from where the first is believed
+/// to hold them: it may have dropped them, and reading 500 takes 5 to 10 ms.
+const WORTH_A_SOURCE: u64 = 500;
+
 /// What an upstream is believed to need before it can answer a request.
 pub(crate) struct Need {
     /// The address of an upstream from which it may copy what it lacks of the
-    /// prompt; none where it has read all of it before.
+    /// prompt. Where it is believed to have read all, another that has too: engines drop what
+    /// was used least lately, nobody tells of that, and one that lacks nothing copies nothing.
     pub source: Option<Arc<str>>,
     /// The tokens that are copied from there.
     pub copied: u64,
@@ -50,6 +60,14 @@
                 return Self { source, copied: lacks, read: all - part.tokens };
             }
         }
-        Self { source: None, copied: 0, read: all - held }
+        let crowded = |it: &&Upstream| {
+            it.host.slots > 0 && it.load_at(&request.outlook) * CROWDED >= it.host.slots
+        };
+        let crowded = upstreams.get(name).filter(crowded).is_some();
+        let kept = shared.last().filter(|it| it.tokens == held && held >= WORTH_A_SOURCE);
+        let kept = kept.filter(|_| crowded);
+        let mut others = kept.into_iter().flat_map(|it| warmth.places(it.hash));
+        let source = others.find_map(|it| address(it, 0).filter(|_| it != name));
+        Self { source, copied: 0, read: all - held }
     }
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -258,4 +258,7 @@
     pub labels: Labels,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How many requests it works on at once; zero where that is not told.
+    #[serde(default)]
+    pub slots: u64,
 }
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -49,8 +49,14 @@
 
 /// Engines in these failure domains, in order.
 pub fn engines(domains: &[&str]) -> Event {
+    engines_with(8, domains)
+}
+
+/// The same, each with so many slots.
+pub fn engines_with(slots: u64, domains: &[&str]) -> Event {
     let engine = |(place, domain): (usize, &&str)| Host {
         domain: (*domain).into(),
+        slots,
         ..host(&format!("engine-{place}"), "engine")
     };
     Event::Hosts(domains.iter().enumerate().map(engine).collect())
@@ -74,6 +80,7 @@
         domain: "d".into(),
         labels: [("service", service), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
         leaving: false,
+        slots: 0,
     }
 }
 
@@ -109,6 +116,12 @@
     })
 }
 
+/// A stream with one part of `tokens` tokens that others may share.
+pub fn asked_long(id: u64, chat: &str, hash: u64, tokens: u64) -> Event {
+    let Event::Ask(ask) = asked(id, "stream", chat, &[]) else { unreachable!("it is asked") };
+    Event::Ask(Ask { shared: vec![Part { hash, tokens }], ..ask })
+}
+
 /// Parts of a hundred tokens each with these hashes.
 fn parts(hashes: &[u64]) -> Vec<Part> {
     let part = |(hash, tokens): (&u64, u64)| Part { hash: *hash, tokens: 100 * tokens };
--- a/components/routing/tests/direct/warmth.rs
+++ b/components/routing/tests/direct/warmth.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::fleet::{NOW, asked, router, sent, settings};
+use crate::fleet::{NOW, asked, asked_long, engines_with, router, sent, settings};
 use clock::Millis;
 use routing::{Effect, Event, Reply, State};
 use wire::{Head, Stage, Warm};
@@ -179,3 +179,28 @@
     assert_eq!(names, [("engine-0", 2_048), ("engine-1", 2_048)]);
     assert!(remembered.iter().all(|it| it.parts.contains(&4_999) && !it.parts.contains(&0)));
 }
+
+#[test]
+fn an_engine_that_may_have_dropped_a_part_is_told_who_else_holds_it() {
+    let mut state = router(settings());
+    state.apply(engines_with(8, &["a", "a"]), NOW);
+    let long = |id| asked_long(id, "chat", 7, 5_000);
+    let first = sent(&state.apply(long(1), NOW)).expect("a place");
+    head(&mut state, 1, NOW);
+    assert_eq!(source(&state.apply(long(2), NOW)), None);
+    let other = if &*first == "engine-0" { "engine-1" } else { "engine-0" };
+    let warm = Warm { upstream: other.into(), parts: vec![7], stage: Stage::Read };
+    state.apply(Event::Warm(warm), NOW);
+    // Only where so many run that memory may be short.
+    state.apply(engines_with(16, &["a", "a"]), NOW);
+    assert_eq!(source(&state.apply(long(3), NOW)), None);
+    state.apply(engines_with(8, &["a", "a"]), NOW);
+    let effects = state.apply(long(4), NOW);
+    assert_ne!(source(&effects), None);
+    assert_ne!(source(&effects), sent(&effects).map(|it| format!("{it}:1").into()));
+    // Not from one that has failed.
+    for it in ["engine-0", "engine-1"] {
+        state.apply(Event::Missed { upstream: it.into() }, NOW);
+    }
+    assert_eq!(source(&state.apply(long(5), NOW)), None);
+}
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -19,6 +19,7 @@
         domain: "d".into(),
         labels: BTreeMap::from([("model".into(), model.into())]),
         leaving: false,
+        slots: 0,
     }
 }
 
