--- a/components/routing/src/choosing/need.rs
+++ b/components/routing/src/choosing/need.rs
@@ -63,7 +63,7 @@
         let crowded = |it: &&Upstream| {
             it.host.slots > 0 && it.load_at(&request.outlook) * CROWDED >= it.host.slots
         };
-        let crowded = upstreams.get(name).filter(crowded).is_some();
+        let crowded = upstreams.get(name).as_ref().is_some_and(crowded);
         let kept = shared.last().filter(|it| it.tokens == held && held >= WORTH_A_SOURCE);
         let kept = kept.filter(|_| crowded);
         let mut others = kept.into_iter().flat_map(|it| warmth.places(it.hash));
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -11,6 +11,7 @@
         domain: "d".into(),
         labels: Labels::new(),
         leaving,
+        slots: 0,
     }
 }
 
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -172,6 +172,7 @@
         domain: "d".into(),
         labels: BTreeMap::from([("model".into(), "m".into())]),
         leaving,
+        slots: 0,
     }
 }
 
