--- a/components/experiment/src/overload/engine.rs
+++ b/components/experiment/src/overload/engine.rs
@@ -9,7 +9,7 @@
 use crate::cache::Cache;
 
 /// Requests at once.
-const SLOTS: usize = 16;
+pub(crate) const SLOTS: usize = 16;
 
 /// Requests that may wait; those beyond it are refused.
 const QUEUE: usize = 64;
@@ -28,6 +28,9 @@
 /// Parts of prompts that stay in the cache.
 const PARTS: usize = 48;
 
+/// Parts that give way to each request that runs, where memory is short.
+const PARTS_EACH: usize = 2;
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -62,16 +65,23 @@
 }
 
 /// An engine.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Engine {
     batch: Vec<Run>,
     queue: VecDeque<Run>,
     cache: Cache,
+    /// Whether requests that run take the memory of parts.
+    short: bool,
     /// Tokens of shared parts that were read, which copies from other engines may save.
     pub read: u64,
 }
 
 impl Engine {
+    /// An engine; `short` says that requests that run take the memory of parts.
+    pub(crate) fn new(short: bool) -> Self {
+        Self { short, ..Self::default() }
+    }
+
     /// Takes a request; whether it did.
     pub(crate) fn take(&mut self, run: Run) -> bool {
         if self.queue.len() >= QUEUE {
@@ -82,6 +92,11 @@
         true
     }
 
+    /// Whether it holds a part that others may copy.
+    pub(crate) fn holds(&self, part: u64) -> bool {
+        self.cache.holds(part)
+    }
+
     /// Drops a request.
     pub(crate) fn cancel(&mut self, owner: Owner) {
         self.batch.retain(|it| it.owner != owner);
@@ -108,6 +123,7 @@
     pub(crate) fn crash(&mut self) -> Vec<Owner> {
         let crashed = std::mem::take(self);
         self.read = crashed.read;
+        self.short = crashed.short;
         crashed.batch.into_iter().chain(crashed.queue).map(|it| it.owner).collect()
     }
 
@@ -136,7 +152,8 @@
             let shared = if held { 0 } else { run.shared };
             self.read += shared;
             run.unread = run.own + shared;
-            self.cache.store(run.part, PARTS);
+            let taken = if self.short { PARTS_EACH * self.batch.len() } else { 0 };
+            self.cache.store(run.part, PARTS - taken);
             self.batch.push(run);
         }
     }
--- a/components/experiment/src/overload/fleet.rs
+++ b/components/experiment/src/overload/fleet.rs
@@ -16,7 +16,7 @@
 
 use self::hints::{LOADS_EVERY, WAITS_EVERY};
 use self::names::{host, settings};
-use super::engine::{Engine, Owner, Run};
+use super::engine::{Engine, Owner, Run, SLOTS};
 use super::kind::{Kind, document};
 use super::pattern::Pattern;
 use super::report::{End, Report};
@@ -118,6 +118,7 @@
             state.apply(Event::Routers(ROUTERS), Millis::ZERO);
             state
         });
+        let engine = Engine::new(pattern.is_short_of_memory());
         let mut fleet = Self {
             pattern,
             arrivals: ChaCha8Rng::seed_from_u64(seed),
@@ -125,7 +126,7 @@
             queue: Queue::new(),
             now: Millis::ZERO,
             routers: routers.collect(),
-            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            engines: (0..ENGINES).map(|_| engine.clone()).collect(),
             working: vec![false; ENGINES],
             open: BTreeMap::new(),
             next_id: 0,
@@ -169,7 +170,8 @@
     /// The engines that there are, as the platform lists them.
     fn list(&mut self) {
         let there = (0..ENGINES).filter(|it| !self.pattern.is_gone(*it, self.now));
-        let hosts: Vec<_> = there.map(host).collect();
+        let slots = if self.pattern.tells_slots() { SLOTS as u64 } else { 0 };
+        let hosts: Vec<_> = there.map(|it| host(it, slots)).collect();
         for router in &mut self.routers {
             router.apply(Event::Hosts(hosts.clone()), self.now);
         }
--- a/components/experiment/src/overload/fleet/engines.rs
+++ b/components/experiment/src/overload/fleet/engines.rs
@@ -5,7 +5,7 @@
 use routing::{Attempt, Event, Reply};
 use wire::{Chunk, Head, Refused, Status};
 
-use super::names::{name, part, place, whole};
+use super::names::{name, part, place, source, whole};
 use super::{Fleet, Happening, Signal};
 use crate::overload::engine::{Owner, Run};
 
@@ -22,11 +22,15 @@
         open.heard = self.now;
         let owner = Owner { router, id, attempt: attempt.number };
         let kind = open.caller.kind;
-        let copied = attempt.warm.is_some();
+        let part = part(&open.caller);
+        let source = attempt.warm.as_deref().map(source);
+        // Where memory is short the source may have dropped the part, too.
+        let holds = |it: usize| !self.pattern.is_short_of_memory() || self.engines[it].holds(part);
+        let copied = source.is_some_and(holds);
         let run = Run {
             owner,
             priority: attempt.priority,
-            part: part(&open.caller),
+            part,
             shared: if copied { 0 } else { kind.shared },
             own: kind.own,
             events: kind.events,
--- a/components/experiment/src/overload/fleet/names.rs
+++ b/components/experiment/src/overload/fleet/names.rs
@@ -18,14 +18,15 @@
     }
 }
 
-pub(super) fn host(engine: usize) -> Host {
+/// The line of the platform's list for an engine that tells `slots`.
+pub(super) fn host(engine: usize, slots: u64) -> Host {
     Host {
         name: name(engine),
         address: format!("{}:1", name(engine)).into(),
         domain: "d".into(),
         labels: [("service", "engine"), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
         leaving: false,
-        slots: 0,
+        slots,
     }
 }
 
@@ -42,6 +43,11 @@
     name.rsplit('-').next().and_then(|it| it.parse().ok()).unwrap_or_default()
 }
 
+/// The number of the engine at that address.
+pub(super) fn source(address: &str) -> usize {
+    place(address.split(':').next().unwrap_or_default())
+}
+
 /// The hash of the part of a prompt that a caller shares with others.
 pub(super) fn part(caller: &Caller) -> u64 {
     placement::key(caller.kind.name, &caller.chat.to_string())
--- a/components/experiment/src/overload/pattern.rs
+++ b/components/experiment/src/overload/pattern.rs
@@ -23,11 +23,23 @@
     /// One engine in three takes five times as long, at one and a half times the usual
     /// traffic.
     SlowEngines,
+    /// Twice the usual traffic, while requests that run take the memory of parts, so that
+    /// engines drop parts that routers believe to be there.
+    ShortMemory,
+    /// The same, and engines do not tell how many requests they work on at once.
+    ShortMemoryUntold,
 }
 
 impl Pattern {
     /// Every pattern.
-    pub const ALL: [Self; 4] = [Self::Calm, Self::Surge, Self::EnginesLost, Self::SlowEngines];
+    pub const ALL: [Self; 6] = [
+        Self::Calm,
+        Self::Surge,
+        Self::EnginesLost,
+        Self::SlowEngines,
+        Self::ShortMemory,
+        Self::ShortMemoryUntold,
+    ];
 
     /// The name on a command line.
     pub fn name(self) -> &'static str {
@@ -36,6 +48,8 @@
             Self::Surge => "surge",
             Self::EnginesLost => "engines-lost",
             Self::SlowEngines => "slow-engines",
+            Self::ShortMemory => "short-memory",
+            Self::ShortMemoryUntold => "short-memory-untold",
         }
     }
 
@@ -52,6 +66,7 @@
             Self::Surge => 4.0,
             Self::EnginesLost => 3.0,
             Self::SlowEngines => 1.5,
+            Self::ShortMemory | Self::ShortMemoryUntold => 2.0,
         };
         times * USUAL
     }
@@ -67,6 +82,16 @@
         if slow { 5.0 } else { 1.0 }
     }
 
+    /// Whether requests that run take the memory of parts.
+    pub(crate) fn is_short_of_memory(self) -> bool {
+        matches!(self, Self::ShortMemory | Self::ShortMemoryUntold)
+    }
+
+    /// Whether engines tell how many requests they work on at once.
+    pub(crate) fn tells_slots(self) -> bool {
+        self == Self::ShortMemory
+    }
+
     /// When engines come or go.
     pub(crate) fn changes(self) -> Vec<Millis> {
         if self == Self::EnginesLost { vec![BEGINS, ENDS] } else { Vec::new() }
--- a/components/experiment/tests/overload.rs
+++ b/components/experiment/tests/overload.rs
@@ -51,6 +51,13 @@
     check(Pattern::EnginesLost);
 }
 
+#[test]
+fn engines_that_drop_parts_read_fewer_again_where_they_tell_their_slots() {
+    let (told, untold) = (with(Pattern::ShortMemory), with(Pattern::ShortMemoryUntold));
+    let tables = format!("{}\n{}", told.table(), untold.table());
+    assert!(told.read * 10 <= untold.read * 9, "tokens read: {tables}");
+}
+
 #[test]
 fn the_patterns_bring_what_they_brought() {
     for pattern in Pattern::ALL {
