Deal out what one cold upstream bears when its entry comes, not that of all

Each entry that tells of a cold engine dealt out anew what all cold engines bear: 3,000 entries at a start, a hash for each of 3,000 engines and 300 routers.

--- a/components/routing/src/beliefs/cold.rs
+++ b/components/routing/src/beliefs/cold.rs
@@ -141,10 +141,11 @@
 
     /// Takes that an upstream is cold for `left` from now on.
     pub(crate) fn chill(&mut self, upstream: &str, left: Millis, now: Millis) {
+        let Some(plan) = self.plan.clone() else { return };
         if let Some(it) = self.upstreams.get_mut(upstream) {
             it.cold.lasts(now + left);
+            it.cold.part = part(it, &plan, &self.settings, &self.members, now);
         }
-        self.deal(now);
     }
 
     /// Takes that upstreams of failure domains that take work again may be cold, as long as
@@ -162,9 +163,7 @@
     pub(crate) fn deal(&mut self, now: Millis) {
         let Some(plan) = self.plan.clone() else { return };
         for it in self.upstreams.values_mut().filter(|it| it.cold.is_cold(now)) {
-            let limit = limit(it, &plan, &self.settings);
-            it.cold.part =
-                limit.map_or(u32::MAX, |limit| self.members.part(&it.host.name, limit, now));
+            it.cold.part = part(it, &plan, &self.settings, &self.members, now);
         }
     }
 
@@ -182,6 +181,19 @@
     }
 }
 
+/// How many requests this router may send to a cold upstream in a window. It costs a hash
+/// for each router, so that an entry of one upstream deals out that one's alone.
+fn part(
+    upstream: &Upstream,
+    plan: &Plan,
+    settings: &Settings,
+    members: &Members,
+    now: Millis,
+) -> u32 {
+    let limit = limit(upstream, plan, settings);
+    limit.map_or(u32::MAX, |limit| members.part(&upstream.host.name, limit, now))
+}
+
 /// How many requests a cold upstream bears in a window; none where its pool has no limit.
 fn limit(upstream: &Upstream, plan: &Plan, settings: &Settings) -> Option<u32> {
     let pool = plan.pool(&upstream.pool()).filter(|it| it.cold_per_s > 0.0)?;
