Tell in the log which work a request asks for, and whether an upstream could be reached

Change: `request ended` has `content`, the hash of workspace, method, path and body; `upstream left alone` has `reachable`. No decision goes by them.

--- a/components/experiment/src/overload/fleet/callers.rs
+++ b/components/experiment/src/overload/fleet/callers.rs
@@ -58,6 +58,7 @@
             workspace: "w".into(),
             kind: caller.kind.name.into(),
             model: Some("m".into()),
+            content: id,
             chat: format!("{}-{}", caller.kind.name, caller.chat).into(),
             shared: vec![Part { hash: part(&caller), tokens: caller.kind.shared }],
             once: None,
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -211,6 +211,7 @@
         workspace: format!("workspace-{}", id % 10).into(),
         kind: "chat".into(),
         model: Some(format!("model-{}", id % MODELS as u64).into()),
+        content: id,
         chat: format!("chat-{id}").into(),
         once: None,
         shared: Vec::new(),
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -261,6 +261,7 @@
             workspace: format!("workspace-{}", load.workspace).into(),
             kind: "chat".into(),
             model: Some("model-0".into()),
+            content: self.next_id,
             chat: format!("chat-{chat}").into(),
             once: None,
             shared: Vec::new(),
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -8,4 +8,4 @@
 mod rendezvous;
 
 pub use bound::{Bound, Pool};
-pub use rendezvous::{key, rank, score, top};
+pub use rendezvous::{digest, key, rank, score, top};
--- a/components/placement/src/rendezvous.rs
+++ b/components/placement/src/rendezvous.rs
@@ -10,6 +10,11 @@
     xxh3_64_with_seed(chat.as_bytes(), xxh3_64(workspace.as_bytes()))
 }
 
+/// The hash of `parts` in this order, the same in every process.
+pub fn digest(parts: &[&[u8]]) -> u64 {
+    parts.iter().fold(0, |before, part| xxh3_64_with_seed(part, before))
+}
+
 /// The score of `upstream` for `key`; the highest score is ranked first.
 ///
 /// `weight` is the upstream's relative capacity and must be above zero.
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -122,8 +122,9 @@
                 self.share(warm);
                 false
             }
-            Effect::Suspect { upstream, failures, until } => {
-                report::suspected(upstream, *failures, self.clock.now().until(*until));
+            Effect::Suspect { upstream, failures, reachable, until } => {
+                let pause = self.clock.now().until(*until);
+                report::suspected(upstream, *failures, *reachable, pause);
                 false
             }
             Effect::Revive { upstream } => {
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -143,8 +143,11 @@
         Err(fault) => return caller.refuse(&core, Kind::Malformed, &fault),
     };
     let kind = header(&request, "x-request-kind").unwrap_or(DEFAULT_KIND);
+    let mut template = template(&request, "/v1/chat/completions".to_owned(), body);
+    template.say_json();
     let ask = Ask {
         id: caller.id,
+        content: template.content(&caller.workspace),
         request: caller.request,
         workspace: caller.workspace,
         kind: kind.into(),
@@ -155,8 +158,6 @@
         weight: prompt.weight,
         deadline: deadline(&request),
     };
-    let mut template = template(&request, "/v1/chat/completions".to_owned(), body);
-    template.say_json();
     relay(&core, ask, template).await
 }
 
@@ -172,8 +173,10 @@
     let kind = request.match_info().get("kind").unwrap_or("").to_owned();
     let once = key.map(|key| key::read(&caller.workspace, key));
     let chat = once.as_ref().map_or_else(|| caller.request.clone(), |it| it.key.clone());
+    let template = template(&request, service_path(&request, &kind), body);
     let ask = Ask {
         id: caller.id,
+        content: template.content(&caller.workspace),
         request: caller.request,
         workspace: caller.workspace,
         kind: kind.as_str().into(),
@@ -184,7 +187,6 @@
         weight: PLAIN_WEIGHT,
         deadline: deadline(&request),
     };
-    let template = template(&request, service_path(&request, &kind), body);
     relay(&core, ask, template).await
 }
 
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -56,7 +56,8 @@
         Err(kind) => return refuse(&core, kind, &id),
     };
     let template = template(&request, headers, body, &target);
-    let ask = ask(number, id, &intake, target);
+    let content = template.content(&target.workspace);
+    let ask = ask(number, id, content, &intake, target);
     relay(&core, &request, ask, template).await
 }
 
@@ -73,9 +74,10 @@
     }
 }
 
-fn ask(number: u64, id: Arc<str>, intake: &Intake, target: Target) -> Ask {
+fn ask(number: u64, id: Arc<str>, content: u64, intake: &Intake, target: Target) -> Ask {
     Ask {
         id: number,
+        content,
         chat: chat(&intake.prompt).unwrap_or_else(|| id.clone()),
         shared: shared(&intake.prompt),
         request: id,
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -14,6 +14,7 @@
         trace,
         workspace = &*decision.workspace,
         kind = &*decision.kind,
+        content = format!("{:016x}", decision.content),
         generation = decision.generation,
         proof_ms = or_none(decision.proof_ms),
         upstream,
@@ -38,9 +39,10 @@
     info!("request refused", kv: { request, error, generation, proof_ms = or_none(proof_ms) });
 }
 
-/// Logs that an upstream is left alone for `pause`.
-pub(crate) fn suspected(upstream: &str, failures: u32, pause: Millis) {
-    info!("upstream left alone", kv: { upstream, failures, ms = pause.0 });
+/// Logs that an upstream is left alone for `pause`; `reachable` says whether the last
+/// connection that was tried could be opened.
+pub(crate) fn suspected(upstream: &str, failures: u32, reachable: bool, pause: Millis) {
+    info!("upstream left alone", kv: { upstream, failures, reachable, ms = pause.0 });
 }
 
 /// Logs that an upstream answers again.
--- a/components/router/src/template.rs
+++ b/components/router/src/template.rs
@@ -21,6 +21,17 @@
 }
 
 impl Template {
+    /// The hash of the work that `workspace` asks for: method, path and body. Headers are
+    /// left out, since some differ with each sending.
+    pub(crate) fn content(&self, workspace: &str) -> u64 {
+        placement::digest(&[
+            workspace.as_bytes(),
+            self.method.as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Says that the body is JSON, whatever the caller said: it was read as such.
     pub(crate) fn say_json(&mut self) {
         self.headers.retain(|(name, _)| &**name != "content-type");
--- a/components/routing/src/beliefs/fleet.rs
+++ b/components/routing/src/beliefs/fleet.rs
@@ -140,8 +140,7 @@
         let name = self.requests.get(&id).and_then(|it| it.upstream());
         if let Some(upstream) = name.and_then(|it| self.upstreams.get_mut(it)) {
             upstream.suspect_until = until;
-            let (upstream, failures) = (upstream.host.name.clone(), upstream.failures);
-            self.notices.push(Effect::Suspect { upstream, failures, until });
+            self.notices.push(upstream.suspicion());
         }
     }
 
@@ -150,11 +149,7 @@
         let jitter = self.random.random::<f64>();
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.miss(&self.settings, jitter, now);
-            self.notices.push(Effect::Suspect {
-                upstream: upstream.host.name.clone(),
-                failures: upstream.failures,
-                until: upstream.suspect_until,
-            });
+            self.notices.push(upstream.suspicion());
         }
     }
 }
--- a/components/routing/src/beliefs/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -11,7 +11,7 @@
 use crate::beliefs::health::{Health, Outcomes};
 use crate::beliefs::outlook::{Outlook, count};
 use crate::choosing::ranking::POOL;
-use crate::{Host, Settings};
+use crate::{Effect, Host, Settings};
 
 /// The most doublings of the time that a failing upstream is left alone.
 const MAX_DOUBLINGS: u32 = 16;
@@ -245,6 +245,16 @@
         self.labels = labels;
     }
 
+    /// The line for the log once it is left alone.
+    pub(crate) fn suspicion(&self) -> Effect {
+        Effect::Suspect {
+            upstream: self.host.name.clone(),
+            failures: self.failures,
+            reachable: self.reachable,
+            until: self.suspect_until,
+        }
+    }
+
     pub(crate) fn miss(&mut self, settings: &Settings, jitter: f64, now: Millis) {
         let doublings = self.failures.min(MAX_DOUBLINGS);
         let base = settings.suspect_ms.saturating_mul(1 << doublings).min(settings.suspect_max_ms);
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -58,6 +58,8 @@
         upstream: Arc<str>,
         /// Failures in a row.
         failures: u32,
+        /// Whether the last connection that was tried could be opened.
+        reachable: bool,
         /// Until when it is left alone.
         until: Millis,
     },
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -146,6 +146,9 @@
     pub kind: Arc<str>,
     /// The model, if one is asked for.
     pub model: Option<Arc<str>>,
+    /// The hash of the work that is asked for: the same for whoever of the workspace asks
+    /// for it again, under whatever id and at whatever router.
+    pub content: u64,
     /// What keeps a chat together.
     pub chat: Arc<str>,
     /// The parts of the prompt that other requests may share, the shortest first.
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -17,6 +17,8 @@
     pub workspace: Arc<str>,
     /// The kind of request.
     pub kind: Arc<str>,
+    /// The hash of the work that was asked for.
+    pub content: u64,
     /// The model, if one was asked for.
     pub model: Option<Arc<str>>,
     /// The intent that decided, if one did.
--- a/components/routing/src/requests/ownership.rs
+++ b/components/routing/src/requests/ownership.rs
@@ -56,6 +56,7 @@
             workspace: workspace.into(),
             kind: kind.into(),
             model: None,
+            content: 0,
             chat: seed.into(),
             once: None,
             shared: Vec::new(),
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -108,6 +108,7 @@
         workspace: "w".into(),
         kind: kind.into(),
         model: matches!(kind, "stream" | "bulk").then(|| "m".into()),
+        content: id,
         chat: chat.into(),
         shared: parts(shared),
         once: None,
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -51,6 +51,7 @@
         workspace: "w".into(),
         kind: "chat".into(),
         model: Some("m".into()),
+        content: 1,
         chat: "c".into(),
         once: None,
         shared: Vec::new(),
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -288,6 +288,7 @@
             workspace: "w".into(),
             kind: if once { "pickup" } else { "chat" }.into(),
             model: (!once).then(|| "m".into()),
+            content: id,
             chat: format!("c{chat}").into(),
             once: once.then_some(key),
             shared: Vec::new(),
