--- a/tests/platform/crashing.rs
+++ b/tests/platform/crashing.rs
@@ -21,7 +21,7 @@
 
 use crate::caller::Answer;
 use crate::router::{Router, configuration, own_host};
-use crate::standin::{Act, Upstream};
+use crate::standin::{Act, Mode, Upstream};
 
 /// The body under which engines end.
 const FATAL: &str = "the work under which engines end";
@@ -118,3 +118,99 @@
     let routers = ["front-1", "front-4"].map(|name| Router::join(&store, name));
     is_held_back(&[&routers[0], &routers[1]], &engines, "stream");
 }
+
+/// The key under which router `name` tells of ends.
+fn key(name: &str) -> String {
+    format!("silverstack/crashes/{name}")
+}
+
+/// How many ends router `name` tells of.
+fn told(router: &Router, name: &str) -> usize {
+    let text = router.store.text(&key(name)).unwrap_or_else(|| "[]".to_owned());
+    serde_json::from_str::<Vec<serde_json::Value>>(&text).expect("a list").len()
+}
+
+/// Has one engine end under the request, and waits until that is told.
+fn end_one(router: &Router, name: &str, number: usize) {
+    let before = told(router, name);
+    send(router, "stream", FATAL, number);
+    router.until("told", || told(router, name) > before);
+}
+
+#[test]
+fn what_a_router_told_is_kept_over_its_restart() {
+    let engines = engines(6);
+    let first = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    end_one(&first, "front-1", 1);
+    let store = first.store.clone();
+    drop(first);
+    let again = Router::join(&store, "front-1");
+    end_one(&again, "front-1", 2);
+    assert_eq!(told(&again, "front-1"), 2);
+    // What is no longer kept is told again.
+    store.remove(&key("front-1"));
+    again.until("told again", || told(&again, "front-1") == 2);
+}
+
+#[test]
+fn ends_in_an_outage_of_the_store_are_told_after_it() {
+    let engines = engines(6);
+    let router = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    end_one(&router, "front-1", 1);
+    router.store.set_mode(Mode::Busy);
+    send(&router, "stream", FATAL, 2);
+    router.until("noticed", || router.has_logged("ends of upstreams not told"));
+    router.store.set_mode(Mode::Up);
+    router.until("told", || told(&router, "front-1") == 2);
+}
+
+#[test]
+fn looks_that_ask_for_less_see_what_is_held_back() {
+    let engines = engines(6);
+    let router = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    let mut long = configuration(2);
+    long["note"] = "x".repeat(100_000).into();
+    router.store.set_mode(Mode::Busy);
+    router.until("missed", || router.has_logged("the store does not answer"));
+    for version in 2..9 {
+        long["version"] = version.into();
+        router.store.put("op/config", &long);
+    }
+    router.store.set_mode(Mode::Up);
+    router.until("noticed", || router.has_logged("looks at the store ask for less"));
+    let ends = |name: &str| serde_json::json!({ "content": 7, "upstream": name, "born": 0, "at": 9_000_000_000_000_u64 });
+    router.store.put(&key("front-2"), &serde_json::json!([ends("a"), ends("b"), ends("c")]));
+    router.until("held back", || router.has_logged("work is held back"));
+    assert!(!router.has_logged("looks at the store ask for all again"));
+}
+
+#[test]
+fn an_entry_that_can_not_be_read_hides_no_other() {
+    let engines = engines(10);
+    let first = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    for (name, text) in [("x", "{"), ("y", r#"[{"content":"seven"}]"#), ("z", r#"{"a":1}"#)] {
+        first.store.put_text(&key(name), text);
+    }
+    first.store.put_bytes(&key("bytes"), &[0xff; 64]);
+    first.until("seen", || first.has_logged("an entry can't be read"));
+    end_three(&[&first], &engines, "stream");
+    let second = Router::join(&first.store, "front-2");
+    is_held_back(&[&first, &second], &engines, "stream");
+}
+
+#[test]
+fn work_at_which_only_connections_end_is_not_held_back() {
+    let engine = Upstream::start(&own_host(), "i-1", "engine");
+    engine.set(&[Act::Close]);
+    let router = Router::start(&configuration(1), &[&engine]);
+    for number in 0..6 {
+        let answer = send(&router, "stream", "work", number).expect("an answer");
+        assert!([502, 503].contains(&answer.status), "{answer:?}");
+        router.until("checked", || router.has_logged("upstream checked"));
+    }
+    engine.set(&[Act::Events(1, 3, 1)]);
+    router.until("served", || {
+        send(&router, "stream", "work", 9).is_some_and(|it| it.status == 200 && it.whole)
+    });
+    assert!(!router.has_logged("upstream ended under work"));
+}
