Take each start of an upstream for an upstream of its own, and leave those whose entry is another writer's

Cause: beliefs, hints and what the store remembers go by an upstream's name, which a later start may have again; an entry that can't be read left in use what stood there before. An entry that lacks a field or has one of another type or range is no upstream's: the name is not used until it can be read again, told once in the log and counted. What the ends of upstreams are told by needs no start of its own any more.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -19,13 +19,20 @@
     Upstream {
         /// The upstream.
         host: Host,
-        /// Grows with what the upstream says of itself; a lower one is older.
+        /// Grows with what the upstream says of itself since its start; a lower one is older.
         sequence: u64,
         /// How much longer it is cold.
         cold: Millis,
     },
     /// An upstream's entry was removed.
     Gone(Arc<str>),
+    /// An upstream's entry can't be read.
+    Spoiled {
+        /// The entry's name.
+        entry: Arc<str>,
+        /// What is wrong.
+        reason: String,
+    },
     /// A failure domain is to take nothing until that is taken back.
     Evacuated(Arc<str>),
     /// A failure domain may take work again.
--- a/components/experiment/src/document.rs
+++ b/components/experiment/src/document.rs
@@ -47,6 +47,7 @@
     (0..count)
         .map(|place| Host {
             name: format!("engine-{place}").into(),
+            entry: "".into(),
             address: format!("10.{}.{}.{}:7001", place >> 16, place >> 8 & 255, place & 255).into(),
             domain: format!("domain-{}", place % domains).into(),
             labels: BTreeMap::from([("model".into(), format!("model-{}", place % models).into())]),
--- a/components/experiment/src/overload/fleet/names.rs
+++ b/components/experiment/src/overload/fleet/names.rs
@@ -22,6 +22,7 @@
 pub(super) fn host(engine: usize, slots: u64) -> Host {
     Host {
         name: name(engine),
+        entry: "".into(),
         address: format!("{}:1", name(engine)).into(),
         domain: "d".into(),
         labels: [("service", "engine"), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -97,6 +97,7 @@
 fn host(entry: store::Entry) -> Host {
     Host {
         name: entry.name,
+        entry: "".into(),
         address: entry.address,
         domain: entry.domain,
         labels: entry.labels,
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -30,6 +30,9 @@
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
 
+/// The most entries of upstreams that can't be read of which the log tells.
+const MOST_UNREADABLE: usize = 256;
+
 /// The pause after a call that failed; the store's outages end without notice.
 pub(crate) const PAUSE: Millis = Millis(300);
 
@@ -48,6 +51,7 @@
         started: false,
         extent: Extent::default(),
         memory,
+        unreadable: BTreeSet::new(),
     };
     feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
     loop {
@@ -73,7 +77,7 @@
     changed: bool,
     /// Upstreams that say they are cold, and for how much longer.
     cold: Vec<(Arc<str>, Millis)>,
-    /// The upstreams that it names.
+    /// The upstreams that it names, by their entries.
     names: Vec<Arc<str>>,
     /// The configuration of the highest generation; only that one is compiled.
     newest: Option<Box<Document>>,
@@ -104,6 +108,8 @@
     started: bool,
     extent: Extent,
     memory: Memory,
+    /// The entries of upstreams that can't be read and were told of in the log.
+    unreadable: BTreeSet<Arc<str>>,
 }
 
 impl Feed {
@@ -224,13 +230,18 @@
     fn note(&mut self, fact: Fact, summary: &mut Summary) {
         match fact {
             Fact::Upstream { host, sequence, cold } => {
-                summary.names.push(host.name.clone());
+                summary.names.push(host.entry().clone());
+                self.unreadable.remove(host.entry());
                 if cold > Millis::ZERO {
                     summary.cold.push((host.name.clone(), cold));
                 }
                 summary.changed |= self.listing.put(host, sequence);
             }
-            Fact::Gone(name) => summary.changed |= self.listing.remove(&name),
+            Fact::Gone(entry) => {
+                self.unreadable.remove(&entry);
+                summary.changed |= self.listing.remove(&entry);
+            }
+            Fact::Spoiled { entry, reason } => self.spoil(&entry, &reason, summary),
             Fact::Router(peer) => {
                 if let Some(peers) = self.core.peers() {
                     peers.meet(&peer);
@@ -275,6 +286,16 @@
         }
     }
 
+    /// Another writer's entry names no upstream to use; one line tells of it until it can be
+    /// read again or goes.
+    fn spoil(&mut self, entry: &Arc<str>, reason: &str, summary: &mut Summary) {
+        summary.changed |= self.listing.drop_unreadable(entry);
+        if self.unreadable.len() < MOST_UNREADABLE && self.unreadable.insert(entry.clone()) {
+            self.core.metrics.belief("entry_unreadable");
+            warn!("an entry can't be read", kv: { key = &**entry, reason });
+        }
+    }
+
     /// Hands the upstreams to the reducer.
     fn publish(&self, revision: u64) {
         let hosts = self.listing.hosts();
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -55,7 +55,7 @@
     let Some(first) = crashes.first() else { return };
     let contents: Vec<_> = crashes.iter().map(|it| format!("{:016x}", it.content)).collect();
     let contents = contents.join(" ");
-    info!("upstream ended under work", kv: { upstream = &*first.upstream, born = first.born, contents });
+    info!("upstream ended under work", kv: { upstream = &*first.upstream, contents });
 }
 
 /// Logs that work is held back for `lasts`.
--- a/components/routing/src/beliefs/fleet.rs
+++ b/components/routing/src/beliefs/fleet.rs
@@ -33,15 +33,11 @@
     pub(crate) fn hosts(&mut self, hosts: Vec<Host>, now: Millis) -> Vec<Effect> {
         self.index.clear();
         let mut known = std::mem::take(&mut self.upstreams);
-        let mut ended = Vec::new();
         for host in hosts {
             let labels = labels(self.plan.as_deref(), &host, &self.settings);
             let mut upstream = known
                 .swap_remove(&host.name)
                 .unwrap_or_else(|| Upstream::new(host.clone(), labels.clone()));
-            if host.born > upstream.host.born {
-                ended.push((host.name.clone(), upstream.host.born));
-            }
             upstream.list(host, labels);
             if self.settings.path.trusts_the_list() {
                 upstream.connected = true;
@@ -50,9 +46,8 @@
             self.upstreams.insert(upstream.host.name.clone(), upstream);
         }
         let gone = known.into_values().filter(|it| !it.is_leaving());
-        ended.extend(gone.map(|it| (it.host.name, it.host.born)));
-        for (name, born) in ended {
-            self.end_life(&name, born, now);
+        for upstream in gone {
+            self.end_upstream(&upstream.host.name, now);
         }
         self.mark_evacuated();
         self.deal(now);
--- a/components/routing/src/beliefs/listing.rs
+++ b/components/routing/src/beliefs/listing.rs
@@ -15,6 +15,7 @@
 /// The upstreams that the store lists.
 #[derive(Debug, Default)]
 pub struct Listing {
+    /// By the name of the entry, which stays the same over starts.
     hosts: BTreeMap<Arc<str>, Entry>,
     /// When the store came back, until what it then said has been taken.
     returned: Option<Millis>,
@@ -44,13 +45,13 @@
     /// of the same and a lower sequence, which begins anew with each start. Returns
     /// whether anything has changed.
     pub fn put(&mut self, host: Host, sequence: u64) -> bool {
-        let known = self.hosts.get(&host.name);
+        let known = self.hosts.get(host.entry());
         let newer = |it: &Entry| (it.host.born, it.sequence) > (host.born, sequence);
         if known.is_some_and(|it| newer(it) && it.gone_at.is_none()) {
             return false;
         }
         let changed = known.is_none_or(|it| it.host != host);
-        self.hosts.insert(host.name.clone(), Entry { host, sequence, gone_at: None });
+        self.hosts.insert(host.entry().clone(), Entry { host, sequence, gone_at: None });
         changed
     }
 
@@ -65,7 +66,13 @@
         false
     }
 
-    /// Takes a whole list: what is not in it was removed. Returns whether
+    /// Takes an entry that can't be read: the upstream that stood there is not used, also
+    /// where an entry that is missing would be waited for. Returns whether there was one.
+    pub fn drop_unreadable(&mut self, entry: &str) -> bool {
+        self.hosts.remove(entry).is_some()
+    }
+
+    /// Takes a whole list, by the names of entries: what is not in it was removed. Returns whether
     /// anything has changed.
     pub fn keep_only(&mut self, names: &[Arc<str>]) -> bool {
         let missing: Vec<_> = self.hosts.keys().filter(|it| !names.contains(it)).cloned().collect();
@@ -79,7 +86,7 @@
         for host in hosts {
             let gone_at = Some(now + RETURN);
             let entry = Entry { host, sequence: 0, gone_at };
-            self.hosts.entry(entry.host.name.clone()).or_insert(entry);
+            self.hosts.entry(entry.host.entry().clone()).or_insert(entry);
         }
         self.hosts.len() != before
     }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -260,8 +260,14 @@
 /// One line of the platform's list of hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
-    /// The upstream's name.
+    /// The upstream's name. Where upstreams start again under the name that they had, it is
+    /// another one for each start, so that nothing that is believed of one start, or told of
+    /// it by other routers, is taken for the next.
     pub name: Arc<str>,
+    /// The name under which it is listed, the same for all its starts; empty where that is
+    /// its name.
+    #[serde(default)]
+    pub entry: Arc<str>,
     /// Where its sidecar listens.
     pub address: Arc<str>,
     /// Its failure domain.
@@ -273,8 +279,15 @@
     /// How many requests it works on at once; zero where that is not told.
     #[serde(default)]
     pub slots: u64,
-    /// When it started, in milliseconds since the Unix epoch; zero where that is not told. A
-    /// later one under the same name is another life.
+    /// When it started, in milliseconds since the Unix epoch; zero where that is not told.
+    /// Only starts of one entry are compared.
     #[serde(default)]
     pub born: u64,
 }
+
+impl Host {
+    /// The name under which it is listed.
+    pub fn entry(&self) -> &Arc<str> {
+        if self.entry.is_empty() { &self.name } else { &self.entry }
+    }
+}
--- a/components/routing/src/recovery/quarantine.rs
+++ b/components/routing/src/recovery/quarantine.rs
@@ -30,10 +30,8 @@
 pub struct Crash {
     /// The hash of the work that the request asked for.
     pub content: u64,
-    /// The upstream.
+    /// The upstream, by the name of one start.
     pub upstream: Arc<str>,
-    /// Its start, as [`crate::Host::born`] tells it.
-    pub born: u64,
     /// When the end was learnt, in milliseconds since the Unix epoch.
     pub at: Millis,
 }
@@ -84,8 +82,7 @@
             self.drop_oldest();
         }
         let known = self.crashes.entry(crash.content).or_default();
-        let same = |it: &Crash| it.upstream == crash.upstream && it.born == crash.born;
-        if known.iter().any(same) {
+        if known.iter().any(|it| it.upstream == crash.upstream) {
             return None;
         }
         known.push(crash);
@@ -152,13 +149,7 @@
 
     /// An upstream has ended: what broke off there may be why.
     pub(crate) fn end_upstream(&mut self, upstream: &Arc<str>, now: Millis) {
-        let born = self.upstreams.get(upstream).map_or(0, |it| it.host.born);
-        self.end_life(upstream, born, now);
-    }
-
-    /// The same for the life of it that began at `born`.
-    pub(crate) fn end_life(&mut self, upstream: &Arc<str>, born: u64, now: Millis) {
-        let crash = |content| Crash { content, upstream: upstream.clone(), born, at: now };
+        let crash = |content| Crash { content, upstream: upstream.clone(), at: now };
         let crashes: Vec<_> =
             self.quarantine.settle(upstream, now).into_iter().map(crash).collect();
         if crashes.is_empty() {
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -76,6 +76,7 @@
 fn host(name: &str, service: &str) -> Host {
     Host {
         name: name.into(),
+        entry: "".into(),
         address: format!("{name}:1").into(),
         domain: "d".into(),
         labels: [("service", service), ("model", "m")].map(|(a, b)| (a.into(), b.into())).into(),
--- a/components/routing/tests/direct/quarantine.rs
+++ b/components/routing/tests/direct/quarantine.rs
@@ -19,13 +19,13 @@
     router(Settings { retry_burst: 20.0, ..settings() })
 }
 
-fn crash(upstream: &str, born: u64, at: Millis) -> Crash {
-    Crash { content: WORK, upstream: upstream.into(), born, at }
+fn crash(upstream: &str, at: Millis) -> Crash {
+    Crash { content: WORK, upstream: upstream.into(), at }
 }
 
 /// Another router tells that these upstreams have ended under the work.
 fn told(upstreams: &[&str]) -> Event {
-    Event::Crashes(upstreams.iter().map(|it| crash(it, 0, NOW)).collect())
+    Event::Crashes(upstreams.iter().map(|it| crash(it, NOW)).collect())
 }
 
 /// Whether the work is sent if it comes now.
@@ -72,7 +72,7 @@
         state.apply(told(&["a", "b"]), NOW);
     }
     assert!(is_sent(&mut state, NOW));
-    state.apply(Event::Crashes(vec![crash("a", 1, NOW)]), NOW);
+    state.apply(Event::Crashes(vec![crash("a@1", NOW)]), NOW);
     assert!(!is_sent(&mut state, NOW));
 }
 
@@ -122,7 +122,7 @@
     lose(&mut state, WORK, "stream");
     let check = Check::Unknown;
     state.apply(Event::Checked { upstream: hosts[0].name.clone(), check }, NOW);
-    hosts[0].born = 1;
+    hosts[0].name = "engine-0@1".into();
     let effects = state.apply(Event::Hosts(hosts), NOW);
     assert_eq!(reported(&effects), [(WORK, "engine-0".into())]);
 }
@@ -157,7 +157,7 @@
 fn another_host_s_clock_lengthens_nothing() {
     let mut state = fleet();
     let ahead = NOW + Millis(9_000_000);
-    let crashes = ["a", "b", "c"].map(|it| crash(it, 0, ahead));
+    let crashes = ["a", "b", "c"].map(|it| crash(it, ahead));
     state.apply(Event::Crashes(crashes.into()), NOW);
     assert!(!is_sent(&mut state, NOW));
     assert!(is_sent(&mut state, NOW + LASTS));
@@ -167,7 +167,7 @@
 fn what_is_remembered_is_bounded_and_the_oldest_goes_first() {
     let mut state = fleet();
     state.apply(told(&["a", "b", "c"]), NOW);
-    let other = |content| Crash { content, ..crash("a", 0, NOW + Millis(1)) };
+    let other = |content| Crash { content, ..crash("a", NOW + Millis(1)) };
     let later = NOW + Millis(1);
     state.apply(Event::Crashes((1_000..5_096).map(other).collect()), later);
     assert!(is_sent(&mut state, later));
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -15,6 +15,7 @@
 fn host(name: &str, model: &str) -> Host {
     Host {
         name: name.into(),
+        entry: "".into(),
         address: name.into(),
         domain: "d".into(),
         labels: BTreeMap::from([("model".into(), model.into())]),
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -7,6 +7,7 @@
 fn host(name: &str, leaving: bool) -> Host {
     Host {
         name: name.into(),
+        entry: "".into(),
         address: "127.0.0.1:1".into(),
         domain: "d".into(),
         labels: Labels::new(),
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -168,6 +168,7 @@
 fn host(place: usize, leaving: bool) -> Host {
     Host {
         name: format!("u{place}").into(),
+        entry: "".into(),
         address: format!("a{place}").into(),
         domain: "d".into(),
         labels: BTreeMap::from([("model".into(), "m".into())]),
