Go by a clock that also counts suspension

Cause: the steady clock leaves out the time for which a host was suspended, so that a router that wakes takes its configuration, and keys that were taken away meanwhile, for as fresh as before. Change: the one clock type reads the host's clock that counts suspension; callers' deadlines go by it at each step; a line tells of a suspension. Not proved under a suspension: nothing here can suspend a host.

--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -8,6 +8,7 @@
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a length of time, in milliseconds.
@@ -55,29 +56,63 @@
     }
 }
 
-/// A monotonic clock that starts near the wall time of its creation.
+/// A clock that starts near the wall time of its creation and never goes back.
 ///
-/// Differences between two readings never go back, whatever happens to the
-/// wall clock of the host.
+/// Differences between two readings are what has really passed, whatever happens to the wall
+/// clock of the host, and also while the host was suspended: the runtime's timers do not count
+/// that time. By a clock that leaves it out a router that wakes would take its configuration,
+/// and keys that were taken away meanwhile, for as fresh as before.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    /// What the host's clock said at the start.
+    started: Duration,
     wall: Millis,
 }
 
 impl Clock {
     /// A clock set from the host's wall time.
     pub fn new() -> Self {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX));
-        Self { started: Instant::now(), wall: Millis(wall) }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: since_boot(), wall: millis(wall) }
     }
 
     /// The current time, in milliseconds since the Unix epoch.
     pub fn now(&self) -> Millis {
-        let passed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.wall + Millis(passed)
+        self.wall + millis(since_boot().saturating_sub(self.started))
+    }
+}
+
+/// The time since the host's start, suspension included where the host counts it.
+fn since_boot() -> Duration {
+    let told = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    let told = told.or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC));
+    told.map(Duration::from).unwrap_or_default()
+}
+
+fn millis(time: Duration) -> Millis {
+    Millis(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Notices that the host was suspended, by the time that the runtime's timers leave out.
+#[derive(Clone, Copy, Debug)]
+pub struct Sleep {
+    clock: Clock,
+    counted: Instant,
+    real: Millis,
+}
+
+impl Sleep {
+    /// Begins to watch.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, counted: Instant::now(), real: clock.now() }
+    }
+
+    /// For how long the host was suspended since this was asked last.
+    pub fn passed(&mut self) -> Millis {
+        let counted = millis(self.counted.elapsed());
+        let slept = counted.until(self.real.until(self.clock.now()));
+        *self = Self::new(self.clock);
+        slept
     }
 }
 
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clock::Millis;
+use clock::{Millis, Sleep};
 use edge::{Batch, Fact, Fault};
 use intents::{Document, Plan};
 use routing::{Event, Host, Listing};
@@ -30,6 +30,10 @@
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
 
+/// The shortest suspension of the host of which the log tells; the two clocks that are compared
+/// are read one after the other.
+const NOTICED: Millis = Millis(250);
+
 /// The most entries of upstreams that can't be read of which the log tells.
 const MOST_UNREADABLE: usize = 256;
 
@@ -54,8 +58,14 @@
         unreadable: BTreeSet::new(),
     };
     feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
+    let mut sleep = Sleep::new(feed.core.clock);
     loop {
         let started = feed.core.clock.now();
+        let slept = sleep.passed();
+        if slept >= NOTICED {
+            feed.core.metrics.belief("host_suspended");
+            warn!("the host was suspended", kv: { ms = slept.0 });
+        }
         let pause = match feed.look().await {
             Ok(()) => {
                 feed.core.apply(Event::Current { at: started });
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -76,7 +76,8 @@
     progress: Progress,
     attempt: u32,
     upstream: Arc<str>,
-    deadline: Option<Instant>,
+    /// When the caller's time is over. By the clock that also counts suspension: timers do not.
+    deadline: Option<Millis>,
     /// When something must have come back; `None` once it has, or later with each
     /// reply where `silence` is set.
     timeout: Option<Instant>,
@@ -224,7 +225,7 @@
         self.hang_up();
         self.attempt = attempt.number;
         self.upstream = attempt.upstream.clone();
-        let deadline = Instant::now() + attempt.remaining.duration();
+        let deadline = self.core.clock.now() + attempt.remaining;
         let timeout = Instant::now() + attempt.timeout.duration();
         self.deadline = Some(deadline);
         self.timeout = Some(timeout);
@@ -250,7 +251,7 @@
     /// The timeout or the deadline has passed.
     fn late(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
-        let event = if self.deadline.is_some_and(|it| it <= Instant::now()) {
+        let event = if self.deadline.is_some_and(|it| it <= self.core.clock.now()) {
             Event::Expire { id }
         } else {
             self.rearm();
@@ -295,7 +296,10 @@
         let Some(call) = &mut self.call else {
             return std::future::pending().await;
         };
-        let latest = self.timeout.into_iter().chain(self.deadline).min();
+        let now = self.core.clock.now();
+        // The clock's milliseconds are whole: a timer for the rest alone goes off before it.
+        let left = |it: Millis| Instant::now() + (now.until(it) + Millis(1)).duration();
+        let latest = self.timeout.into_iter().chain(self.deadline.map(left)).min();
         let latest = latest.unwrap_or_else(Instant::now);
         let Ok(event) = timeout_at(latest, call.next(id, attempt)).await else {
             return self.late();
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -97,3 +97,30 @@
     assert!(listing.remove("b"));
     assert_eq!(names(&listing), ["a"]);
 }
+
+/// A start of upstream `a`.
+fn start(born: u64) -> Host {
+    Host { name: format!("a@{born}").into(), entry: "a".into(), born, ..host("a", false) }
+}
+
+#[test]
+fn a_later_start_replaces_an_earlier_one_whatever_their_sequences() {
+    let mut listing = two();
+    assert!(listing.put(start(10), 50));
+    assert!(listing.put(start(20), 1));
+    assert!(!listing.put(start(10), 99));
+    assert!(!listing.remember(vec![start(10)], Millis(10_000)));
+    assert_eq!(names(&listing), ["a@20", "b"]);
+    assert!(listing.keep_only(&["b".into()]));
+    assert_eq!(names(&listing), ["b"]);
+}
+
+#[test]
+fn what_can_not_be_read_is_not_waited_for() {
+    let mut listing = two();
+    listing.came_back(Millis(10_000));
+    assert!(listing.drop_unreadable("a"));
+    assert!(!listing.drop_unreadable("a"));
+    assert!(!listing.keep_only(&["b".into()]));
+    assert_eq!(names(&listing), ["b"]);
+}
