--- a/tests/platform/caller.rs
+++ b/tests/platform/caller.rs
@@ -33,6 +33,20 @@
         Self { reader: BufReader::new(stream) }
     }
 
+    /// The same for a router that may not listen, within `limit` for each answer.
+    pub fn try_connect(address: &str, limit: Duration) -> Option<Self> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(limit)).ok()?;
+        Some(Self { reader: BufReader::new(stream) })
+    }
+
+    /// Sends a request to a router that may be gone.
+    pub fn try_ask(&mut self, line: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+        let text = write(line, headers, body);
+        self.reader.get_mut().write_all(text.as_bytes()).ok()?;
+        self.answer()
+    }
+
     /// Sends raw text.
     pub fn send(&mut self, text: &str) {
         self.reader.get_mut().write_all(text.as_bytes()).expect("the router reads");
@@ -46,14 +60,7 @@
 
     /// Sends a request.
     pub fn request(&mut self, line: &str, headers: &[(&str, &str)], body: &str) {
-        let mut text = format!("{line} HTTP/1.1\r\n");
-        for (name, value) in headers {
-            text += &[name, ": ", value, "\r\n"].concat();
-        }
-        if !body.is_empty() {
-            text += &["content-length: ", &body.len().to_string(), "\r\n"].concat();
-        }
-        self.send(&format!("{text}\r\n{body}"));
+        self.send(&write(line, headers, body));
     }
 
     /// The next answer; `None` if the connection ends before it.
@@ -101,3 +108,15 @@
         }
     }
 }
+
+/// A request as it goes over the connection.
+fn write(line: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!("{line} HTTP/1.1\r\n");
+    for (name, value) in headers {
+        text += &[name, ": ", value, "\r\n"].concat();
+    }
+    if !body.is_empty() {
+        text += &["content-length: ", &body.len().to_string(), "\r\n"].concat();
+    }
+    format!("{text}\r\n{body}")
+}
--- a/tests/platform/crashing.rs
+++ b/tests/platform/crashing.rs
@@ -34,8 +34,9 @@
 
 /// Engines that end under [`FATAL`] and answer anything else.
 fn engines(count: usize) -> Vec<Upstream> {
+    let host = own_host();
     let engine = |number| {
-        let engine = Upstream::start(&own_host(), &format!("i-{number}"), "engine");
+        let engine = Upstream::start(&host, &format!("i-{number}"), "engine");
         engine.set(&[Act::Events(1, 3, 1)]);
         engine.set_fatal(FATAL);
         engine
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod path;
 mod restarts;
 mod router;
+mod soak;
 mod standin;
 mod stop;
 mod streams;
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -33,6 +33,7 @@
 pub fn own_host() -> String {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(number > 0, "there are no more: tests that need many upstreams share one among these");
     let [.., high, low] = std::process::id().to_be_bytes();
     format!("127.{}.{low}.{number}", high.max(1))
 }
@@ -209,6 +210,22 @@
         &self.settings
     }
 
+    /// Starts it again under its name and addresses, once it has ended. Its log goes on.
+    pub fn start_again(&mut self) {
+        let log = std::fs::File::options().append(true).open(&self.log);
+        self.child = Command::new(env!("CARGO_BIN_EXE_silverstack-router"))
+            .env("SILVERSTACK_SETTINGS", &self.settings)
+            .stdout(log.expect("the log stands"))
+            .spawn()
+            .expect("the binary starts");
+    }
+
+    /// Kills it and waits until it is gone.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits until it has ended.
     pub fn ended(&mut self) -> ExitStatus {
         let started = Instant::now();
@@ -229,8 +246,7 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
