Have an older start never win, also while a later one's entry is missing

Change: starts are compared first, counts within one start; what can't be read has a fact of its own name.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -27,7 +27,7 @@
     /// An upstream's entry was removed.
     Gone(Arc<str>),
     /// An upstream's entry can't be read.
-    Spoiled {
+    UnreadableUpstream {
         /// The entry's name.
         entry: Arc<str>,
         /// What is wrong.
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -251,7 +251,9 @@
                 self.unreadable.remove(&entry);
                 summary.changed |= self.listing.remove(&entry);
             }
-            Fact::Spoiled { entry, reason } => self.spoil(&entry, &reason, summary),
+            Fact::UnreadableUpstream { entry, reason } => {
+                self.leave_unreadable(&entry, &reason, summary);
+            }
             Fact::Router(peer) => {
                 if let Some(peers) = self.core.peers() {
                     peers.meet(&peer);
@@ -298,7 +300,7 @@
 
     /// Another writer's entry names no upstream to use; one line tells of it until it can be
     /// read again or goes.
-    fn spoil(&mut self, entry: &Arc<str>, reason: &str, summary: &mut Summary) {
+    fn leave_unreadable(&mut self, entry: &Arc<str>, reason: &str, summary: &mut Summary) {
         summary.changed |= self.listing.drop_unreadable(entry);
         if self.unreadable.len() < MOST_UNREADABLE && self.unreadable.insert(entry.clone()) {
             self.core.metrics.belief("entry_unreadable");
--- a/components/routing/src/beliefs/listing.rs
+++ b/components/routing/src/beliefs/listing.rs
@@ -1,5 +1,6 @@
 //! The upstreams that the platform lists, and what of the list is believed.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -46,8 +47,12 @@
     /// whether anything has changed.
     pub fn put(&mut self, host: Host, sequence: u64) -> bool {
         let known = self.hosts.get(host.entry());
-        let newer = |it: &Entry| (it.host.born, it.sequence) > (host.born, sequence);
-        if known.is_some_and(|it| newer(it) && it.gone_at.is_none()) {
+        let is_older = |it: &Entry| match host.born.cmp(&it.host.born) {
+            Ordering::Less => true,
+            Ordering::Equal => sequence < it.sequence && it.gone_at.is_none(),
+            Ordering::Greater => false,
+        };
+        if known.is_some_and(is_older) {
             return false;
         }
         let changed = known.is_none_or(|it| it.host != host);
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -111,8 +111,11 @@
     assert!(!listing.put(start(10), 99));
     assert!(!listing.remember(vec![start(10)], Millis(10_000)));
     assert_eq!(names(&listing), ["a@20", "b"]);
-    assert!(listing.keep_only(&["b".into()]));
-    assert_eq!(names(&listing), ["b"]);
+    // Nor while the later one's entry is missing after an outage.
+    listing.came_back(Millis(10_000));
+    assert!(!listing.remove("a"));
+    assert!(!listing.put(start(10), 100));
+    assert_eq!(names(&listing), ["a@20", "b"]);
 }
 
 #[test]
