Have a router stop that has seen answers for a second only: a test that fails; soak with more in flight

How long answers take is read off those seen so far, and none can be longer than the time for which the router had looked.

--- a/components/routing/tests/direct/stopping.rs
+++ b/components/routing/tests/direct/stopping.rs
@@ -53,6 +53,20 @@
     takes_until(Millis(5_000), "safe");
 }
 
+/// A router was told to stop a second after the first traffic. It had seen nothing but answers
+/// of that second, took a stream of 4.9 s 4.4 s before its end for that, and the stream was cut
+/// off: longer answers than the time for which it had looked can't have been seen by then.
+#[test]
+fn answers_of_a_short_time_say_nothing_of_long_ones() {
+    let mut state = stopping();
+    state.apply(Event::Current { at: NOW + Millis(1_600) }, NOW + Millis(1_600));
+    let early = state.apply(ask(3, "stream", "chat"), NOW + Millis(1_600));
+    assert_eq!(failed(&early), Some(Kind::Draining));
+    // Twice the time that is left has been looked at.
+    state.apply(Event::Current { at: NOW + Millis(4_000) }, NOW + Millis(4_000));
+    assert!(sent(&state.apply(ask(4, "stream", "chat"), NOW + Millis(4_000))).is_some());
+}
+
 #[test]
 fn nothing_is_taken_once_nothing_is_in_flight() {
     let mut state = stopping();
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -23,7 +23,7 @@
 const LASTS: Duration = Duration::from_secs(20);
 
 /// How many callers ask at a time.
-const CALLERS: u64 = 6;
+const CALLERS: u64 = 12;
 
 /// How long a key may still be used that was taken away, as the routers' settings say.
 const REVOCATION: Duration = Duration::from_secs(3);
@@ -34,6 +34,9 @@
 /// The least number of requests that are served for the rest to say anything.
 const LEAST: usize = 200;
 
+/// How long engines may take to end.
+const PATIENCE: Duration = Duration::from_secs(10);
+
 /// How often fatal work may be sent after that.
 const MOST_RETRIES: usize = 3;
 
@@ -86,9 +89,19 @@
         }
     }
     fleet.mend(true);
+    end_three(fleet);
     std::thread::sleep(CONTACT);
 }
 
+/// Has three engines at least end under the fatal work, however few have until now.
+fn end_three(fleet: &Fleet) {
+    let begun = Instant::now();
+    while fleet.fatal().1 < 3 && begun.elapsed() < PATIENCE {
+        fleet.send_fatal(0, 1);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// What held at all times.
 fn check(fleet: &Fleet, asked: &[Seen], context: &str) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
@@ -150,9 +163,7 @@
             });
         }
     }
-    if ended < 3 {
-        return;
-    }
+    assert!(ended >= 3, "{ended} engines have ended: {context}");
     for place in 0..fleet.routers.len() {
         fleet.send_fatal(place, 4);
     }
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -247,8 +247,10 @@
 fn upstream(host: &str, place: usize) -> Upstream {
     let service = if place < 3 { "plain" } else { "engine" };
     let upstream = Upstream::start(host, &format!("i-{place}"), service);
-    if place >= 3 {
-        upstream.set(&[Act::Events(1, 5, 10)]);
+    if place < 3 {
+        upstream.set(&[Act::Late(40, 200, "whole")]);
+    } else {
+        upstream.set(&[Act::Events(1, 5, 30)]);
         upstream.set_fatal(FATAL);
     }
     upstream
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -18,6 +18,8 @@
 pub enum Act {
     /// A whole answer.
     Answer(u16, &'static str),
+    /// The same after some milliseconds.
+    Late(u64, u16, &'static str),
     /// An answer with another request's id.
     Crossed,
     /// A success without the upstream's proof.
@@ -198,6 +200,10 @@
         let id = request.header("attempt-identifier").unwrap_or("").to_owned();
         match act {
             Act::Answer(status, body) => send(writer, &whole(*status, &id, body)),
+            Act::Late(ms, status, body) => {
+                std::thread::sleep(Duration::from_millis(*ms));
+                send(writer, &whole(*status, &id, body))
+            }
             Act::Crossed => send(writer, &whole(200, "another", "another's answer")),
             Act::Unsigned => send(writer, &unsigned(&id)),
             Act::Extra => {
