Have looks ask for less in one place of the tests

Cause: three tests had the same nine lines that make looks at the store ask for less. Change: Router::shorten_looks, used by all three; what they check is unchanged.

--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -16,17 +16,7 @@
     let [one, two] = crate::router::pair();
     let router = Router::start(&configuration(1), &[&one, &two]);
     let asked = |path: &str| router.store.targets().iter().any(|it| it.starts_with(path));
-    let mut long = configuration(2);
-    long["note"] = "x".repeat(100_000).into();
-    // The history of these is longer than 512 KB.
-    router.store.set_mode(crate::standin::Mode::Busy);
-    router.until("missed", || router.has_logged("the store does not answer"));
-    for version in 2..9 {
-        long["version"] = version.into();
-        router.store.put("op/config", &long);
-    }
-    router.store.set_mode(crate::standin::Mode::Up);
-    router.until("noticed", || router.has_logged("looks at the store ask for less"));
+    let mut long = router.shorten_looks();
     router.until("asked for less", || asked("/v1/kv-key?privateKey=op/config"));
     assert!(asked("/v1/kv-watch?pathPrefix=servers/"));
 
--- a/tests/platform/crashing.rs
+++ b/tests/platform/crashing.rs
@@ -169,16 +169,7 @@
 fn looks_that_ask_for_less_see_what_is_held_back() {
     let engines = engines(6);
     let router = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
-    let mut long = configuration(2);
-    long["note"] = "x".repeat(100_000).into();
-    router.store.set_mode(Mode::Busy);
-    router.until("missed", || router.has_logged("the store does not answer"));
-    for version in 2..9 {
-        long["version"] = version.into();
-        router.store.put("op/config", &long);
-    }
-    router.store.set_mode(Mode::Up);
-    router.until("noticed", || router.has_logged("looks at the store ask for less"));
+    router.shorten_looks();
     let ends = |name: &str| serde_json::json!({ "content": 7, "upstream": name, "born": 0, "at": 9_000_000_000_000_u64 });
     router.store.put(&key("front-2"), &serde_json::json!([ends("a"), ends("b"), ends("c")]));
     router.until("held back", || router.has_logged("work is held back"));
--- a/tests/platform/evacuation.rs
+++ b/tests/platform/evacuation.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::router::{Router, configuration, own_host, pair};
-use crate::standin::{Mode, Upstream};
+use crate::standin::Upstream;
 
 /// The entry of an upstream in failure domain `zone`.
 fn entry_in(upstream: &Upstream, zone: &str) -> Value {
@@ -85,16 +85,7 @@
 #[test]
 fn looks_that_ask_for_less_see_what_is_left() {
     let (router, left, _stays) = two_domains();
-    let mut long = configuration(2);
-    long["note"] = "x".repeat(100_000).into();
-    router.store.set_mode(Mode::Busy);
-    router.until("missed", || router.has_logged("the store does not answer"));
-    for version in 2..9 {
-        long["version"] = version.into();
-        router.store.put("op/config", &long);
-    }
-    router.store.set_mode(Mode::Up);
-    router.until("noticed", || router.has_logged("looks at the store ask for less"));
+    router.shorten_looks();
     router.store.put("op/evacuate/zone-a", &json!({}));
     router.until("left", || router.has_logged("failure domain left"));
     assert!(!router.has_logged("looks at the store ask for all again"));
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::caller::{Answer, Caller};
-use crate::standin::{Store, Upstream};
+use crate::standin::{Mode, Store, Upstream};
 
 /// How long anything may take that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -199,6 +199,23 @@
         self.log().iter().any(|line| line["payload"] == message)
     }
 
+    /// Has looks at the store ask for less, as the history since the last one is long. Returns
+    /// the configuration that is then in force.
+    pub fn shorten_looks(&self) -> Value {
+        let mut long = configuration(2);
+        long["note"] = "x".repeat(100_000).into();
+        self.store.set_mode(Mode::Busy);
+        self.until("missed", || self.has_logged("the store does not answer"));
+        // The history of these is longer than 512 KB.
+        for version in 2..9 {
+            long["version"] = version.into();
+            self.store.put("op/config", &long);
+        }
+        self.store.set_mode(Mode::Up);
+        self.until("noticed", || self.has_logged("looks at the store ask for less"));
+        long
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
