Read from upstreams' answers whether they ask for rest or leave, and log it

Cause: whether an upstream asked for rest, or said that it leaves, was in no log line, so that the hypotheses of the incident could not be told apart.

Change: the platform's dialect reads both, and the router logs and counts them. Decisions are the same as before.

--- a/components/edge/src/dialect.rs
+++ b/components/edge/src/dialect.rs
@@ -73,6 +73,10 @@
     pub load: Option<Load>,
     /// How much longer the upstream is cold.
     pub cold: Option<Millis>,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// For how long the upstream asks to be sent nothing by the one that it answers.
+    pub rest: Option<Millis>,
 }
 
 /// The load that an upstream tells, in requests.
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use edge::Sending;
+use edge::{Sending, Told};
 use errors::Kind;
 use events::Splitter;
 use outbound::{Answer, Fault};
@@ -15,6 +15,7 @@
 
 use crate::core::Core;
 use crate::headers;
+use crate::report;
 use crate::template::Template;
 
 /// The status of an upstream that is not the one that was meant.
@@ -153,13 +154,7 @@
         if told.id.as_ref().is_some_and(|it| *it != self.request) {
             return Err(Lost { sent: true });
         }
-        if let Some(edge::Load { running, waiting }) = told.load {
-            let (upstream, requests) = (self.upstream.clone(), running.saturating_add(waiting));
-            self.core.apply(Event::Load { upstream, requests, waiting });
-        }
-        if let Some(left) = told.cold {
-            self.core.apply(Event::Cold { upstream: self.upstream.clone(), left });
-        }
+        self.hear(&told);
         if told.not_run {
             self.queue(refused(status));
             return Ok(());
@@ -177,6 +172,25 @@
         Ok(())
     }
 
+    /// Takes what the head of an answer says of its upstream.
+    fn hear(&self, told: &Told) {
+        if let Some(edge::Load { running, waiting }) = told.load {
+            let (upstream, requests) = (self.upstream.clone(), running.saturating_add(waiting));
+            self.core.apply(Event::Load { upstream, requests, waiting });
+        }
+        if let Some(left) = told.cold {
+            self.core.apply(Event::Cold { upstream: self.upstream.clone(), left });
+        }
+        if let Some(rest) = told.rest {
+            self.core.metrics.belief("upstream_rests");
+            report::rests(&self.upstream, rest);
+        }
+        if told.leaving {
+            self.core.metrics.belief("upstream_leaves");
+            report::leaves(&self.upstream);
+        }
+    }
+
     /// Takes a part of the body.
     fn take(&mut self, part: Option<Result<Bytes, Fault>>) -> Result<(), Lost> {
         match part {
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -50,6 +50,16 @@
     info!("upstream answers again", kv: { upstream });
 }
 
+/// Logs that an upstream has asked to be sent nothing for `rest`.
+pub(crate) fn rests(upstream: &str, rest: Millis) {
+    info!("upstream asked for rest", kv: { upstream, ms = rest.0 });
+}
+
+/// Logs that an upstream has said with an answer that it leaves.
+pub(crate) fn leaves(upstream: &str) {
+    info!("upstream says that it leaves", kv: { upstream });
+}
+
 /// Logs that upstreams ended while they had requests of this router.
 pub(crate) fn crashed(crashes: &[Crash]) {
     let Some(first) = crashes.first() else { return };
