Have upstreams ask for rest and leave by their answers: tests that fail

Cause: routers read of a refusal that a request had not run, and no more. No stand-in asked for rest or said with an answer that it leaves, so no test could see it.

Change: the stand-in of an upstream does both and takes down to which router; five tests of the real router, two faults and two checks of the soak. No code of the router.

The check of rests has not been seen failing in the soak yet.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod hints;
 mod path;
+mod rest;
 mod restarts;
 mod router;
 mod soak;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod fleet;
+mod words;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
@@ -74,6 +75,8 @@
     });
     let context = format!("seed {seed}: {:#?}", fleet.log);
     check(&fleet, &asked, &context);
+    words::check_rests(&fleet, &context);
+    words::check_leaving(&fleet, &asked, &context);
     check_calm(&fleet, &context);
 }
 
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -8,6 +8,7 @@
 
 use crate::caller::{Answer, Caller};
 use crate::router::headers;
+use crate::standin::ROUTER;
 
 /// How long a caller waits for an answer, and for each part of one.
 const LIMIT: Duration = Duration::from_secs(6);
@@ -61,11 +62,11 @@
     let mut connection = None;
     while !stop.load(Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(random.random_range(0..30)));
-        let place = random.random_range(0..routers.len());
-        let mut caller = match connection.take() {
-            Some(caller) => caller,
-            None => match Caller::try_connect(&routers[place], LIMIT) {
-                Some(caller) => caller,
+        let drawn = random.random_range(0..routers.len());
+        let (place, mut caller) = match connection.take() {
+            Some(connection) => connection,
+            None => match Caller::try_connect(&routers[drawn], LIMIT) {
+                Some(caller) => (drawn, caller),
                 None => continue,
             },
         };
@@ -73,25 +74,26 @@
         let revoked = random.random_bool(0.3);
         let id = format!("id-{}", next.fetch_add(1, Ordering::Relaxed));
         let sent = Instant::now();
-        let answer = ask(&mut caller, kind, &id, revoked);
+        let answer = ask(&mut caller, kind, &id, revoked, &place.to_string());
         if answer.as_ref().is_some_and(|it| it.status != 200) {
             std::thread::sleep(REFUSED);
         }
         let closes = |it: &Answer| it.headers.get("connection").is_some_and(|it| it == "close");
         if answer.as_ref().is_some_and(|it| it.whole && !closes(it)) {
-            connection = Some(caller);
+            connection = Some((place, caller));
         }
         asked.push(Seen { id, kind, revoked, sent, answer });
     }
     asked
 }
 
-fn ask(caller: &mut Caller, kind: Kind, id: &str, revoked: bool) -> Option<Answer> {
+fn ask(caller: &mut Caller, kind: Kind, id: &str, revoked: bool, router: &str) -> Option<Answer> {
     let key = if revoked { format!("Bearer {REVOKED}") } else { "Bearer key-one".to_owned() };
     let headers = headers(&[
         ("Attempt-Identifier", id),
         ("Authorization", &key),
         ("Deadline-Remaining", "3000"),
+        (ROUTER, router),
     ]);
     let body = if kind == Kind::Safe { "" } else { id };
     caller.try_ask(kind.line(), &headers, body)
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -27,11 +27,13 @@
     EndUpstream,
     RestartUpstream,
     ForeignEntry,
+    AskForRest,
+    LeaveByAnswers,
     Configuration,
     SendFatal,
 }
 
-const FAULTS: [Fault; 12] = [
+const FAULTS: [Fault; 14] = [
     Fault::KillRouter,
     Fault::StopRouter,
     Fault::FreezeRouter,
@@ -42,6 +44,8 @@
     Fault::EndUpstream,
     Fault::RestartUpstream,
     Fault::ForeignEntry,
+    Fault::AskForRest,
+    Fault::LeaveByAnswers,
     Fault::Configuration,
     Fault::SendFatal,
 ];
@@ -54,6 +58,7 @@
     StoreUp,
     StartUpstream(usize),
     Entry(usize),
+    Rest(usize),
 }
 
 /// The fleet.
@@ -71,6 +76,8 @@
     undo: Vec<(Instant, Undo)>,
     /// Routers that are stopped, killed or frozen.
     away: Vec<usize>,
+    /// Since when and until when routers were.
+    pub disturbed: Vec<(usize, Instant, Instant)>,
     pub log: Vec<String>,
 }
 
@@ -99,6 +106,7 @@
             revoked: None,
             undo: Vec::new(),
             away: Vec::new(),
+            disturbed: Vec::new(),
             log: Vec::new(),
         }
     }
@@ -150,6 +158,16 @@
                 store.put_text("servers/another", "{}");
                 self.undo.push((until, Undo::Entry(place)));
             }
+            Fault::AskForRest => {
+                // One longer than the fault, so that it is kept while requests are served again.
+                let rest = Duration::from_millis(random.random_range(600..3_000));
+                self.upstreams[place].set_rest(Some(rest));
+                self.undo.push((until, Undo::Rest(place)));
+            }
+            Fault::LeaveByAnswers => {
+                self.upstreams[place].leave();
+                self.undo.push((until, Undo::StartUpstream(place)));
+            }
             Fault::Configuration => self.configure(random.random_bool(0.5)),
             Fault::SendFatal => self.send_fatal(router, 2),
         }
@@ -167,15 +185,16 @@
                 Undo::StartRouter(router) => {
                     self.routers[router].ended();
                     self.routers[router].start_again();
-                    self.away.retain(|it| *it != router);
+                    self.bring_back(router);
                 }
                 Undo::WakeRouter(router) => {
                     self.routers[router].signal(Signal::SIGCONT);
-                    self.away.retain(|it| *it != router);
+                    self.bring_back(router);
                 }
                 Undo::StoreUp => self.routers[0].store.set_mode(Mode::Up),
                 Undo::StartUpstream(place) => self.start_upstream(place),
                 Undo::Entry(place) => self.list(place),
+                Undo::Rest(place) => self.upstreams[place].set_rest(None),
             }
         }
     }
@@ -212,10 +231,24 @@
         let stays = self.away.contains(&router);
         if !stays {
             self.away.push(router);
+            // Until it is back; then this is set to when that was.
+            self.disturbed.push((router, Instant::now(), Instant::now()));
         }
         !stays
     }
 
+    fn bring_back(&mut self, router: usize) {
+        self.away.retain(|it| *it != router);
+        let last = self.disturbed.iter_mut().rev().find(|it| it.0 == router);
+        last.expect("it was away").2 = Instant::now();
+    }
+
+    /// Whether a router was stopped, killed or frozen between two times.
+    pub fn was_disturbed(&self, router: &str, from: Instant, to: Instant) -> bool {
+        let of_it = |it: &&(usize, Instant, Instant)| it.0.to_string() == router;
+        self.disturbed.iter().filter(of_it).any(|it| it.1 <= to && it.2 >= from)
+    }
+
     fn store_fails(&mut self, mode: Mode, until: Instant) {
         self.routers[0].store.set_mode(mode);
         self.undo.push((until, Undo::StoreUp));
--- a/tests/platform/standin/http.rs
+++ b/tests/platform/standin/http.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
+use std::time::Instant;
 
 /// A request as it came.
 #[derive(Clone, Debug)]
@@ -12,6 +13,7 @@
     /// By name in lower case.
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
+    pub came: Instant,
 }
 
 impl Request {
@@ -27,7 +29,7 @@
         let length = headers.get("content-length").map_or(Some(0), |it| it.parse().ok())?;
         let mut body = vec![0; length];
         stream.read_exact(&mut body).ok()?;
-        Some(Self { method, target, headers, body })
+        Some(Self { method, target, headers, body, came: Instant::now() })
     }
 
     /// A header.
--- a/tests/platform/standin/mod.rs
+++ b/tests/platform/standin/mod.rs
@@ -3,7 +3,9 @@
 mod http;
 mod store;
 mod upstream;
+mod word;
 
 pub use http::{Request, read_headers};
 pub use store::{Mode, Store};
 pub use upstream::{Act, Upstream};
+pub use word::{ROUTER, Rest, router};
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -4,14 +4,15 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use std::os::fd::AsRawFd;
 
 use nix::sys::socket::{Shutdown, setsockopt, shutdown, sockopt};
 use serde_json::{Value, json};
 
-use super::Request;
+use super::word::Word;
+use super::{Request, Rest};
 
 /// What the stand-in does with a request.
 #[derive(Clone, Debug)]
@@ -34,6 +35,8 @@
     Reset(&'static str),
     /// 503: the request has not run.
     NotRun,
+    /// The same, and nothing more is wanted of that router for a while.
+    Rest(Duration),
     /// 421: another upstream has this address.
     Misdirected,
     /// The connection ends without an answer.
@@ -62,6 +65,8 @@
     connections: usize,
     /// Requests with this body have the upstream end.
     fatal: Option<&'static str>,
+    /// What it says of itself with its answers.
+    word: Word,
     /// What ends with the upstream; empty once it has ended.
     listener: Option<TcpListener>,
     /// The connections that stand, by number.
@@ -111,6 +116,26 @@
         self.state.lock().expect("no stand-in panics").fatal = Some(body);
     }
 
+    /// Has it turn every request away and ask for this rest each time, or no more.
+    pub fn set_rest(&self, rest: Option<Duration>) {
+        self.state.lock().expect("no stand-in panics").word.rest = rest;
+    }
+
+    /// Has it say with every answer that it leaves.
+    pub fn leave(&self) {
+        self.state.lock().expect("no stand-in panics").word.leaves = true;
+    }
+
+    /// The rests that it has asked for.
+    pub fn rests(&self) -> Vec<Rest> {
+        self.state.lock().expect("no stand-in panics").word.rests.clone()
+    }
+
+    /// When it first told each router that it leaves, by the routers' own names.
+    pub fn told_leaving(&self) -> BTreeMap<String, Instant> {
+        self.state.lock().expect("no stand-in panics").word.told_leaving.clone()
+    }
+
     /// Ends the upstream: connections to it are refused, and those that stand end.
     pub fn crash(&self) {
         let mut state = self.state.lock().expect("no stand-in panics");
@@ -192,6 +217,9 @@
         if state.fatal.is_some_and(|body| request.body == body.as_bytes()) {
             return Act::Crash;
         }
+        if let Some(rest) = state.word.rest {
+            return Act::Rest(rest);
+        }
         if state.acts.len() > 1 { state.acts.remove(0) } else { state.acts[0].clone() }
     }
 
@@ -199,10 +227,10 @@
     fn act(&self, act: &Act, request: &Request, writer: &mut TcpStream) -> bool {
         let id = request.header("attempt-identifier").unwrap_or("").to_owned();
         match act {
-            Act::Answer(status, body) => send(writer, &whole(*status, &id, body)),
+            Act::Answer(status, body) => self.say(writer, request, &whole(*status, &id, body)),
             Act::Late(ms, status, body) => {
                 std::thread::sleep(Duration::from_millis(*ms));
-                send(writer, &whole(*status, &id, body))
+                self.say(writer, request, &whole(*status, &id, body))
             }
             Act::Crossed => send(writer, &whole(200, "another", "another's answer")),
             Act::Unsigned => send(writer, &unsigned(&id)),
@@ -224,7 +252,12 @@
                 setsockopt(&*writer, sockopt::Linger, &linger).expect("an option");
                 false
             }
-            Act::NotRun => send(writer, &not_run(&id)),
+            Act::NotRun => self.say(writer, request, &not_run(&id)),
+            Act::Rest(rest) => {
+                let line = format!("\r\nretry-after: {}\r\n", rest.as_secs_f64());
+                self.state.lock().expect("no stand-in panics").word.ask(request, *rest);
+                self.say(writer, request, &not_run(&id).replacen("\r\n", &line, 1))
+            }
             Act::Misdirected => {
                 send(writer, "HTTP/1.1 421 .\r\ninstance: other\r\ncontent-length: 0\r\n\r\n")
             }
@@ -238,23 +271,29 @@
                 false
             }
             Act::Events(from, to, gap_ms) => {
-                self.events(writer, &id, *from..=*to, *gap_ms) && send(writer, "0\r\n\r\n")
+                self.events(writer, request, *from..=*to, *gap_ms) && send(writer, "0\r\n\r\n")
             }
             Act::Stalled => {
-                self.stall(writer, &id);
+                self.stall(writer, request);
                 false
             }
             Act::Broken(from, to) => {
-                self.events(writer, &id, *from..=*to, 1);
+                self.events(writer, request, *from..=*to, 1);
                 send(writer, "9\r\nid: 99\nda\r\n");
                 false
             }
         }
     }
 
+    /// Sends the head of an answer, with the word that it leaves if it does.
+    fn say(&self, writer: &mut TcpStream, request: &Request, text: &str) -> bool {
+        let line = self.state.lock().expect("no stand-in panics").word.leaving(request);
+        send(writer, &text.replacen("\r\n", &line, 1))
+    }
+
     /// Sends one event and waits for the caller to leave.
-    fn stall(&self, writer: &mut TcpStream, id: &str) {
-        self.events(writer, id, 1..=1, 0);
+    fn stall(&self, writer: &mut TcpStream, request: &Request) {
+        self.events(writer, request, 1..=1, 0);
         let ended = writer.read(&mut [0]);
         self.state.lock().expect("no stand-in panics").left += usize::from(!matches!(ended, Ok(1)));
     }
@@ -262,13 +301,13 @@
     fn events(
         &self,
         writer: &mut TcpStream,
-        id: &str,
+        request: &Request,
         numbers: std::ops::RangeInclusive<u64>,
         gap_ms: u64,
     ) -> bool {
-        let head = head(200, id);
+        let head = head(200, request.header("attempt-identifier").unwrap_or(""));
         let start = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-        send(writer, &format!("{head}{start}"));
+        self.say(writer, request, &format!("{head}{start}"));
         for number in numbers {
             let event = format!("id: {number}\ndata: piece {number} of {}\n\n", self.name);
             if !send(writer, &format!("{:x}\r\n{event}\r\n", event.len())) {
