Send upstreams nothing that rest or leave by their own word

Cause: what an upstream says of itself with an answer was not read: for how long it wants nothing when it turns a request away, and that it leaves. As a refused request is no load, an upstream that turns everything away looked idle and was first in line at every router.

Change: both are kept by the name of the upstream's start, speak against it at each ranking and once more before a ranked candidate is sent to, and outlast its entry in the platform's list. Where all rest, callers are refused at once and told to come back when the first rest is over, spread over 0.5 s. An answer of another upstream that has the address now (421) says nothing of the one that was meant, also not of its load.

Broken on purpose in a scratch copy, seven ways of eight that matter are caught; looking once more at ranked candidates is not, as each path ranks anew before it sends.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -135,6 +135,16 @@
                 report::revived(upstream);
                 false
             }
+            Effect::Leave { upstream } => {
+                self.metrics.belief("upstream_leaves");
+                report::leaves(upstream);
+                false
+            }
+            Effect::Rest { upstream, lasts } => {
+                self.metrics.belief("upstream_rests");
+                report::rests(upstream, *lasts);
+                false
+            }
             Effect::Check { upstream, address } => {
                 self.crashes.check(upstream, address);
                 false
@@ -291,6 +301,8 @@
                     "incarnation": it.incarnation(),
                     "load": it.load(),
                     "up": it.is_up(now),
+                    "leaving": it.is_leaving(),
+                    "rest_ms": it.rest(now).0,
                 })
             })
             .collect();
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -15,7 +15,6 @@
 
 use crate::core::Core;
 use crate::headers;
-use crate::report;
 use crate::template::Template;
 
 /// The status of an upstream that is not the one that was meant.
@@ -154,7 +153,10 @@
         if told.id.as_ref().is_some_and(|it| *it != self.request) {
             return Err(Lost { sent: true });
         }
-        self.hear(&told);
+        // That of another upstream which has the address now says nothing of this one.
+        if status != MISDIRECTED {
+            self.hear(&told);
+        }
         if told.not_run {
             self.queue(refused(status));
             return Ok(());
@@ -181,13 +183,11 @@
         if let Some(left) = told.cold {
             self.core.apply(Event::Cold { upstream: self.upstream.clone(), left });
         }
-        if let Some(rest) = told.rest {
-            self.core.metrics.belief("upstream_rests");
-            report::rests(&self.upstream, rest);
+        if let Some(lasts) = told.rest {
+            self.core.apply(Event::Rests { upstream: self.upstream.clone(), lasts });
         }
         if told.leaving {
-            self.core.metrics.belief("upstream_leaves");
-            report::leaves(&self.upstream);
+            self.core.apply(Event::Leaves { upstream: self.upstream.clone() });
         }
     }
 
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -175,6 +175,8 @@
             | Effect::Share(_)
             | Effect::Suspect { .. }
             | Effect::Revive { .. }
+            | Effect::Leave { .. }
+            | Effect::Rest { .. }
             | Effect::Check { .. }
             | Effect::Report(_)
             | Effect::HoldBack { .. }
--- a/components/routing/src/beliefs.rs
+++ b/components/routing/src/beliefs.rs
@@ -10,3 +10,4 @@
 pub(crate) mod outlook;
 pub(crate) mod upstream;
 pub(crate) mod warmth;
+pub(crate) mod word;
--- a/components/routing/src/beliefs/cold.rs
+++ b/components/routing/src/beliefs/cold.rs
@@ -173,11 +173,15 @@
         proved && self.members.are_settled(now)
     }
 
-    /// When the first of the cold upstreams of a pool takes a request of this router, from now
-    /// on; none if none is cold.
+    /// When the first of the upstreams of a pool that are cold or rest takes a request of this
+    /// router, from now on; none if there is none.
     pub(crate) fn opens_in(&self, pool: &str, now: Millis) -> Option<Millis> {
-        let of_pool = |it: &&Upstream| it.cold.is_cold(now) && &*it.pool() == pool;
-        self.upstreams.values().filter(of_pool).map(|it| it.cold.opens_in(now)).min()
+        let opens = |it: &&Upstream| {
+            let later = it.cold.is_cold(now) || it.word.rests(now);
+            later && !it.is_leaving() && !it.evacuated && &*it.pool() == pool
+        };
+        let opens_in = |it: &Upstream| it.cold.opens_in(now).max(it.word.rest(now));
+        self.upstreams.values().filter(opens).map(opens_in).min()
     }
 }
 
--- a/components/routing/src/beliefs/evacuation.rs
+++ b/components/routing/src/beliefs/evacuation.rs
@@ -30,9 +30,4 @@
             upstream.evacuated = self.evacuated.contains(&upstream.host.domain);
         }
     }
-
-    /// Whether an upstream's failure domain is to take nothing.
-    pub(crate) fn is_evacuated(&self, upstream: &str) -> bool {
-        self.upstreams.get(upstream).is_some_and(|it| it.evacuated)
-    }
 }
--- a/components/routing/src/beliefs/fleet.rs
+++ b/components/routing/src/beliefs/fleet.rs
@@ -50,6 +50,7 @@
             self.end_upstream(&upstream.host.name, now);
         }
         self.mark_evacuated();
+        self.recall_words();
         self.deal(now);
         self.connects(now)
     }
--- a/components/routing/src/beliefs/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -10,6 +10,7 @@
 use crate::beliefs::cold::Cold;
 use crate::beliefs::health::{Health, Outcomes};
 use crate::beliefs::outlook::{Outlook, count};
+use crate::beliefs::word::Word;
 use crate::choosing::ranking::POOL;
 use crate::{Effect, Host, Settings};
 
@@ -37,6 +38,9 @@
 /// Why an upstream is passed over that is cold and takes no more of this router for now.
 pub(crate) const COLD: &str = "cold";
 
+/// Why an upstream is passed over that has asked this router for rest.
+pub(crate) const RESTS: &str = "asked for rest";
+
 /// Why an upstream is passed over whose bound leaves no room.
 pub(crate) const OVER_BOUND: &str = "over the load bound";
 
@@ -75,6 +79,8 @@
     pub(crate) evacuated: bool,
     /// How cold it is.
     pub(crate) cold: Cold,
+    /// What it has said of itself with its answers.
+    pub(crate) word: Word,
 }
 
 impl Upstream {
@@ -99,6 +105,7 @@
             health: Health::default(),
             evacuated: false,
             cold: Cold::default(),
+            word: Word::default(),
         }
     }
 
@@ -132,8 +139,14 @@
         self.incarnation > 0 && !self.is_suspect(now) && !self.is_leaving()
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.host.leaving || self.status.leaving
+    /// Whether it leaves, by the platform's list or its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.host.leaving || self.status.leaving || self.word.leaves()
+    }
+
+    /// For how much longer it wants nothing of this router.
+    pub fn rest(&self, now: Millis) -> Millis {
+        self.word.rest(now)
     }
 
     pub(crate) fn is_suspect(&self, now: Millis) -> bool {
@@ -287,6 +300,9 @@
         if self.evacuated {
             return Some(EVACUATED);
         }
+        if self.word.rests(now) {
+            return Some(RESTS);
+        }
         if self.cold.is_cold(now) && (!outlook.takes_part || self.cold.is_used_up(now)) {
             return Some(COLD);
         }
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -68,6 +68,18 @@
         /// The upstream.
         upstream: Arc<str>,
     },
+    /// An upstream said that it leaves; a line for the log.
+    Leave {
+        /// The upstream.
+        upstream: Arc<str>,
+    },
+    /// An upstream asked for rest; a line for the log.
+    Rest {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// For how long.
+        lasts: Millis,
+    },
     /// Find out whether an upstream still takes connections, at which a request broke off.
     Check {
         /// The upstream.
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -102,6 +102,18 @@
         /// For how much longer.
         left: Millis,
     },
+    /// An upstream said with an answer that it leaves.
+    Leaves {
+        /// The upstream.
+        upstream: Arc<str>,
+    },
+    /// An upstream asked with an answer to be sent nothing for a while.
+    Rests {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// For how long.
+        lasts: Millis,
+    },
     /// An upstream told its load with an answer.
     Load {
         /// The upstream.
--- a/components/routing/src/requests/sending.rs
+++ b/components/routing/src/requests/sending.rs
@@ -5,14 +5,18 @@
 use clock::Millis;
 use errors::Kind;
 use placement::key;
+use rand::Rng;
 
 use crate::beliefs::outlook::{Outlook, ms};
-use crate::beliefs::upstream::{COLD, EVACUATED, OVER_BOUND};
+use crate::beliefs::upstream::{COLD, EVACUATED, OVER_BOUND, RESTS};
 use crate::choosing::need::Need;
 use crate::requests::request::{Phase, Request};
 use crate::state::State;
 use crate::{Attempt, Effect, Try};
 
+/// Over how long callers come back after a rest, so that they do not return in one moment.
+const RETURNS: Millis = Millis(500);
+
 impl State {
     /// Sends to the next candidate, or gives up.
     pub(crate) fn attempt(&mut self, id: u64, now: Millis) -> Vec<Effect> {
@@ -21,7 +25,7 @@
         if let Some(left) = content.and_then(|it| self.held_back(it, now)) {
             return self.fail(id, Kind::HeldBack, left.0, "", now);
         }
-        let Some(upstream) = self.next_candidate(id) else {
+        let Some(upstream) = self.next_candidate(id, now) else {
             let passed = self.requests.get(&id).and_then(|it| it.passed.first());
             let detail = passed.map_or("", |it| it.why);
             let kind = if detail == OVER_BOUND { Kind::OverBound } else { Kind::NoUpstream };
@@ -38,8 +42,8 @@
     }
 
     /// How long a caller is told to stay away for whom no upstream is there, in milliseconds.
-    /// Callers whom cold upstreams can't take yet come back one after the other as those open;
-    /// nobody knows when a failure domain is taken back.
+    /// Callers whom cold upstreams can't take yet come back one after the other as those open,
+    /// those whose upstreams all rest soon after the first rest is over; nobody knows when a failure domain is taken back.
     fn returns_after(&mut self, id: u64, why: &str, now: Millis) -> u64 {
         let pool = self.requests.get(&id).map(|it| it.pool.clone()).unwrap_or_default();
         match why {
@@ -47,6 +51,10 @@
                 let soonest = self.opens_in(&pool, now).unwrap_or_default();
                 self.flows.entry(pool).or_default().book(ms(soonest), now)
             }
+            RESTS => {
+                let soonest = self.opens_in(&pool, now).unwrap_or_default();
+                soonest.0 + self.random.random_range(0..RETURNS.0)
+            }
             EVACUATED => self.settings.evacuated_retry_after_ms,
             _ => 0,
         }
@@ -54,11 +62,13 @@
 
     /// The next candidate by rank. After a refusal over load it is the one that
     /// is known to carry least: the chat's context is elsewhere in any case.
-    fn next_candidate(&mut self, id: u64) -> Option<Arc<str>> {
-        let evacuated = |name: &Arc<str>| self.upstreams.get(name).is_some_and(|it| it.evacuated);
+    fn next_candidate(&mut self, id: u64, now: Millis) -> Option<Arc<str>> {
+        // What was ranked before its domain was left, or its upstream said that it leaves or
+        // rests, is not sent there.
+        let mut candidates = std::mem::take(&mut self.requests.get_mut(&id)?.candidates);
+        candidates.retain(|it| !self.takes_nothing(it, now));
         let request = self.requests.get_mut(&id)?;
-        // What was ranked before its domain was left is not sent there.
-        request.candidates.retain(|it| !evacuated(it));
+        request.candidates = candidates;
         let error = request.tries.last().and_then(|it| it.error);
         let crowded = matches!(error, Some(Kind::OverBound | Kind::QueueFull | Kind::WouldMiss));
         let hinted = request.candidates.last().is_some_and(|it| request.hints.contains(it));
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -14,6 +14,7 @@
 use crate::beliefs::fleet::labels;
 use crate::beliefs::loads::Peers;
 use crate::beliefs::warmth::Warmth;
+use crate::beliefs::word::Words;
 use crate::choosing::choice::{Index, Upstreams};
 use crate::recovery::quarantine::Quarantine;
 use crate::recovery::stopping::{Durations, Stop};
@@ -52,6 +53,8 @@
     pub(crate) current: Option<Millis>,
     /// Under what work upstreams ended.
     pub(crate) quarantine: Quarantine,
+    /// What upstreams have said of themselves.
+    pub(crate) words: Words,
     /// What other routers told of their own load.
     pub(crate) peers: Peers,
     /// What has come to be believed of upstreams while an event was taken.
@@ -81,6 +84,7 @@
             warmth: Warmth::default(),
             current: None,
             quarantine: Quarantine::default(),
+            words: Words::default(),
             peers: Peers::default(),
             notices: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -140,7 +144,8 @@
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
-    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Check`, `Report` and `HoldBack`.
+    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Leave`, `Rest`, `Check`, `Report` and
+    /// `HoldBack`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.take(event, now);
         effects.append(&mut self.notices);
@@ -174,6 +179,14 @@
                 self.chill(&upstream, left, now);
                 Vec::new()
             }
+            Event::Leaves { upstream } => {
+                self.take_leave(&upstream, now);
+                Vec::new()
+            }
+            Event::Rests { upstream, lasts } => {
+                self.take_rest(&upstream, lasts, now);
+                Vec::new()
+            }
             Event::Load { upstream, requests, waiting } => {
                 self.load(&upstream, requests, waiting, now)
             }
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -11,3 +11,4 @@
 mod silence;
 mod stopping;
 mod warmth;
+mod words;
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -429,6 +429,8 @@
                 | Effect::Suspect { .. }
                 | Effect::Forget { .. }
                 | Effect::Revive { .. }
+                | Effect::Leave { .. }
+                | Effect::Rest { .. }
                 | Effect::Check { .. }
                 | Effect::Report(_)
                 | Effect::HoldBack { .. }
