--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod loads;
 mod quarantine;
+mod refusals;
 mod silence;
 mod stopping;
 mod warmth;
