Have a router stop that could not tell the store of ends: a test that fails

Nobody else knew of them, the others counted anew, and the work ended four more upstreams where three are allowed.

Change: the same in one test of two routers. No code of the router.

Before (this commit): after the third end the work is not held back.

--- a/tests/platform/crashing.rs
+++ b/tests/platform/crashing.rs
@@ -165,6 +165,32 @@
     router.until("told", || told(&router, "front-1") == 2);
 }
 
+#[test]
+fn ends_that_a_router_could_not_tell_the_store_outlast_its_stop() {
+    // A router that knew of two ends was stopped while the store said nothing: "upstream ended
+    // under work" twice, "ends of upstreams not told", "router stopped". The fatal work then ended
+    // four more, as all others counted anew.
+    let engines = engines(12);
+    let mut first = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    let second = Router::join(&first.store, "front-2");
+    first.until("met", || first.has_logged("another router announced itself"));
+    first.store.set_mode(Mode::Silent);
+    for number in 0..2 {
+        send(&first, "stream", FATAL, number);
+    }
+    first
+        .until("known", || arrived(&engines) == 2 && first.has_logged("upstream ended under work"));
+    first.until("not told", || first.has_logged("ends of upstreams not told"));
+    first.signal(nix::sys::signal::Signal::SIGTERM);
+    first.ended();
+    first.store.set_mode(Mode::Up);
+    second.until("ready again", || second.is_ready());
+    send(&second, "stream", FATAL, 2);
+    second.until("held back", || second.has_logged("work is held back"));
+    is_held_back(&[&second], &engines, "stream");
+    assert_eq!(arrived(&engines), 3);
+}
+
 #[test]
 fn looks_that_ask_for_less_see_what_is_held_back() {
     let engines = engines(6);
