Have the store come back from an older copy: tests that fail

Cause: the platform's store may come back from a copy some seconds old; it counts that in all its answers, which routers don't read.

Change: the stand-in of the store keeps a copy and comes back with it, with its revisions, leases and history, and tells its era; its leases have numbers, and end with what was written. Eight tests of the real router, one for each way to go wrong. No code of the router.

Before (this commit): all eight fail: an entry is never heard of, a router that is no more is counted, what was told of ends is not told again, another writer's lease is ended, and nothing says that the store came back.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod crashing;
 mod discovery;
+mod eras;
 mod evacuation;
 mod faults;
 mod hints;
--- a/tests/platform/standin/mod.rs
+++ b/tests/platform/standin/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform's store and upstreams, spoken to over HTTP.
 
+mod held;
 mod http;
 mod store;
 mod upstream;
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -1,6 +1,5 @@
 //! A stand-in of the platform's key-value service, for reading and watching.
 
-use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -11,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::Request;
+use super::held::Held;
 
 /// How the service answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,10 +27,10 @@
 #[derive(Debug, Default)]
 struct State {
     mode: Mode,
-    revision: u64,
-    items: BTreeMap<String, (String, u64)>,
-    /// All changes that are kept, by revision.
-    history: Vec<(u64, Value)>,
+    held: Held,
+    copy: Held,
+    /// How often the service has come back from a copy, as its answers say.
+    era: u64,
     /// Changes up to this revision are no longer kept.
     forgotten: u64,
     /// Connections with a lower number say nothing any more.
@@ -101,37 +101,50 @@
 
     /// Writes bytes as they are.
     pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
-        let mut state = self.lock();
-        state.revision += 1;
-        let revision = state.revision;
-        let value = STANDARD.encode(bytes);
-        let item = item(key, &value, revision);
-        state.items.insert(key.to_owned(), (value, revision));
-        state.history.push((revision, item));
-        self.state.1.notify_all();
+        self.put_with(key, STANDARD.encode(bytes), 0);
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
+        self.lock().held.remove(key);
+        self.state.1.notify_all();
+    }
+
+    fn put_with(&self, key: &str, value: String, lease: u64) {
+        self.lock().held.put(key, value, lease);
+        self.state.1.notify_all();
+    }
+
+    /// Copies what it holds.
+    pub fn copy(&self) {
+        let mut state = self.lock();
+        state.copy = state.held.clone();
+    }
+
+    /// Comes back with what it held at the last copy; what was written since is gone.
+    pub fn come_back_older(&self) {
         let mut state = self.lock();
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.remove(key);
-        let gone = json!({ "privateKey": key, "revision": revision, "tombstone": true });
-        state.history.push((revision, gone));
+        state.held = state.copy.clone();
+        state.era += 1;
         self.state.1.notify_all();
     }
 
+    /// Grants a lease to another writer, and writes with it.
+    pub fn put_leased(&self, key: &str, text: &str) {
+        let lease = self.lock().held.grant();
+        self.put_with(key, STANDARD.encode(text), lease);
+    }
+
     /// Forgets all changes so far.
     pub fn forget(&self) {
         let mut state = self.lock();
-        state.forgotten = state.revision;
-        state.history.clear();
+        state.forgotten = state.held.revision;
+        state.held.history.clear();
     }
 
     /// Whether a key is there.
     pub fn holds(&self, key: &str) -> bool {
-        self.lock().items.contains_key(key)
+        self.lock().held.items.contains_key(key)
     }
 
     /// What stands under a key.
@@ -141,7 +154,7 @@
 
     /// The same, whatever it is.
     pub fn bytes(&self, key: &str) -> Option<Vec<u8>> {
-        Some(STANDARD.decode(&self.lock().items.get(key)?.0).expect("base64"))
+        Some(STANDARD.decode(&self.lock().held.items.get(key)?.value).expect("base64"))
     }
 
     /// What the calls that have come asked for.
@@ -172,7 +185,8 @@
             let Some((status, body)) = self.answer(&request) else { return };
             let body = body.to_string();
             let head = format!(
-                "HTTP/1.1 {status} .\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} .\r\nstore-era: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                self.lock().era,
                 body.len()
             );
             if self.send(&mut writer, format!("{head}{body}").as_bytes()).is_err() {
@@ -213,9 +227,9 @@
         if request.target.starts_with("/v1/kv-key?") {
             let key = request.query("privateKey").unwrap_or("").to_owned();
             let state = self.lock();
-            let found = state.items.get(&key).map(|(value, revision)| item(&key, value, *revision));
+            let found = state.held.items.get(&key).map(|it| it.told(&key));
             return Some(found.map_or((404, json!({})), |mut it| {
-                it["timestamp"] = state.revision.into();
+                it["timestamp"] = state.held.revision.into();
                 (200, it)
             }));
         }
@@ -229,46 +243,60 @@
     /// Leases are granted and never lapse.
     fn lease(&self, request: &Request) -> (u16, Value) {
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let number = |path: &str| request.target.strip_prefix(path)?.parse::<u64>().ok();
         if request.target == "/v1/kv-lease" {
-            return (200, json!({ "lease": 7, "ttlMs": body["ttlMs"] }));
+            return (200, json!({ "lease": self.lock().held.grant(), "ttlMs": body["ttlMs"] }));
         }
         if request.target == "/v1/kv-txn" {
-            let text = |name| body["writes"][0][name].as_str().expect("one write").to_owned();
-            let value = STANDARD.decode(text("value")).expect("base64");
-            self.put_bytes(&text("privateKey"), &value);
-            return (200, json!({ "revision": self.lock().revision }));
+            return self.change(&body);
         }
-        if request.target == "/v1/kv-lease-end/7" {
-            let announced = |key: &&String| key.starts_with("silverstack/routers/");
-            let keys: Vec<_> = self.lock().items.keys().filter(announced).cloned().collect();
-            for key in &keys {
-                self.remove(key);
-            }
+        if let Some(lease) = number("/v1/kv-lease-end/") {
+            self.lock().held.end(lease);
+            self.state.1.notify_all();
             return (200, json!({}));
         }
-        (if request.target == "/v1/kv-keep/7" { 200 } else { 404 }, json!({}))
+        let known = number("/v1/kv-keep/").is_some_and(|it| self.lock().held.knows(it));
+        (if known { 200 } else { 404 }, json!({}))
+    }
+
+    /// Writes and removes what a call asks for.
+    fn change(&self, body: &Value) -> (u16, Value) {
+        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        for write in list("writes") {
+            let text = |name: &str| write[name].as_str().expect("a text").to_owned();
+            let lease = write["lease"].as_u64().unwrap_or_default();
+            if lease > 0 && !self.lock().held.knows(lease) {
+                return (404, json!({}));
+            }
+            self.put_with(&text("privateKey"), text("value"), lease);
+        }
+        for key in list("remove") {
+            self.remove(key.as_str().expect("a key"));
+        }
+        (200, json!({ "revision": self.lock().held.revision }))
     }
 
     fn range(&self, prefix: &str, after: &str) -> Value {
         let state = self.lock();
         let mut items: Vec<_> = state
+            .held
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
-            .map(|(key, (value, revision))| item(key, value, *revision))
+            .map(|(key, it)| it.told(key))
             .collect();
         let more = state.page > 0 && items.len() > state.page;
         if more {
             items.truncate(state.page);
         }
-        json!({ "items": items, "morePages": more, "timestamp": state.revision })
+        json!({ "items": items, "morePages": more, "timestamp": state.held.revision })
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
         loop {
-            if after < state.forgotten {
+            if after < state.forgotten || after > state.held.revision {
                 return (410, json!({}));
             }
             let wanted = |(revision, event): &&(u64, Value)| {
@@ -276,16 +304,12 @@
                 *revision > after && key.starts_with(prefix)
             };
             let events: Vec<_> =
-                state.history.iter().filter(wanted).map(|(_, event)| event.clone()).collect();
+                state.held.history.iter().filter(wanted).map(|(_, event)| event.clone()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return (200, json!({ "events": events, "timestamp": state.revision }));
+                return (200, json!({ "events": events, "timestamp": state.held.revision }));
             }
             state = self.state.1.wait_timeout(state, left).expect("no stand-in panics").0;
         }
     }
 }
-
-fn item(key: &str, value: &str, revision: u64) -> Value {
-    json!({ "privateKey": key, "value": value, "revision": revision, "created": revision, "lease": 0 })
-}
