Believe of a store that came back older what it holds, and write again what it lost

Cause: the era of the platform's store was not read. Its revisions and leases are given out again in a later one, and what it lacks had been acknowledged.

Change: revisions and leases hold their era, which is read once in `platform/`; an answer of an earlier one is dropped. In a later one everything is read anew, and once more after 2 s: upstreams that are missing have that time, what had been removed or was newer stays as it was, evacuations are kept, no look is a proof meanwhile, nor while the store holds an older configuration. This router announces itself, tells of ends and remembers anew. A stop removes the router's own key and ends no lease. At each reading of everything the routers are those that it names. The soak brings the store back as well; its entries keep the number of their start.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -74,13 +74,27 @@
     pub hints: Option<SocketAddr>,
 }
 
+/// How often the service has come back from an older copy of itself, as it counts that; zero
+/// where it does not tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Era(pub u64);
+
+/// A place in the service's history. The numbers of one era are given out again in the next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Revision {
+    /// The era in which it was told.
+    pub era: Era,
+    /// Its number, which grows with each change.
+    pub number: u64,
+}
+
 /// A part of what the service told.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
     /// What is held or has changed, in order.
     pub facts: Vec<Fact>,
     /// The revision that the facts are of.
-    pub revision: u64,
+    pub revision: Revision,
     /// How long the answers were, in bytes.
     pub bytes: usize,
 }
@@ -102,9 +116,15 @@
 /// A call under way.
 pub type Reading<'a> = LocalBoxFuture<'a, Result<Batch, Fault>>;
 
-/// A lease of the service: what is written with it is removed with it.
+/// A lease of the service: what is written with it is removed with it. Where the service comes
+/// back from an older copy, its number may become another writer's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lease(pub u64);
+pub struct Lease {
+    /// The era in which it was granted.
+    pub era: Era,
+    /// Its number.
+    pub number: u64,
+}
 
 /// The platform's key-value service.
 pub trait Store {
@@ -113,12 +133,12 @@
     fn read(&self) -> Reading<'_>;
 
     /// What has changed after `revision`, as soon as there is something, or
-    /// nothing after `wait`.
-    fn watch(&self, revision: u64, wait: Millis) -> Reading<'_>;
+    /// nothing after `wait`. The history of an earlier era is gone.
+    fn watch(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
     /// The same, without changes to the configuration that others have followed, and
     /// without routers.
-    fn watch_less(&self, revision: u64, wait: Millis) -> Reading<'_>;
+    fn watch_less(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
     /// Announces a router with a lease that lasts for `ttl` after its last renewal.
     fn announce(&self, peer: Peer, ttl: Millis) -> LocalBoxFuture<'_, Result<Lease, Fault>>;
@@ -141,9 +161,13 @@
         lease: Lease,
     ) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
-    /// Renews a lease; `false` means that it is over.
+    /// Renews a lease; `false` means that it is over, as all of an earlier era are.
     fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<bool, Fault>>;
 
-    /// Ends a lease.
-    fn end(&self, lease: Lease) -> LocalBoxFuture<'_, Result<(), Fault>>;
+    /// Takes the announcement of router `name` back. Its lease is left to lapse: by the time its
+    /// number may be another writer's.
+    fn withdraw(&self, name: Arc<str>) -> LocalBoxFuture<'_, Result<(), Fault>>;
+
+    /// The latest era that an answer told of.
+    fn era(&self) -> Era;
 }
--- a/components/router/src/announcement.rs
+++ b/components/router/src/announcement.rs
@@ -14,6 +14,10 @@
 /// How long an announcement lasts after its last renewal.
 const LASTS: Millis = Millis(20_000);
 
+/// Over how long routers announce themselves anew once the store has lost that: two calls each,
+/// 240 of 120 routers, where sites of 30 have 1,200 writes a second.
+const SPREAD: Millis = Millis(1_000);
+
 /// How often it is renewed: two renewals may fail before it lapses.
 const RENEW_EVERY: Millis = Millis(6_000);
 
@@ -28,16 +32,27 @@
             Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
         }
         let pause = if lease.is_some() { RENEW_EVERY } else { PAUSE };
-        let _ = tokio::time::timeout(pause.duration(), core.stop.asked()).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause.duration()) => {}
+            () = core.stop.asked() => {}
+            () = core.store_is_older.notified() => wait_for_turn(&core).await,
+        }
     }
-    if let Some(lease) = lease
-        && let Err(fault) = store.end(lease).await
+    if lease.is_some()
+        && let Err(fault) = store.withdraw(core.settings.name.clone()).await
     {
         // It lapses by itself a little later.
         debug!("announcement not taken back", kv: { reason = fault.to_string() });
     }
 }
 
+/// Waits for this router's part of [`SPREAD`], so that a fleet that announces itself anew keeps
+/// within the store's rates.
+async fn wait_for_turn(core: &Core) {
+    let turn = Millis(placement::key("", &core.settings.name) % SPREAD.0);
+    let _ = tokio::time::timeout(turn.duration(), core.stop.asked()).await;
+}
+
 /// Renews the announcement, or makes it anew where its lease is over.
 async fn renew(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
     let store = &core.edges().store;
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -48,6 +48,8 @@
     notes: Sender<Effect>,
     /// Under what work upstreams ended, as this router tells.
     pub crashes: Crashes,
+    /// Tells that the platform's store has lost what was written there last.
+    pub store_is_older: Notify,
     pub metrics: Metrics,
     pub tracer: Tracer,
     state: RefCell<State>,
@@ -88,6 +90,7 @@
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             notes,
             crashes: Crashes::default(),
+            store_is_older: Notify::new(),
             metrics: Metrics::new(SERVICE),
             tracer: tracer(&settings),
             settings,
--- a/components/router/src/crashes.rs
+++ b/components/router/src/crashes.rs
@@ -121,13 +121,16 @@
 type Held = Option<(Lease, Millis)>;
 
 /// Writes all that is to be told. It lasts as long as what is told is to be remembered: a lease
-/// that has used up half of its time is replaced.
+/// that has used up half of its time, or is of an earlier era, is replaced.
 async fn tell_once(core: &Core, held: &mut Held) -> Result<(), Fault> {
     let store = &core.edges().store;
     let lasts = Millis(core.settings.routing.quarantine_ms);
     let ttl = lasts.min(LONGEST_LEASE);
     let now = core.clock.now();
-    let fresh = held.filter(|(_, granted)| granted.until(now).0 < ttl.0 / 2);
+    let is_fresh = |(lease, granted): &(Lease, Millis)| {
+        lease.era == store.era() && granted.until(now).0 < ttl.0 / 2
+    };
+    let fresh = held.filter(is_fresh);
     let (lease, granted) = match fresh {
         Some(fresh) => fresh,
         None => (store.grant(ttl).await?, now),
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -10,9 +10,9 @@
 
 use bytes::Bytes;
 use clock::{Millis, Sleep};
-use edge::{Batch, Fact, Fault};
+use edge::{Batch, Era, Fact, Fault, Revision};
 use intents::{Document, Plan};
-use routing::{Event, Host, Listing};
+use routing::{Event, Host, Listing, RETURN};
 use spdlog::{info, warn};
 
 use crate::core::Core;
@@ -51,6 +51,9 @@
         known_evacuated: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
         revision: None,
+        era: Era::default(),
+        stored: 0,
+        doubted_until: None,
         lost: None,
         started: false,
         extent: Extent::default(),
@@ -68,7 +71,9 @@
         }
         let pause = match feed.look().await {
             Ok(()) => {
-                feed.core.apply(Event::Current { at: started });
+                if feed.proves() {
+                    feed.core.apply(Event::Current { at: started });
+                }
                 feed.pause(look)
             }
             Err(fault) => {
@@ -89,6 +94,8 @@
     cold: Vec<(Arc<str>, Millis)>,
     /// The upstreams that it names, by their entries.
     names: Vec<Arc<str>>,
+    /// The routers that it names.
+    routers: BTreeSet<Arc<str>>,
     /// The configuration of the highest generation; only that one is compiled.
     newest: Option<Box<Document>>,
     /// What was remembered of the upstreams.
@@ -111,7 +118,15 @@
     /// The most routers that were counted.
     most_routers: usize,
     /// The revision up to which all changes were taken.
-    revision: Option<u64>,
+    revision: Option<Revision>,
+    /// The era of the store in which it was told.
+    era: Era,
+    /// The generation of the configuration that the store holds; it may be lower than the one in
+    /// force where the store came back from an older copy.
+    stored: u64,
+    /// Until when the store may lack what was written before it came back from an older copy;
+    /// everything is read once more then.
+    doubted_until: Option<Millis>,
     /// Since when looks have failed; `None` if the last one did not.
     lost: Option<Millis>,
     /// Whether anything has been read.
@@ -137,24 +152,58 @@
         // configuration anew: 8 of the 10 Mbit/s of its thinnest hosts.
         let history = if whole { 0 } else { batch.bytes };
         if self.lost.take().is_some() {
-            info!("the store answers again", kv: { revision = batch.revision });
+            info!("the store answers again", kv: { revision = batch.revision.number });
             self.listing.came_back(self.core.clock.now());
         }
+        let era = std::mem::replace(&mut self.era, batch.revision.era);
+        if self.started && era != self.era {
+            self.come_back_older(batch.revision);
+        }
         self.take(batch, whole);
         self.listing.settle();
-        if self.extent.take(history, self.core.clock.now()) {
+        let reads_anew = self.extent.take(history, self.core.clock.now());
+        if reads_anew | self.ends_doubt() {
             self.revision = None;
         }
         Ok(())
     }
 
+    /// The store came back from an older copy. What it lacks others write again; this router does
+    /// so with what it had written.
+    fn come_back_older(&mut self, revision: Revision) {
+        let (era, revision) = (revision.era.0, revision.number);
+        warn!("the store came back from an older copy", kv: { era, revision });
+        self.core.metrics.belief("store_older");
+        let now = self.core.clock.now();
+        self.listing.came_back_older(now);
+        self.doubted_until = Some(now + RETURN);
+        self.core.crashes.tell_again();
+        self.memory.write_again();
+        self.core.store_is_older.notify_one();
+    }
+
+    /// Whether what the store holds now shows that the configuration in force is the newest: not
+    /// while the operator may have to write a later one again.
+    fn proves(&self) -> bool {
+        let in_force = self.core.plan().map_or(0, |it| it.generation());
+        self.stored >= in_force && self.doubted_until.is_none()
+    }
+
+    /// The time is over in which others write again what the store had lost. Returns whether that
+    /// is so just now.
+    fn ends_doubt(&mut self) -> bool {
+        let now = self.core.clock.now();
+        self.doubted_until.take_if(|it| *it <= now).is_some()
+    }
+
     /// How long to wait until the next look: `look`, half of it after a long answer,
     /// or less if an entry's time to come back is over before.
     fn pause(&self, look: Millis) -> Millis {
         let now = self.core.clock.now();
         // A look that takes long, or fails once, leaves less time for the next one.
         let look = if self.extent.is_narrow() { Millis(look.0 / 2) } else { look };
-        self.listing.next_expiry().map_or(look, |at| now.until(at).min(look))
+        let next = self.listing.next_expiry().into_iter().chain(self.doubted_until).min();
+        next.map_or(look, |at| now.until(at).min(look))
     }
 
     /// A look failed. After a long outage, or where the store has no history,
@@ -183,10 +232,15 @@
         for fact in batch.facts {
             self.note(fact, &mut summary);
         }
+        if whole {
+            self.part_from_others(&summary.routers);
+        }
         self.count_routers();
         self.meet_routers();
+        let stored = summary.newest.as_ref().map(|it| it.generation);
+        self.stored = stored.unwrap_or(if whole { 0 } else { self.stored });
         if let Some(document) = summary.newest {
-            self.configure(*document, batch.revision);
+            self.configure(*document, batch.revision.number);
         }
         if whole {
             summary.changed |= self.listing.keep_only(&summary.names);
@@ -198,9 +252,9 @@
         }
         summary.changed |= self.listing.expire(now);
         if summary.changed {
-            self.publish(batch.revision);
+            self.publish(batch.revision.number);
         }
-        self.evacuate(batch.revision);
+        self.evacuate(batch.revision.number);
         self.chill(summary.cold);
         if starts && mechanisms.parts {
             self.recall_parts(&summary.parts);
@@ -258,13 +312,12 @@
                 if let Some(peers) = self.core.peers() {
                     peers.meet(&peer);
                 }
+                summary.routers.insert(peer.name.clone());
                 self.routers.insert(peer.name);
             }
             Fact::RouterGone(name) => {
-                if let Some(peers) = self.core.peers() {
-                    peers.part(&name);
-                }
-                self.routers.remove(&name);
+                summary.routers.remove(&name);
+                self.part_from(&name);
             }
             Fact::Evacuated(domain) => {
                 self.evacuated.insert(domain);
@@ -272,6 +325,8 @@
             Fact::Restored(domain) => {
                 self.evacuated.remove(&domain);
             }
+            // The operator may have to write again that a domain is to take nothing.
+            Fact::AllRestored if self.doubted_until.is_some() => {}
             Fact::AllRestored => self.evacuated.clear(),
             Fact::Configuration(document) => {
                 let known = summary.newest.as_ref().map_or(0, |it| it.generation);
@@ -298,6 +353,22 @@
         }
     }
 
+    /// A router's announcement is gone.
+    fn part_from(&mut self, name: &str) {
+        if let Some(peers) = self.core.peers() {
+            peers.part(name);
+        }
+        self.routers.remove(name);
+    }
+
+    /// All that the store holds names `announced`: the other routers are gone.
+    fn part_from_others(&mut self, announced: &BTreeSet<Arc<str>>) {
+        let gone: Vec<_> = self.routers.difference(announced).cloned().collect();
+        for name in gone {
+            self.part_from(&name);
+        }
+    }
+
     /// Another writer's entry names no upstream to use; one line tells of it until it can be
     /// read again or goes.
     fn leave_unreadable(&mut self, entry: &Arc<str>, reason: &str, summary: &mut Summary) {
--- a/components/router/src/memory.rs
+++ b/components/router/src/memory.rs
@@ -51,6 +51,14 @@
         self.writes.send_if_modified(|known| std::mem::replace(known, writes) != writes);
     }
 
+    /// What was written is lost: it is written again.
+    pub(crate) fn write_again(&self) {
+        self.hosts.send_if_modified(|known| {
+            known.clear();
+            false
+        });
+    }
+
     /// Has the upstreams of `listing` remembered, if they have changed and none of
     /// them is in doubt.
     pub(crate) fn remember(&self, listing: &Listing) {
@@ -86,18 +94,20 @@
 
 /// Writes down where parts are warm, until the process stops.
 pub(crate) async fn keep_parts(core: Rc<Core>, pending: Pending) {
-    let mut written = 0;
+    let store = &core.edges().store;
+    let mut written = (0, store.era());
     loop {
         tokio::time::sleep(PARTS_EVERY.duration()).await;
         if !*pending.writes.borrow() {
             continue;
         }
         let (changes, warm) = core.warm_parts();
-        if changes == written || warm.is_empty() {
+        let known = (changes, store.era());
+        if known == written || warm.is_empty() {
             continue;
         }
-        match core.edges().store.remember_parts(encode(warm)).await {
-            Ok(()) => written = changes,
+        match store.remember_parts(encode(warm)).await {
+            Ok(()) => written = known,
             Err(fault) => warn!("parts not remembered", kv: { reason = fault.to_string() }),
         }
     }
--- a/components/routing/src/beliefs/listing.rs
+++ b/components/routing/src/beliefs/listing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use clock::Millis;
+use indexmap::IndexMap;
 
 use crate::Host;
 
@@ -13,13 +14,27 @@
 /// that live are back within about two seconds, as the platform says.
 pub const RETURN: Millis = Millis(2_000);
 
+/// The most entries that are remembered after they were removed: about 0.4 MB.
+const MOST_REMOVED: usize = 4_096;
+
 /// The upstreams that the store lists.
 #[derive(Debug, Default)]
 pub struct Listing {
     /// By the name of the entry, which stays the same over starts.
     hosts: BTreeMap<Arc<str>, Entry>,
+    /// How far entries had come that were removed, the latest last.
+    removed: IndexMap<Arc<str>, Progress>,
     /// When the store came back, until what it then said has been taken.
     returned: Option<Millis>,
+    /// Whether it came back from an older copy.
+    older: bool,
+}
+
+/// How far an entry has come: its start and its count since then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Progress {
+    born: u64,
+    sequence: u64,
 }
 
 #[derive(Debug)]
@@ -37,9 +52,17 @@
         self.returned = Some(now);
     }
 
+    /// The store holds an older copy of itself: what is missing from its first answer may be
+    /// written again, and what had been removed may stand there once more.
+    pub fn came_back_older(&mut self, now: Millis) {
+        self.returned = Some(now);
+        self.older = true;
+    }
+
     /// The first answer after an outage has been taken.
     pub fn settle(&mut self) {
         self.returned = None;
+        self.older = false;
     }
 
     /// Takes an entry; one that is older than known changes nothing: of an earlier start, or
@@ -55,15 +78,39 @@
         if known.is_some_and(is_older) {
             return false;
         }
+        if self.is_of_the_past(&host, sequence) {
+            return false;
+        }
+        self.removed.shift_remove(host.entry());
+        let known = self.hosts.get(host.entry());
         let changed = known.is_none_or(|it| it.host != host);
         self.hosts.insert(host.entry().clone(), Entry { host, sequence, gone_at: None });
         changed
     }
 
+    /// Whether an entry is older than one that was removed. What stands in an older copy is so
+    /// also where it is the same: an upstream that is there writes again.
+    fn is_of_the_past(&self, host: &Host, sequence: u64) -> bool {
+        let told = Progress { born: host.born, sequence };
+        let removed = self.removed.get(host.entry());
+        removed.is_some_and(|it| told < *it || (self.older && told == *it))
+    }
+
+    /// Remembers how far an entry had come that is removed.
+    fn forget(&mut self, name: &str) -> bool {
+        let Some(entry) = self.hosts.remove(name) else { return false };
+        let progress = Progress { born: entry.host.born, sequence: entry.sequence };
+        if self.removed.len() >= MOST_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
+        self.removed.insert(name.into(), progress);
+        true
+    }
+
     /// Takes the removal of an entry. Returns whether anything has changed.
     pub fn remove(&mut self, name: &str) -> bool {
         let Some(returned) = self.returned else {
-            return self.hosts.remove(name).is_some();
+            return self.forget(name);
         };
         if let Some(entry) = self.hosts.get_mut(name) {
             entry.gone_at = Some(returned + RETURN);
@@ -104,9 +151,11 @@
     /// Lets go of entries whose time to come back is over. Returns whether there
     /// were any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.hosts.len();
-        self.hosts.retain(|_, it| it.gone_at.is_none_or(|at| at > now));
-        self.hosts.len() != before
+        let over = |(name, it): (&Arc<str>, &Entry)| {
+            it.gone_at.is_some_and(|at| at <= now).then(|| name.clone())
+        };
+        let gone: Vec<_> = self.hosts.iter().filter_map(over).collect();
+        gone.iter().fold(false, |any, name| self.forget(name) | any)
     }
 
     /// When the next entry's time to come back is over.
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -127,3 +127,30 @@
     assert!(!listing.keep_only(&["b".into()]));
     assert_eq!(names(&listing), ["b"]);
 }
+
+#[test]
+fn an_entry_that_is_older_than_one_that_was_removed_brings_nothing_back() {
+    let mut listing = two();
+    assert!(!listing.put(host("a", false), 5));
+    assert!(listing.remove("a"));
+    assert!(!listing.put(host("a", false), 4));
+    assert_eq!(names(&listing), ["b"]);
+    // The same as before may be one that had lapsed.
+    assert!(listing.put(host("a", false), 5));
+}
+
+#[test]
+fn an_older_copy_brings_nothing_back_that_was_removed_until_it_is_written_again() {
+    let mut listing = two();
+    assert!(listing.remove("a"));
+    listing.came_back_older(Millis(10_000));
+    assert!(!listing.put(host("a", false), 1));
+    assert!(!listing.keep_only(&["a".into()]));
+    listing.settle();
+    assert_eq!(names(&listing), ["b"]);
+    assert_eq!(listing.next_expiry(), Some(Millis(10_000) + RETURN));
+    assert!(listing.put(host("a", false), 2));
+    // A later start is another upstream, whatever its count.
+    assert!(listing.remove("a"));
+    assert!(listing.put(Host { born: 7, ..host("a", false) }, 0));
+}
--- a/tests/platform/eras.rs
+++ b/tests/platform/eras.rs
@@ -97,7 +97,7 @@
     }
     router.store.come_back_older();
     router.store.put("op/config", &configuration(1));
-    for upstream in [&one, &two] {
+    for upstream in [&one, &two, &engine] {
         router.store.put(&upstream.key(), &upstream.entry("ready", 2));
     }
     for key in keys {
@@ -202,3 +202,41 @@
     std::thread::sleep(UNPROVED);
     assert_eq!(send(&router, 21).status, 200);
 }
+
+#[test]
+fn a_domain_that_was_left_takes_nothing_while_the_operator_may_have_to_say_so_again() {
+    let [left, stays] = pair();
+    let router = Router::start_bare(&own_host(), |store| {
+        store.put("op/config", &configuration(1));
+        for (upstream, zone) in [(&left, "zone-a"), (&stays, "zone-b")] {
+            let mut entry = upstream.entry("ready", 1);
+            entry["zone"] = zone.into();
+            store.put(&upstream.key(), &entry);
+        }
+    });
+    router.until("used", || goes_to(&router, &left) > 0);
+    router.store.copy();
+    router.store.put("op/evacuate/zone-a", &json!({}));
+    router.until("left", || goes_to(&router, &left) == 0);
+    router.store.come_back_older();
+    until_noticed(&router, 1);
+    assert_eq!(goes_to(&router, &left), 0);
+    // It is not said again.
+    std::thread::sleep(WRITTEN_AGAIN);
+    router.until("taken back", || goes_to(&router, &left) > 0);
+}
+
+#[test]
+fn answers_of_an_earlier_era_say_nothing() {
+    let [one, late] = pair();
+    let router = Router::start(&configuration(1), &[&one]);
+    router.store.tell_era(7);
+    until_noticed(&router, 1);
+    router.store.tell_era(6);
+    router.until("dropped", || router.has_logged("the store does not answer"));
+    router.store.put(&late.key(), &late.entry("ready", 1));
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(goes_to(&router, &late), 0);
+    router.store.tell_era(8);
+    router.until("heard of", || goes_to(&router, &late) > 0);
+}
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -24,6 +24,7 @@
     StoreSilent,
     HistoryGone,
     StoreConnectionsSilent,
+    StoreOlder,
     EndUpstream,
     RestartUpstream,
     ForeignEntry,
@@ -33,7 +34,7 @@
     SendFatal,
 }
 
-const FAULTS: [Fault; 14] = [
+const FAULTS: [Fault; 15] = [
     Fault::KillRouter,
     Fault::StopRouter,
     Fault::FreezeRouter,
@@ -41,6 +42,7 @@
     Fault::StoreSilent,
     Fault::HistoryGone,
     Fault::StoreConnectionsSilent,
+    Fault::StoreOlder,
     Fault::EndUpstream,
     Fault::RestartUpstream,
     Fault::ForeignEntry,
@@ -56,6 +58,7 @@
     StartRouter(usize),
     WakeRouter(usize),
     StoreUp,
+    StoreOlder,
     StartUpstream(usize),
     Entry(usize),
     Rest(usize),
@@ -66,6 +69,8 @@
     pub routers: Vec<Router>,
     /// The upstreams as they are now, by place.
     pub upstreams: Vec<Upstream>,
+    /// The number of each one's start.
+    born: Vec<u64>,
     /// All starts of upstreams that there have been.
     pub all: Vec<Upstream>,
     host: String,
@@ -99,6 +104,7 @@
         Self {
             routers: fleet,
             all: upstreams.clone(),
+            born: vec![1; upstreams.len()],
             upstreams,
             host,
             version: 1,
@@ -144,6 +150,10 @@
             Fault::StoreSilent => self.store_fails(Mode::Silent, until),
             Fault::HistoryGone => store.forget(),
             Fault::StoreConnectionsSilent => store.silence_connections(),
+            Fault::StoreOlder => {
+                store.copy();
+                self.undo.push((until, Undo::StoreOlder));
+            }
             Fault::EndUpstream => {
                 self.upstreams[place].crash();
                 self.undo.push((until, Undo::StartUpstream(place)));
@@ -192,6 +202,7 @@
                     self.bring_back(router);
                 }
                 Undo::StoreUp => self.routers[0].store.set_mode(Mode::Up),
+                Undo::StoreOlder => self.bring_store_back(),
                 Undo::StartUpstream(place) => self.start_upstream(place),
                 Undo::Entry(place) => self.list(place),
                 Undo::Rest(place) => self.upstreams[place].set_rest(None),
@@ -202,8 +213,8 @@
     /// Takes the second key away, for good.
     pub fn revoke(&mut self) {
         self.version += 1;
-        self.routers[0].store.put("op/config", &with_keys(self.version, &[KEY]));
         self.revoked = Some(Instant::now());
+        self.write_configuration(5_000);
     }
 
     /// Sends the fatal work `times` times to a router.
@@ -256,15 +267,29 @@
 
     fn configure(&mut self, longer: bool) {
         self.version += 1;
+        self.write_configuration(if longer { 5_000 } else { 4_000 });
+    }
+
+    fn write_configuration(&self, timeout_ms: u64) {
         let keys: &[&str] = if self.revoked.is_some() { &[KEY] } else { &[KEY, REVOKED] };
         let mut changed = with_keys(self.version, keys);
-        changed["routes"][0]["timeoutMs"] = if longer { 5_000 } else { 4_000 }.into();
+        changed["routes"][0]["timeoutMs"] = timeout_ms.into();
         self.routers[0].store.put("op/config", &changed);
     }
 
+    /// The store comes back from its copy; the operator and the upstreams write again.
+    fn bring_store_back(&mut self) {
+        self.routers[0].store.come_back_older();
+        self.write_configuration(5_000);
+        for place in 0..self.upstreams.len() {
+            self.list(place);
+        }
+    }
+
     /// Starts the upstream at `place` again, under its name at another address.
     fn start_upstream(&mut self, place: usize) {
         self.starts += 1;
+        self.born[place] = self.starts;
         self.upstreams[place] = upstream(&self.host, place);
         self.all.push(self.upstreams[place].clone());
         self.list(place);
@@ -272,7 +297,7 @@
 
     fn list(&self, place: usize) {
         let upstream = &self.upstreams[place];
-        self.routers[0].store.put(&upstream.key(), &entry(upstream, self.starts));
+        self.routers[0].store.put(&upstream.key(), &entry(upstream, self.born[place]));
     }
 }
 
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -129,6 +129,11 @@
         self.state.1.notify_all();
     }
 
+    /// Has its answers tell another era.
+    pub fn tell_era(&self, era: u64) {
+        self.lock().era = era;
+    }
+
     /// Grants a lease to another writer, and writes with it.
     pub fn put_leased(&self, key: &str, text: &str) {
         let lease = self.lock().held.grant();
