--- a/components/routing/tests/direct/admission.rs
+++ b/components/routing/tests/direct/admission.rs
@@ -4,10 +4,10 @@
 
 use clock::Millis;
 use errors::Kind;
-use routing::{Effect, Event, Mechanisms, Reply, Settings, State};
+use routing::{Event, Mechanisms, Reply, Settings, State};
 use wire::{Delay, Head, Load, Loads};
 
-use crate::fleet::{NOW, ask, failed, recorded, router, sent, settings};
+use crate::fleet::{NOW, ask, failed, recorded, retry_after, router, sent, settings};
 
 /// The priority of the tests' streams, and of the kind that is less urgent.
 const URGENT: i32 = 5;
@@ -33,13 +33,6 @@
     state.apply(Event::Loads(loads), NOW);
 }
 
-fn retry_after(effects: &[Effect]) -> Option<u64> {
-    effects.iter().find_map(|it| match it {
-        Effect::Fail(answer) => answer.retry_after_ms,
-        _ => None,
-    })
-}
-
 #[test]
 fn what_would_be_late_at_every_upstream_is_refused_before_it_is_sent() {
     let mut state = fleet();
--- a/components/routing/tests/direct/decisions.rs
+++ b/components/routing/tests/direct/decisions.rs
@@ -2,17 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::fleet::{NOW, ask, asked, failed, recorded, router, sent, settings};
+use crate::fleet::{NOW, ask, asked, failed, recorded, refused, router, sent, settings};
 use clock::Millis;
 use errors::Kind;
 use routing::{Effect, Event, Mechanisms, Part, Reply, Settings, State};
 use wire::{Chunk, End, Head, Refused, Status};
 
-fn refused() -> Reply {
-    let (hints, status) = (Vec::new(), Status::default());
-    Reply::Refused(Refused { kind: Kind::QueueFull, retry_after_ms: 0, hints, status })
-}
-
 #[test]
 fn a_chat_stays_at_its_upstream_until_the_bound() {
     let mut state = router(settings());
--- a/components/routing/tests/direct/evacuation.rs
+++ b/components/routing/tests/direct/evacuation.rs
@@ -4,7 +4,9 @@
 use errors::Kind;
 use routing::{Effect, Event, Settings, State};
 
-use crate::fleet::{NOW, ask, asked, engines, evacuated, failed, router, sent, settings};
+use crate::fleet::{
+    NOW, ask, asked, engines, evacuated, failed, retry_after, router, sent, settings,
+};
 
 /// Two engines in each of two failure domains.
 fn fleet() -> State {
@@ -23,14 +25,6 @@
     (first..first + 40).map(&mut send).collect()
 }
 
-/// The time to come back that the effects tell, in milliseconds.
-fn returns_after(effects: &[Effect]) -> Option<u64> {
-    effects.iter().find_map(|it| match it {
-        Effect::Fail(answer) => answer.retry_after_ms,
-        _ => None,
-    })
-}
-
 #[test]
 fn a_domain_that_is_left_gets_nothing_until_it_is_taken_back() {
     let mut state = fleet();
@@ -50,7 +44,7 @@
     state.apply(evacuated(&["a", "b"]), NOW);
     let effects = state.apply(ask(1, "stream", "chat"), NOW);
     assert_eq!(failed(&effects), Some(Kind::NoUpstream));
-    assert_eq!(returns_after(&effects), Some(1_500));
+    assert_eq!(retry_after(&effects), Some(1_500));
 }
 
 #[test]
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -5,8 +5,11 @@
 use clock::Millis;
 use errors::Kind;
 use intents::{Document, Plan};
-use routing::{Ask, Bound, Decision, Effect, Event, Host, Part, Path, Policy, Settings, State};
+use routing::{
+    Ask, Bound, Decision, Effect, Event, Host, Part, Path, Policy, Reply, Settings, State,
+};
 use serde_json::json;
+use wire::{Refused, Status};
 
 /// When everything begins.
 pub const NOW: Millis = Millis(1_000_000);
@@ -147,6 +150,27 @@
     })
 }
 
+/// The time to come back that the effects tell a caller, in milliseconds.
+pub fn retry_after(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|it| match it {
+        Effect::Fail(answer) => answer.retry_after_ms,
+        _ => None,
+    })
+}
+
+/// An upstream's word that it turned a request away and did not run it.
+pub fn refused() -> Reply {
+    let (hints, status) = (Vec::new(), Status::default());
+    Reply::Refused(Refused { kind: Kind::QueueFull, retry_after_ms: 0, hints, status })
+}
+
+/// A router of so many engines that may retry, with no proof of its configuration asked for.
+pub fn engines_only(count: usize) -> State {
+    let mut state = router(Settings { retry_burst: 1_000.0, current_ms: 0, ..settings() });
+    state.apply(engines(&vec!["d"; count]), NOW);
+    state
+}
+
 /// The decision that the effects record.
 pub fn recorded(effects: &[Effect]) -> Option<Arc<Decision>> {
     effects.iter().find_map(|it| match it {
--- a/components/routing/tests/direct/loads.rs
+++ b/components/routing/tests/direct/loads.rs
@@ -4,10 +4,10 @@
 
 use clock::Millis;
 use errors::Kind;
-use routing::{Bound, Effect, Event, Settings, State};
+use routing::{Bound, Event, Settings, State};
 use wire::{Heard, Load, Loads, Told};
 
-use crate::fleet::{NOW, ask, failed, router, sent, settings};
+use crate::fleet::{NOW, ask, failed, retry_after, router, sent, settings};
 
 fn fleet() -> State {
     let known_bound = Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 0 };
@@ -113,10 +113,7 @@
         state.apply(Event::Heard(heard), later);
         let effects = state.apply(ask(1, "safe", "r-1"), later);
         assert_eq!(failed(&effects), Some(Kind::StaleConfiguration));
-        effects.iter().find_map(|it| match it {
-            Effect::Fail(answer) => answer.retry_after_ms,
-            _ => None,
-        })
+        retry_after(&effects)
     };
     assert_eq!((after(true), after(false)), (Some(50), Some(3_000)));
 }
--- a/components/routing/tests/direct/quarantine.rs
+++ b/components/routing/tests/direct/quarantine.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use routing::{Check, Crash, Effect, Event, Settings, State};
 
-use crate::fleet::{NOW, ask, engines, failed, router, sent, settings};
+use crate::fleet::{NOW, ask, engines, failed, retry_after, router, sent, settings};
 
 /// The work that [`ask`] asks for under number 7.
 const WORK: u64 = 7;
@@ -144,11 +144,7 @@
     let later = NOW + Millis(200_000);
     state.apply(Event::Current { at: later }, later);
     let effects = state.apply(ask(WORK, "stream", "chat"), later);
-    let told = effects.iter().find_map(|it| match it {
-        Effect::Fail(answer) => answer.retry_after_ms,
-        _ => None,
-    });
-    assert_eq!(told, Some(400_000));
+    assert_eq!(retry_after(&effects), Some(400_000));
     assert!(!is_sent(&mut state, NOW + Millis(LASTS.0 - 1)));
     assert!(is_sent(&mut state, NOW + LASTS));
 }
--- a/components/routing/tests/direct/refusals.rs
+++ b/components/routing/tests/direct/refusals.rs
@@ -8,11 +8,10 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use errors::Kind;
-use routing::{Event, Reply, Settings, State};
-use wire::{Head, Refused, Status};
+use routing::{Event, Reply, State};
+use wire::Head;
 
-use crate::fleet::{NOW, ask, engines, router, sent, settings};
+use crate::fleet::{NOW, ask, engines_only, refused, sent};
 
 /// How far apart requests come.
 const GAP: Millis = Millis(20);
@@ -20,17 +19,6 @@
 /// How long an answer takes.
 const TAKES: u64 = 5;
 
-fn refused() -> Reply {
-    let (hints, status) = (Vec::new(), Status::default());
-    Reply::Refused(Refused { kind: Kind::QueueFull, retry_after_ms: 0, hints, status })
-}
-
-fn fleet(count: usize) -> State {
-    let mut state = router(Settings { retry_burst: 1_000.0, current_ms: 0, ..settings() });
-    state.apply(engines(&vec!["d"; count]), NOW);
-    state
-}
-
 /// Sends `count` requests of kind `kind` from `now` on, each answered some requests later unless its
 /// upstream `refuses`. Returns how many tries were refused, and how many requests found none
 /// that took them.
@@ -75,7 +63,7 @@
 #[test]
 fn upstreams_that_turn_everything_away_get_few_of_the_requests_that_others_have_room_for() {
     for kind in ["stream", "bulk"] {
-        let mut state = fleet(6);
+        let mut state = engines_only(6);
         let (tries, unserved) = send(&mut state, kind, 400, NOW, first_two);
         assert!(tries <= 40, "{tries} tries of 400 {kind} are turned away");
         assert!(unserved <= 4, "{unserved}");
@@ -84,7 +72,7 @@
 
 #[test]
 fn an_upstream_that_takes_requests_again_soon_gets_its_part() {
-    let mut state = fleet(4);
+    let mut state = engines_only(4);
     send(&mut state, "stream", 200, NOW, first_two);
     let later = NOW + Millis(20_000);
     let mut places: Vec<Arc<str>> = Vec::new();
@@ -101,7 +89,7 @@
 
 #[test]
 fn where_all_turn_requests_away_they_are_still_asked() {
-    let mut state = fleet(2);
+    let mut state = engines_only(2);
     send(&mut state, "stream", 100, NOW, |_| true);
     let effects = state.apply(ask(1, "stream", "chat"), NOW + Millis(2_000));
     assert!(sent(&effects).is_some(), "nobody else can say whether they have room again");
@@ -109,7 +97,7 @@
 
 #[test]
 fn one_that_turns_away_a_few_keeps_most_of_its_part() {
-    let mut state = fleet(4);
+    let mut state = engines_only(4);
     let mut places: Vec<Arc<str>> = Vec::new();
     for id in 0..400 {
         let now = NOW + Millis(id * GAP.0);
--- a/components/routing/tests/direct/words.rs
+++ b/components/routing/tests/direct/words.rs
@@ -5,10 +5,9 @@
 use clock::Millis;
 use errors::Kind;
 use proptest::prelude::*;
-use routing::{Effect, Event, Reply, Settings, State};
-use wire::{Refused, Status};
+use routing::{Effect, Event, State};
 
-use crate::fleet::{NOW, ask, engines, failed, recorded, router, sent, settings};
+use crate::fleet::{NOW, ask, engines, engines_only, failed, recorded, refused, retry_after, sent};
 
 /// A rest as upstreams ask for it.
 const REST: Millis = Millis(3_000);
@@ -21,13 +20,6 @@
     Event::Leaves { upstream: upstream.into() }
 }
 
-/// A router of so many engines that may retry.
-fn fleet(count: usize) -> State {
-    let mut state = router(Settings { retry_burst: 1_000.0, current_ms: 0, ..settings() });
-    state.apply(engines(&vec!["d"; count]), NOW);
-    state
-}
-
 /// How many of twenty chats are sent to `upstream` at `now`.
 fn goes_to(state: &mut State, upstream: &str, now: Millis) -> usize {
     let mut count = 0;
@@ -39,16 +31,9 @@
     count
 }
 
-fn after(effects: &[Effect]) -> Option<u64> {
-    effects.iter().find_map(|it| match it {
-        Effect::Fail(answer) => answer.retry_after_ms,
-        _ => None,
-    })
-}
-
 #[test]
 fn an_upstream_gets_nothing_in_its_rest_and_its_part_after_it() {
-    let mut state = fleet(3);
+    let mut state = engines_only(3);
     assert!(goes_to(&mut state, "engine-1", NOW) > 0);
     state.apply(rests("engine-1", REST), NOW);
     assert_eq!(goes_to(&mut state, "engine-1", NOW), 0);
@@ -58,7 +43,7 @@
 
 #[test]
 fn a_shorter_rest_does_not_end_a_longer_one_and_only_a_longer_one_is_told() {
-    let mut state = fleet(3);
+    let mut state = engines_only(3);
     let told =
         |state: &mut State, lasts, now| !state.apply(rests("engine-1", lasts), now).is_empty();
     assert!(told(&mut state, REST, NOW));
@@ -70,7 +55,7 @@
 
 #[test]
 fn a_rest_holds_over_a_list_from_which_the_upstream_was_missing() {
-    let mut state = fleet(3);
+    let mut state = engines_only(3);
     state.apply(rests("engine-2", REST), NOW);
     state.apply(leaves("engine-1"), NOW);
     state.apply(engines(&["d"]), NOW);
@@ -83,17 +68,14 @@
 
 #[test]
 fn a_request_that_is_turned_away_goes_on_to_none_that_rests_or_leaves() {
-    let mut state = fleet(4);
+    let mut state = engines_only(4);
     for (upstream, word) in
         [("engine-0", rests("engine-0", REST)), ("engine-1", leaves("engine-1"))]
     {
         assert!(goes_to(&mut state, upstream, NOW) > 0);
         state.apply(ask(1, "stream", "chat"), NOW);
         state.apply(word, NOW);
-        let (hints, status) = (Vec::new(), Status::default());
-        let refused = Refused { kind: Kind::QueueFull, retry_after_ms: 0, hints, status };
-        let next =
-            state.apply(Event::Reply { id: 1, attempt: 1, reply: Reply::Refused(refused) }, NOW);
+        let next = state.apply(Event::Reply { id: 1, attempt: 1, reply: refused() }, NOW);
         assert_ne!(sent(&next).as_deref(), Some(upstream));
         state.apply(Event::Quit { id: 1 }, NOW);
     }
@@ -101,7 +83,7 @@
 
 #[test]
 fn a_request_that_waits_for_a_reading_is_not_sent_to_one_that_came_to_rest() {
-    let mut state = fleet(1);
+    let mut state = engines_only(1);
     let asked = |id| crate::fleet::asked(id, "stream", "chat", &[7]);
     assert!(sent(&state.apply(asked(1), NOW)).is_some());
     let waits = state.apply(asked(2), NOW);
@@ -113,14 +95,14 @@
 
 #[test]
 fn where_all_rest_callers_come_back_after_the_first_rest_and_not_in_one_moment() {
-    let mut state = fleet(2);
+    let mut state = engines_only(2);
     state.apply(rests("engine-0", REST), NOW);
     state.apply(rests("engine-1", Millis(2_000)), NOW);
     let mut told: Vec<_> = (1..50)
         .map(|id| {
             let effects = state.apply(ask(id, "stream", "chat"), NOW);
             assert_eq!(failed(&effects), Some(Kind::NoUpstream));
-            after(&effects).expect("a time")
+            retry_after(&effects).expect("a time")
         })
         .collect();
     told.sort_unstable();
@@ -131,7 +113,7 @@
 
 #[test]
 fn where_all_leave_requests_are_refused_at_once_and_the_reason_is_told() {
-    let mut state = fleet(2);
+    let mut state = engines_only(2);
     for engine in ["engine-0", "engine-1"] {
         state.apply(leaves(engine), NOW);
     }
@@ -144,7 +126,7 @@
 
 #[test]
 fn what_one_start_said_is_not_believed_of_the_next() {
-    let mut state = fleet(2);
+    let mut state = engines_only(2);
     state.apply(leaves("engine-1@5"), NOW);
     state.apply(rests("engine-0@5", REST), NOW);
     state.apply(engines(&["d", "d"]), NOW);
@@ -160,7 +142,7 @@
     fn nothing_is_sent_against_an_upstreams_word(
         steps in prop::collection::vec((0_u8..6, 0_usize..4, 0_u64..4_000), 1..80),
     ) {
-        let mut state = fleet(4);
+        let mut state = engines_only(4);
         let mut now = NOW;
         let mut quiet = [Millis::ZERO; 4];
         for (number, (step, place, ms)) in steps.into_iter().enumerate() {
--- a/tests/platform/eras.rs
+++ b/tests/platform/eras.rs
@@ -96,6 +96,8 @@
         router.until(key, || router.store.holds(key));
     }
     router.store.come_back_older();
+    // The numbers of the leases that the router had are others' now.
+    let others = [0, 1, 2, 3].map(|it| router.store.put_leased(&format!("other/{it}"), ""));
     router.store.put("op/config", &configuration(1));
     for upstream in [&one, &two, &engine] {
         router.store.put(&upstream.key(), &upstream.entry("ready", 2));
@@ -103,6 +105,10 @@
     for key in keys {
         router.until(key, || router.store.holds(key));
     }
+    for lease in others {
+        router.store.end_lease(lease);
+    }
+    assert!(keys.iter().all(|key| router.store.holds(key)), "written with others' leases");
 }
 
 #[test]
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -135,9 +135,16 @@
     }
 
     /// Grants a lease to another writer, and writes with it.
-    pub fn put_leased(&self, key: &str, text: &str) {
+    pub fn put_leased(&self, key: &str, text: &str) -> u64 {
         let lease = self.lock().held.grant();
         self.put_with(key, STANDARD.encode(text), lease);
+        lease
+    }
+
+    /// Ends a lease, and what was written with it.
+    pub fn end_lease(&self, lease: u64) {
+        self.lock().held.end(lease);
+        self.state.1.notify_all();
     }
 
     /// Forgets all changes so far.
