--- a/components/routing/tests/direct/refusals.rs
+++ b/components/routing/tests/direct/refusals.rs
@@ -114,3 +114,21 @@
     let part = places.iter().filter(|it| &***it == "engine-0").count();
     assert!(part >= 50, "{part} of 400, where a quarter is its part");
 }
+
+#[test]
+fn after_all_have_turned_requests_away_none_gets_them_all() {
+    let mut state = engines_only(4);
+    send(&mut state, "stream", 150, NOW, |_| true);
+    let later = NOW + Millis(150 * GAP.0);
+    let mut places = std::collections::BTreeMap::<Arc<str>, usize>::new();
+    for id in 0..100 {
+        let now = later + Millis(id * GAP.0);
+        let place = sent(&state.apply(ask(id, "stream", &format!("chat-{id}")), now));
+        *places.entry(place.expect("a place")).or_default() += 1;
+        if id >= TAKES {
+            answer(&mut state, id - TAKES, now);
+        }
+    }
+    let most = places.values().max().copied().unwrap_or_default();
+    assert!(most <= 50, "{places:?}");
+}
