Have the soak cross answers and ask for longer rests

Cause: two breaks made on purpose were not seen by the soak: an answer's id not compared, as no upstream answered with another's; a rest not kept, as rests were over with the fault.

Change: for a while an upstream answers with another request's id; rests last 2.5 to 6 s, longer than the fault. No code of the router.

--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -30,11 +30,12 @@
     ForeignEntry,
     AskForRest,
     LeaveByAnswers,
+    CrossAnswers,
     Configuration,
     SendFatal,
 }
 
-const FAULTS: [Fault; 15] = [
+const FAULTS: [Fault; 16] = [
     Fault::KillRouter,
     Fault::StopRouter,
     Fault::FreezeRouter,
@@ -48,6 +49,7 @@
     Fault::ForeignEntry,
     Fault::AskForRest,
     Fault::LeaveByAnswers,
+    Fault::CrossAnswers,
     Fault::Configuration,
     Fault::SendFatal,
 ];
@@ -62,6 +64,7 @@
     StartUpstream(usize),
     Entry(usize),
     Rest(usize),
+    Acts(usize),
 }
 
 /// The fleet.
@@ -170,7 +173,7 @@
             }
             Fault::AskForRest => {
                 // One longer than the fault, so that it is kept while requests are served again.
-                let rest = Duration::from_millis(random.random_range(600..3_000));
+                let rest = Duration::from_millis(random.random_range(2_500..6_000));
                 self.upstreams[place].set_rest(Some(rest));
                 self.undo.push((until, Undo::Rest(place)));
             }
@@ -178,6 +181,10 @@
                 self.upstreams[place].leave();
                 self.undo.push((until, Undo::StartUpstream(place)));
             }
+            Fault::CrossAnswers => {
+                self.upstreams[place].set(&[Act::Crossed]);
+                self.undo.push((until, Undo::Acts(place)));
+            }
             Fault::Configuration => self.configure(random.random_bool(0.5)),
             Fault::SendFatal => self.send_fatal(router, 2),
         }
@@ -206,6 +213,7 @@
                 Undo::StartUpstream(place) => self.start_upstream(place),
                 Undo::Entry(place) => self.list(place),
                 Undo::Rest(place) => self.upstreams[place].set_rest(None),
+                Undo::Acts(place) => self.upstreams[place].set(&[usual(place)]),
             }
         }
     }
@@ -305,15 +313,18 @@
 fn upstream(host: &str, place: usize) -> Upstream {
     let service = if place < 3 { "plain" } else { "engine" };
     let upstream = Upstream::start(host, &format!("i-{place}"), service);
-    if place < 3 {
-        upstream.set(&[Act::Late(40, 200, "whole")]);
-    } else {
-        upstream.set(&[Act::Events(1, 5, 30)]);
+    upstream.set(&[usual(place)]);
+    if place >= 3 {
         upstream.set_fatal(FATAL);
     }
     upstream
 }
 
+/// What the upstream at `place` does with requests in calm.
+fn usual(place: usize) -> Act {
+    if place < 3 { Act::Late(40, 200, "whole") } else { Act::Events(1, 5, 30) }
+}
+
 fn entry(upstream: &Upstream, born: u64) -> Value {
     let mut entry = upstream.entry("ready", 1);
     entry["born"] = born.into();
