Have pairs of upstreams share an address in the tests

Change: the two upstreams of a pair listen at one address, each at its own port. No check is changed.

--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -38,9 +38,10 @@
     format!("127.{}.{low}.{number}", high.max(1))
 }
 
-/// Two upstreams of the plain service.
+/// Two upstreams of the plain service, at one address, as there are few.
 pub fn pair() -> [Upstream; 2] {
-    ["i-1", "i-2"].map(|name| Upstream::start(&own_host(), name, "plain"))
+    let host = own_host();
+    ["i-1", "i-2"].map(|name| Upstream::start(&host, name, "plain"))
 }
 
 /// One of the configuration's routes.
