Have many routers share looks at the store: tests that fail

Change: seven tests of six routers of one domain, and a stand-in of the store that answers each of its addresses in its own way. Loopback addresses of the tests come from two blocks.

--- /dev/null
+++ b/tests/platform/fleet.rs
@@ -0,0 +1,172 @@
+//! Many routers of one failure domain: few of them look at the store.
+
+use std::collections::BTreeSet;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use crate::router::{Router, configuration, own_host, route};
+use crate::standin::{Mode, Upstream};
+
+/// What the keys begin with under which routers announce that they follow the store.
+const FOLLOWERS: &str = "silverstack/routers/";
+
+/// How many routers the tests start.
+const ROUTERS: usize = 6;
+
+/// How many of them follow the store once all know of each other.
+const FOLLOWING: usize = 2;
+
+/// How long a router's proof of its configuration lasts by the tests' settings, and a second.
+const PROOF_LASTS: Duration = Duration::from_millis(2_900);
+
+/// A fleet whose routers know of each other, and its upstream.
+fn fleet() -> (Vec<Router>, Upstream) {
+    let upstream = Upstream::start(&own_host(), "i-1", "plain");
+    let mut routers = vec![Router::start(&configuration(1), &[&upstream])];
+    let store = routers[0].store.clone();
+    routers.extend((2..=ROUTERS).map(|it| Router::join(&store, &format!("front-{it}"))));
+    for router in &routers {
+        router.until("counted", || counts(router) == ROUTERS);
+    }
+    routers[0].until("settled", || store.keys(FOLLOWERS).len() == FOLLOWING);
+    (routers, upstream)
+}
+
+/// How many routers one knows of, itself included.
+fn counts(router: &Router) -> usize {
+    let met =
+        router.log().into_iter().filter(|it| it["payload"] == "another router announced itself");
+    let names: BTreeSet<_> = met.map(|it| it["kv"]["peer"].to_string()).collect();
+    names.len() + 1
+}
+
+/// Whether a router follows the store by itself.
+fn follows(router: &Router) -> bool {
+    let name = router.log()[0]["kv"]["name"].as_str().map(str::to_owned);
+    name.is_some_and(|it| router.store.holds(&format!("{FOLLOWERS}{it}")))
+}
+
+/// The status of a request to the route of `version`.
+fn asks(router: &Router, path: &str) -> u16 {
+    router.ask(&format!("GET /{path}/x"), &[], "").map_or(0, |it| it.status)
+}
+
+/// A configuration with a further route.
+fn with_route(version: u64, name: &str) -> Value {
+    let mut changed = configuration(version);
+    let routes = changed["routes"].as_array_mut().expect("routes");
+    routes.push(route(name, "safe", "plain"));
+    changed
+}
+
+#[test]
+fn few_routers_of_a_domain_look_at_the_store() {
+    let (routers, _upstream) = fleet();
+    let store = &routers[0].store;
+    store.watchers();
+    sleep(Duration::from_secs(2));
+    assert!(store.watchers() <= FOLLOWING, "others look as well");
+    assert!(routers.iter().all(|it| asks(it, "safe") == 200));
+}
+
+#[test]
+fn what_changes_is_in_force_at_all_routers() {
+    let (routers, upstream) = fleet();
+    let store = &routers[0].store;
+    store.put("op/config", &with_route(2, "added"));
+    for router in &routers {
+        router.until("in force", || asks(router, "added") == 200);
+    }
+    let late = Upstream::start(&own_host(), "i-2", "plain");
+    store.put(&late.key(), &late.entry("ready", 1));
+    store.remove(&upstream.key());
+    for router in &routers {
+        let before = late.requests().len();
+        router.until("known", || asks(router, "safe") == 200 && late.requests().len() > before);
+    }
+}
+
+#[test]
+fn a_router_that_the_store_turns_away_serves_by_what_others_tell() {
+    let upstream = Upstream::start(&own_host(), "i-1", "plain");
+    let first = Router::start(&configuration(1), &[&upstream]);
+    let door = first.store.door(&own_host());
+    let turned_away = Router::join(&door, "front-2");
+    first.until("both follow", || first.store.keys(FOLLOWERS).len() == 2);
+    turned_away.until("met", || counts(&turned_away) == 2);
+    door.set_mode(Mode::Busy);
+    turned_away.until("turned away", || turned_away.has_logged("the store does not answer"));
+    sleep(PROOF_LASTS);
+    assert_eq!(asks(&turned_away, "safe"), 200);
+    first.store.put("op/config", &with_route(2, "added"));
+    turned_away.until("in force", || asks(&turned_away, "added") == 200);
+}
+
+#[test]
+fn a_history_that_is_gone_is_read_anew_by_few() {
+    let (routers, _upstream) = fleet();
+    let store = &routers[0].store;
+    let before = store.targets().len();
+    store.put("op/config", &with_route(2, "added"));
+    store.forget();
+    for router in &routers {
+        router.until("in force", || asks(router, "added") == 200);
+    }
+    let whole =
+        |it: &&String| it.starts_with("/v1/kv-range?pathPrefix=&") || it.ends_with("pathPrefix=");
+    let read = store.targets()[before..].iter().filter(whole).count();
+    assert!((1..=FOLLOWING).contains(&read), "read {read} times");
+}
+
+#[test]
+fn others_follow_where_the_followers_are_killed() {
+    let (mut routers, _upstream) = fleet();
+    let store = routers[0].store.clone();
+    let (mut gone, left): (Vec<_>, Vec<_>) = routers.drain(..).partition(follows);
+    assert_eq!(gone.len(), FOLLOWING);
+    gone.iter_mut().for_each(Router::kill);
+    store.put("op/config", &with_route(2, "added"));
+    for router in &left {
+        router.until("in force", || asks(router, "added") == 200);
+    }
+    left[0].until("others follow", || left.iter().filter(|it| follows(it)).count() >= FOLLOWING);
+}
+
+#[test]
+fn a_key_that_is_taken_away_counts_nowhere_while_followers_are_suspended_and_after() {
+    let (routers, _upstream) = fleet();
+    let store = &routers[0].store;
+    let (suspended, left): (Vec<_>, Vec<_>) = routers.iter().partition(|it| follows(it));
+    suspended.iter().for_each(|it| it.signal(Signal::SIGSTOP));
+    let mut without = configuration(2);
+    without["tenants"] = json!([{ "name": "workspace-one", "apiKeys": ["key-two"] }]);
+    store.put("op/config", &without);
+    for router in &left {
+        router.until("taken away", || asks(router, "safe") == 401);
+    }
+    sleep(PROOF_LASTS);
+    suspended.iter().for_each(|it| it.signal(Signal::SIGCONT));
+    for _ in 0..20 {
+        for router in &routers {
+            assert_ne!(asks(router, "safe"), 200, "the key still counts");
+        }
+    }
+    for router in &routers {
+        router.until("refused for good", || asks(router, "safe") == 401);
+    }
+}
+
+#[test]
+fn a_fleet_whose_routers_are_all_killed_at_once_serves_again() {
+    let (mut routers, _upstream) = fleet();
+    routers.iter_mut().for_each(Router::kill);
+    routers.iter_mut().for_each(Router::start_again);
+    for router in &routers {
+        let listens = || TcpStream::connect(router.callers()).is_ok();
+        router.until("serves", || listens() && asks(router, "safe") == 200);
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod eras;
 mod evacuation;
 mod faults;
+mod fleet;
 mod hints;
 mod path;
 mod rest;
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
@@ -29,12 +29,15 @@
 /// The key of the only workspace.
 pub const KEY: &str = "key-one";
 
-/// A loopback address that no other test uses.
+/// A loopback address that no other test uses. Each process has those of two blocks; the second
+/// is the first of the process whose number is 32,768 away.
 pub fn own_host() -> String {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    assert!(number > 0, "there are no more: tests that need many upstreams share one among these");
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    let (block, number) = (next / 254, next % 254 + 1);
+    assert!(block < 2, "there are no more: tests that need many upstreams share one among these");
     let [.., high, low] = std::process::id().to_be_bytes();
+    let high = if block == 0 { high } else { high ^ 0x80 };
     format!("127.{}.{low}.{number}", high.max(1))
 }
 
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -26,7 +26,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    mode: Mode,
+    /// How it answers at each of its addresses.
+    modes: Vec<Mode>,
     held: Held,
     copy: Held,
     /// How often the service has come back from a copy, as its answers say.
@@ -36,6 +37,8 @@
     /// Connections with a lower number say nothing any more.
     silenced: usize,
     connections: usize,
+    /// The connections on which somebody waits for changes.
+    watching: Vec<usize>,
     calls: usize,
     targets: Vec<String>,
     /// How many bytes of an answer go out in a tenth of a second; all at once, if zero.
@@ -48,15 +51,30 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     pub address: SocketAddr,
+    /// Which of its addresses this is.
+    door: usize,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Store {
     /// An empty service on `host`.
     pub fn start(host: &str) -> Self {
+        Self::open(host, Arc::default())
+    }
+
+    /// The same service at a further address, at which it may answer in another way.
+    pub fn door(&self, host: &str) -> Self {
+        Self::open(host, self.state.clone())
+    }
+
+    fn open(host: &str, state: Arc<(Mutex<State>, Condvar)>) -> Self {
         let listener = TcpListener::bind((host, 0)).expect("the stand-in can listen");
         let address = listener.local_addr().expect("the stand-in has an address");
-        let store = Self { address, state: Arc::default() };
+        let mut doors = state.0.lock().expect("no stand-in panics");
+        let door = doors.modes.len();
+        doors.modes.push(Mode::Up);
+        drop(doors);
+        let store = Self { address, door, state };
         let served = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -67,12 +85,23 @@
         store
     }
 
-    /// Changes how the service answers.
+    /// Changes how the service answers at this address.
     pub fn set_mode(&self, mode: Mode) {
-        self.lock().mode = mode;
+        self.lock().modes[self.door] = mode;
         self.state.1.notify_all();
     }
 
+    /// The keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        state.held.items.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
+    }
+
+    /// On how many connections somebody has waited for changes since this was asked last.
+    pub fn watchers(&self) -> usize {
+        std::mem::take(&mut self.lock().watching).len()
+    }
+
     /// Has the connections that are open fall silent for good; new ones work.
     pub fn silence_connections(&self) {
         let mut state = self.lock();
@@ -194,6 +223,12 @@
             if number < self.lock().silenced {
                 continue;
             }
+            if request.target.starts_with("/v1/kv-watch?") {
+                let mut state = self.lock();
+                if !state.watching.contains(&number) {
+                    state.watching.push(number);
+                }
+            }
             let Some((status, body)) = self.answer(&request) else { return };
             let body = body.to_string();
             let head = format!(
@@ -223,7 +258,7 @@
     fn answer(&self, request: &Request) -> Option<(u16, Value)> {
         self.lock().calls += 1;
         self.lock().targets.push(request.target.clone());
-        let mode = self.lock().mode;
+        let mode = self.lock().modes[self.door];
         match mode {
             Mode::Up => {}
             Mode::Busy => return Some((503, json!({}))),
