--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -15,7 +15,8 @@
 use futures_util::future::LocalBoxFuture;
 
 pub use dialect::{Dialect, Header, Headers, Intake, Load, Part, Sending, Told, find};
-pub use store::{Batch, Era, Fact, Fault, Lease, Peer, Reading, Revision, Store};
+pub use store::{Announcement, Batch, Era, Fact, Fault, Lease, Reading, Revision, Store};
+pub use wire::Peer;
 
 /// Makes the edges on the thread that serves.
 pub type Connect = Arc<dyn Fn() -> LocalBoxFuture<'static, Result<Edges, String>> + Send + Sync>;
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -1,6 +1,5 @@
 //! The platform's key-value service, as far as a router follows it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -8,12 +7,15 @@
 use futures_util::future::LocalBoxFuture;
 use intents::Document;
 use routing::{Crash, Host};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use wire::Peer;
 
 /// Something that the service holds or that has changed there.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Fact {
     /// The operator's configuration.
+    #[serde(with = "document")]
     Configuration(Box<Document>),
     /// An upstream has an entry.
     Upstream {
@@ -26,6 +28,9 @@
     },
     /// An upstream's entry was removed.
     Gone(Arc<str>),
+    /// An upstream's entry was missing as the service answered again after an outage, in which
+    /// entries lapse: it may come back.
+    Missing(Arc<str>),
     /// An upstream's entry can't be read.
     UnreadableUpstream {
         /// The entry's name.
@@ -40,7 +45,7 @@
     /// All failure domains may take work, but for those that are named after this.
     AllRestored,
     /// A router of the fleet has announced itself.
-    Router(Peer),
+    Router(Announcement),
     /// A router's announcement was removed or has lapsed.
     RouterGone(Arc<str>),
     /// The upstreams that a router has remembered.
@@ -65,22 +70,33 @@
     },
 }
 
-/// A router of the fleet, as it announces itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Its name.
-    pub name: Arc<str>,
-    /// Where it takes hints of other routers, if it does.
-    pub hints: Option<SocketAddr>,
+/// What a router that follows the service tells of itself there, and of those that hear from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// The router.
+    pub router: Peer,
+    /// The routers that hear from it.
+    #[serde(default)]
+    pub hearers: Vec<Peer>,
+    /// The most routers that it has ever counted.
+    #[serde(default)]
+    pub most: usize,
+}
+
+impl Announcement {
+    /// The router and all that hear from it.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        std::iter::once(&self.router).chain(&self.hearers)
+    }
 }
 
 /// How often the service has come back from an older copy of itself, as it counts that; zero
 /// where it does not tell.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Era(pub u64);
 
 /// A place in the service's history. The numbers of one era are given out again in the next.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revision {
     /// The era in which it was told.
     pub era: Era,
@@ -140,8 +156,16 @@
     /// without routers.
     fn watch_less(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
-    /// Announces a router with a lease that lasts for `ttl` after its last renewal.
-    fn announce(&self, peer: Peer, ttl: Millis) -> LocalBoxFuture<'_, Result<Lease, Fault>>;
+    /// The routers that announce themselves. Where it may be `old`, it may lack those of the
+    /// last seconds, and costs the service little.
+    fn announced(&self, old: bool) -> LocalBoxFuture<'_, Result<Vec<Announcement>, Fault>>;
+
+    /// Announces a router; it lasts until the lease ends.
+    fn announce(
+        &self,
+        announcement: Announcement,
+        lease: Lease,
+    ) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
     /// Remembers upstreams for routers that start.
     fn remember(&self, hosts: Vec<Host>) -> LocalBoxFuture<'_, Result<(), Fault>>;
@@ -171,3 +195,26 @@
     /// The latest era that an answer told of.
     fn era(&self) -> Era;
 }
+
+/// A configuration between routers: its own format is JSON, in which what is empty is left out.
+mod document {
+    use intents::Document;
+    use serde::de::Error as _;
+    use serde::ser::Error as _;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(
+        document: &Document,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let json = serde_json::to_string(document).map_err(S::Error::custom)?;
+        json.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Box<Document>, D::Error> {
+        let json = String::deserialize(deserializer)?;
+        serde_json::from_str(&json).map_err(D::Error::custom)
+    }
+}
--- /dev/null
+++ b/components/fleet/src/sources.rs
@@ -0,0 +1,293 @@
+//! From whom a router learns what the store holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use edge::Peer;
+use placement::{key, score};
+
+use crate::Roster;
+
+/// How many routers of a failure domain follow the store: two, so that the loss of one is made
+/// good by the other.
+const FOLLOWERS: usize = 2;
+
+/// How long the first in rank waits before it follows in place of one that is missing, and how
+/// much longer each further one does.
+const TURN: Millis = Millis(300);
+
+/// How long there must be too many followers until one stands down: both may have just begun.
+const SURPLUS: Millis = Millis(3_000);
+
+/// How long a router is not asked again that did not answer.
+const FAILED: Millis = Millis(1_000);
+
+/// How long a router is not asked again that has just started and knows nothing.
+const STARTS: Millis = Millis(100);
+
+/// How long a router is not asked again that has enough others to answer.
+const FULL: Millis = Millis(5_000);
+
+/// How long a router is asked last whose proof was old.
+const STALE: Millis = Millis(1_000);
+
+/// How long all may fail until a router looks at the store that does not follow it; each
+/// further one in rank waits [`PROBE`] longer, so that a domain asks about once a second
+/// however many routers it has.
+const PATIENCE: Millis = Millis(500);
+
+/// The time between the looks of a domain's routers at a store that answers nobody.
+const PROBE: Millis = Millis(1_000);
+
+/// How long a router that has just started leaves it to others to follow where anybody answers:
+/// until then it does not know who else might.
+const SETTLE: Millis = Millis(3_000);
+
+/// What tells draws for followers apart from others.
+const DRAW: &str = "follower";
+
+/// Where to look next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// At the store.
+    Store,
+    /// At what another router knows.
+    Router(Peer),
+    /// Nowhere for a while.
+    Pause(Millis),
+}
+
+/// Whom a router may ask, and whether it follows the store by itself.
+#[derive(Debug)]
+pub struct Sources {
+    own: Peer,
+    started: Millis,
+    /// Whether this router follows the store and announces that.
+    follows: bool,
+    /// Until when routers are not asked.
+    failed: BTreeMap<Arc<str>, Millis>,
+    /// Until when routers are not asked that answered that they can't tell.
+    unable: BTreeMap<Arc<str>, Millis>,
+    /// Until when routers are asked last.
+    stale: BTreeMap<Arc<str>, Millis>,
+    /// The routers that one names that has too many to answer.
+    referred: Vec<Peer>,
+    /// When the store may be asked again after it failed.
+    store_at: Millis,
+    /// Since when nobody has told anything of use; `None` if somebody does.
+    alone: Option<Millis>,
+    /// Since when this domain has had too few followers.
+    short: Option<Millis>,
+    /// Since when it has had too many.
+    surplus: Option<Millis>,
+}
+
+impl Sources {
+    /// A router that starts at `now` and has asked nobody yet.
+    pub fn new(own: Peer, now: Millis) -> Self {
+        Self {
+            own,
+            started: now,
+            follows: false,
+            failed: BTreeMap::new(),
+            unable: BTreeMap::new(),
+            stale: BTreeMap::new(),
+            referred: Vec::new(),
+            store_at: Millis::ZERO,
+            alone: None,
+            short: None,
+            surplus: None,
+        }
+    }
+
+    /// Whether this router follows the store by itself.
+    pub fn follows(&self) -> bool {
+        self.follows
+    }
+
+    /// Has this router follow the store from now on.
+    pub fn follow(&mut self) {
+        self.follows = true;
+        self.short = None;
+        self.surplus = None;
+    }
+
+    /// Decides whether this router follows the store, by who is known. Returns whether that has
+    /// changed.
+    pub fn decide(&mut self, roster: &mut Roster, now: Millis) -> bool {
+        roster.notice(now);
+        let followers = self.followers_here(roster, now);
+        let due = if self.follows {
+            self.is_surplus(&followers, now)
+        } else {
+            self.is_due(&followers, roster, now)
+        };
+        if due {
+            self.follows = !self.follows;
+            self.short = None;
+            self.surplus = None;
+        }
+        due
+    }
+
+    /// The other routers of this domain that follow the store, as far as this one can ask them.
+    fn followers_here(&self, roster: &Roster, now: Millis) -> Vec<Peer> {
+        let answers = |it: &&Peer| !self.is_failed(&it.name, now) && it.hints.is_some();
+        let here = |it: &&Peer| it.domain == self.own.domain && it.name != self.own.name;
+        roster.followers().filter(here).filter(answers).cloned().collect()
+    }
+
+    /// Whether there have been too many followers for a while, of which this one is the last.
+    fn is_surplus(&mut self, followers: &[Peer], now: Millis) -> bool {
+        let own = rank(&self.own);
+        let before = followers.iter().filter(|it| rank(it) < own).count();
+        if before < FOLLOWERS {
+            self.surplus = None;
+            return false;
+        }
+        self.surplus.get_or_insert(now).until(now) >= SURPLUS
+    }
+
+    /// Whether there are too few followers, and it is this router's turn to become one.
+    fn is_due(&mut self, followers: &[Peer], roster: &mut Roster, now: Millis) -> bool {
+        if followers.len() >= FOLLOWERS {
+            self.short = None;
+            return false;
+        }
+        if self.started.until(now) < SETTLE && self.others_answer(roster, now) {
+            self.short = None;
+            return false;
+        }
+        let since = *self.short.get_or_insert(now);
+        let own = rank(&self.own);
+        let is_before = |it: &Peer| {
+            it.domain == self.own.domain
+                && it.name != self.own.name
+                && !followers.iter().any(|follower| follower.name == it.name)
+                && !self.is_failed(&it.name, now)
+                && rank(it) < own
+        };
+        let before = roster.routers(now).filter(|it| is_before(it)).count();
+        // As many as are missing follow at once.
+        let turn = before / (FOLLOWERS - followers.len());
+        since.until(now).0 >= TURN.0 * (turn as u64 + 1)
+    }
+
+    /// Whether any other router may be asked, now or soon.
+    fn others_answer(&self, roster: &Roster, now: Millis) -> bool {
+        let answers = |it: &Peer| {
+            it.name != self.own.name && it.hints.is_some() && !self.is_failed(&it.name, now)
+        };
+        roster.followers().any(answers)
+    }
+
+    /// Where to look at `now`.
+    pub fn next(&mut self, roster: &mut Roster, now: Millis) -> Source {
+        let store_answers = self.store_at <= now;
+        if self.follows && store_answers {
+            return Source::Store;
+        }
+        self.failed.retain(|_, until| *until > now);
+        self.unable.retain(|_, until| *until > now);
+        self.stale.retain(|_, until| *until > now);
+        let candidates = self.candidates(roster);
+        let fresh = candidates.iter().find(|it| !self.stale.contains_key(&it.name));
+        if let Some(peer) = fresh {
+            return Source::Router(peer.clone());
+        }
+        let alone = *self.alone.get_or_insert(now);
+        if store_answers && alone.until(now) >= self.patience(roster, now) {
+            return Source::Store;
+        }
+        match candidates.first() {
+            Some(peer) => Source::Router(peer.clone()),
+            None => Source::Pause(TURN),
+        }
+    }
+
+    /// The routers that may be asked, which name their domains, as earlier versions do not:
+    /// those to which this one was referred, those of its domain,
+    /// all others; each group by rank, which differs from router to router.
+    fn candidates(&self, roster: &Roster) -> Vec<Peer> {
+        let may_be_asked = |it: &&Peer| {
+            it.name != self.own.name
+                && it.hints.is_some()
+                && !it.domain.is_empty()
+                && !self.failed.contains_key(&it.name)
+                && !self.unable.contains_key(&it.name)
+        };
+        let draw = key(DRAW, &self.own.name);
+        let mut followers: Vec<_> = roster.followers().filter(may_be_asked).cloned().collect();
+        followers.sort_by(|one, other| {
+            let is_far = |it: &Peer| it.domain != self.own.domain;
+            let drawn = |it: &Peer| score(draw, &it.name, 1.0);
+            is_far(one).cmp(&is_far(other)).then(drawn(other).total_cmp(&drawn(one)))
+        });
+        let referred = self.referred.iter().filter(may_be_asked).cloned();
+        referred.chain(followers).collect()
+    }
+
+    /// How long nobody may tell anything until this router looks at the store.
+    fn patience(&self, roster: &mut Roster, now: Millis) -> Millis {
+        let own = rank(&self.own);
+        let is_before = |it: &Peer| it.domain == self.own.domain && rank(it) < own;
+        let before = roster.routers(now).filter(|it| is_before(it)).count();
+        PATIENCE + Millis(PROBE.0 * before as u64)
+    }
+
+    fn is_failed(&self, name: &str, now: Millis) -> bool {
+        self.failed.get(name).is_some_and(|until| *until > now)
+    }
+
+    /// A router told something that is new enough, or the store did.
+    pub fn served(&mut self) {
+        self.alone = None;
+    }
+
+    /// The store answered.
+    pub fn store_answered(&mut self) {
+        self.store_at = Millis::ZERO;
+        self.alone = None;
+    }
+
+    /// The store did not answer; it may be asked again after `pause`. A router that does not
+    /// follow it waits until the others of its domain have asked in their turn.
+    pub fn store_failed(&mut self, pause: Millis, roster: &mut Roster, now: Millis) {
+        let here = |it: &Peer| it.domain == self.own.domain;
+        let domain = roster.routers(now).filter(|it| here(it)).count();
+        let turns = if self.follows { Millis::ZERO } else { Millis(PROBE.0 * domain as u64) };
+        self.store_at = now + pause.max(turns);
+    }
+
+    /// A router did not answer.
+    pub fn failed(&mut self, name: &Arc<str>, now: Millis) {
+        self.failed.insert(name.clone(), now + FAILED);
+        self.referred.retain(|it| it.name != *name);
+    }
+
+    /// A router answered, but what it knows is old.
+    pub fn stale(&mut self, name: &Arc<str>, now: Millis) {
+        self.stale.insert(name.clone(), now + STALE);
+        self.referred.retain(|it| it.name != *name);
+    }
+
+    /// A router can't tell, and names `others` that may be asked. Where it names none it has just
+    /// started, and soon can.
+    pub fn refer(&mut self, name: &Arc<str>, mut others: Vec<Peer>, now: Millis) {
+        if others.is_empty() {
+            self.unable.insert(name.clone(), now + STARTS);
+            return;
+        }
+        self.unable.insert(name.clone(), now + FULL);
+        let draw = key(DRAW, &self.own.name);
+        let drawn = |it: &Peer| score(draw, &it.name, 1.0);
+        others.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
+        self.referred = others;
+    }
+}
+
+/// Who follows first: those with more to spare, then by a draw that is the same at all.
+fn rank(peer: &Peer) -> (std::cmp::Reverse<u32>, u64) {
+    (std::cmp::Reverse(peer.strength), key(DRAW, &peer.name))
+}
--- /dev/null
+++ b/components/fleet/tests/sources.rs
@@ -0,0 +1,247 @@
+//! Who looks at the store, and who asks whom.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use edge::{Announcement, Peer};
+use fleet::{Roster, Source, Sources};
+use proptest::prelude::*;
+
+/// How long a step of the tests takes.
+const STEP: Millis = Millis(100);
+
+/// How many routers of a domain follow the store.
+const FOLLOWING: usize = 2;
+
+fn peer(number: usize, domain: usize) -> Peer {
+    let [low, high] = [domain, number].map(|it| u8::try_from(it).expect("a small fleet"));
+    Peer {
+        name: format!("front-{domain}-{number}").into(),
+        hints: Some(([10, 0, low, high], 9).into()),
+        domain: format!("zone-{domain}").into(),
+        strength: 5,
+    }
+}
+
+/// A router of a modelled fleet.
+struct Router {
+    own: Peer,
+    sources: Sources,
+    roster: Roster,
+    lives: bool,
+    /// Whether the store answers it.
+    reaches: bool,
+    /// When it last knew what the store holds.
+    proof: Option<Millis>,
+    /// From whom it heard last.
+    source: Option<Arc<str>>,
+}
+
+/// A fleet whose announcements all routers see at once, and whose calls take no time.
+struct Fleet {
+    routers: Vec<Router>,
+    now: Millis,
+    looks: usize,
+}
+
+impl Fleet {
+    fn new(domains: usize, size: usize) -> Self {
+        let own = (0..domains).flat_map(|domain| (0..size).map(move |it| peer(it, domain)));
+        let router = |own: Peer| Router {
+            sources: Sources::new(own.clone(), Millis::ZERO),
+            own,
+            roster: Roster::default(),
+            lives: true,
+            reaches: true,
+            proof: None,
+            source: None,
+        };
+        let mut fleet = Self { routers: own.map(router).collect(), now: Millis::ZERO, looks: 0 };
+        fleet.routers[0].sources.follow();
+        fleet
+    }
+
+    /// What the followers announce: themselves, and all that have heard from them.
+    fn announcements(&self) -> Vec<Announcement> {
+        let followers = self.routers.iter().filter(|it| it.lives && it.sources.follows());
+        let announce = |it: &Router| {
+            let hears =
+                |other: &&Router| other.lives && other.source.as_ref() == Some(&it.own.name);
+            let hearers = self.routers.iter().filter(hears).map(|it| it.own.clone()).collect();
+            Announcement { router: it.own.clone(), hearers, most: 0 }
+        };
+        followers.map(announce).collect()
+    }
+
+    /// Lets a step of time pass, in which each router looks once.
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let announcements = self.announcements();
+        let known: Vec<_> =
+            self.routers.iter().map(|it| (it.own.name.clone(), it.lives, it.proof)).collect();
+        let (now, mut looks) = (self.now, 0);
+        for router in self.routers.iter_mut().filter(|it| it.lives) {
+            let names = announcements.iter().map(|it| it.router.name.clone()).collect();
+            router.roster.keep_only(&names);
+            for announcement in &announcements {
+                router.roster.put(announcement.clone());
+            }
+            router.sources.decide(&mut router.roster, now);
+            match router.sources.next(&mut router.roster, now) {
+                Source::Store if router.reaches => {
+                    looks += 1;
+                    router.sources.store_answered();
+                    router.proof = Some(now);
+                    router.source = None;
+                }
+                Source::Store => {
+                    looks += 1;
+                    router.sources.store_failed(Millis(300), &mut router.roster, now);
+                }
+                Source::Router(peer) => {
+                    let told = known.iter().find(|it| it.0 == peer.name).filter(|it| it.1);
+                    match told.and_then(|it| it.2) {
+                        Some(proof) if proof.until(now) < Millis(1_800) => {
+                            router.proof = router.proof.max(Some(proof));
+                            router.source = Some(peer.name.clone());
+                            router.sources.served();
+                        }
+                        Some(_) => router.sources.stale(&peer.name, now),
+                        None if told.is_some() => router.sources.refer(&peer.name, Vec::new(), now),
+                        None => router.sources.failed(&peer.name, now),
+                    }
+                }
+                Source::Pause(_) => {}
+            }
+        }
+        self.looks += looks;
+    }
+
+    fn run(&mut self, time: Millis) {
+        for _ in 0..time.0 / STEP.0 {
+            self.step();
+        }
+    }
+
+    fn followers(&self, domain: usize) -> usize {
+        let domain = format!("zone-{domain}");
+        let follows = |it: &&Router| it.lives && it.sources.follows() && *it.own.domain == *domain;
+        self.routers.iter().filter(follows).count()
+    }
+
+    /// The oldest proof of those that live.
+    fn oldest(&self) -> Option<Millis> {
+        let ages = self.routers.iter().filter(|it| it.lives).map(|it| it.proof);
+        ages.map(|it| it.map(|at| at.until(self.now)))
+            .max_by_key(|it| it.unwrap_or(Millis(u64::MAX)))?
+    }
+}
+
+#[test]
+fn two_routers_of_each_domain_follow_the_store_however_many_there_are() {
+    for (domains, size) in [(3, 1), (3, 2), (3, 3), (3, 10), (1, 77), (1, 120)] {
+        let mut fleet = Fleet::new(domains, size);
+        for _ in 0..120 {
+            fleet.step();
+            let most = (0..domains).map(|it| fleet.followers(it)).max();
+            assert!(most.is_some_and(|it| it <= FOLLOWING), "{most:?} of {size} at {}", fleet.now);
+        }
+        for domain in 0..domains {
+            assert_eq!(fleet.followers(domain), FOLLOWING.min(size), "of {size}");
+        }
+        let oldest = fleet.oldest();
+        assert!(oldest.is_some_and(|it| it <= Millis(400)), "{size}: {oldest:?}");
+    }
+}
+
+#[test]
+fn the_loss_of_followers_costs_a_few_looks_of_others() {
+    let mut fleet = Fleet::new(1, 77);
+    fleet.run(Millis(12_000));
+    for router in fleet.routers.iter_mut().filter(|it| it.sources.follows()) {
+        router.lives = false;
+    }
+    fleet.looks = 0;
+    let mut worst = Millis::ZERO;
+    for _ in 0..50 {
+        fleet.step();
+        worst = worst.max(fleet.oldest().expect("a proof"));
+    }
+    assert!(fleet.followers(0) >= FOLLOWING);
+    assert!(worst <= Millis(3_000), "a proof of {worst}");
+    // Two followers look at each step; some more may begin until all know of them.
+    assert!(fleet.looks <= 50 * (FOLLOWING + 3), "{} looks", fleet.looks);
+    fleet.run(Millis(10_000));
+    assert_eq!(fleet.followers(0), FOLLOWING);
+}
+
+#[test]
+fn followers_that_the_store_turns_away_hear_from_others() {
+    let mut fleet = Fleet::new(2, 20);
+    fleet.run(Millis(12_000));
+    let first = fleet.routers.iter_mut().find(|it| it.sources.follows()).expect("a follower");
+    first.reaches = false;
+    for _ in 0..80 {
+        fleet.step();
+        assert!(fleet.oldest().is_some_and(|it| it <= Millis(2_500)), "{:?}", fleet.oldest());
+    }
+}
+
+#[test]
+fn a_store_that_answers_nobody_is_asked_about_once_a_second_by_those_that_do_not_follow() {
+    let mut fleet = Fleet::new(1, 77);
+    fleet.run(Millis(12_000));
+    fleet.routers.iter_mut().for_each(|it| it.reaches = false);
+    fleet.run(Millis(3_000));
+    fleet.looks = 0;
+    fleet.run(Millis(20_000));
+    // Two followers each 300 ms, and one other each second.
+    let expected = FOLLOWING * 20_000 / 300 + 20;
+    assert!(fleet.looks <= expected + expected / 10, "{} looks", fleet.looks);
+    fleet.routers.iter_mut().for_each(|it| it.reaches = true);
+    fleet.run(Millis(1_500));
+    assert!(fleet.oldest().is_some_and(|it| it <= Millis(1_500)), "{:?}", fleet.oldest());
+}
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    CutFromStore(usize),
+    Mend,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..24_usize).prop_map(Fault::Kill),
+        (0..24_usize).prop_map(Fault::CutFromStore),
+        Just(Fault::Mend),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+    #[test]
+    fn whoever_lives_comes_to_know_the_newest_whatever_happens_to_others(
+        faults in prop::collection::vec((fault(), 1_u64..40), 1..12),
+    ) {
+        let mut fleet = Fleet::new(2, 12);
+        fleet.run(Millis(8_000));
+        for (fault, steps) in faults {
+            match fault {
+                Fault::Kill(it) => fleet.routers[it].lives = false,
+                Fault::CutFromStore(it) => fleet.routers[it].reaches = false,
+                Fault::Mend => fleet.routers.iter_mut().for_each(|it| it.reaches = true),
+            }
+            for _ in 0..steps {
+                fleet.step();
+            }
+        }
+        // One that lives and reaches the store is enough for all.
+        if fleet.routers.iter().any(|it| it.lives && it.reaches) {
+            let lives = fleet.routers.iter().filter(|it| it.lives).count();
+            fleet.run(Millis(4_000 + 1_000 * lives as u64));
+            let oldest = fleet.oldest();
+            prop_assert!(oldest.is_some_and(|it| it <= Millis(2_500)), "{:?}", oldest);
+        }
+    }
+}
--- a/components/router/src/announcement.rs
+++ b/components/router/src/announcement.rs
@@ -1,46 +1,68 @@
-//! The announcement of this router in the platform's store, by which the
-//! routers of a fleet count each other.
+//! The announcement of this router in the platform's store, while it follows the store.
+//!
+//! It names the routers that hear from this one, so that one entry counts for many.
 
 use std::rc::Rc;
 
 use clock::Millis;
-use edge::{Fault, Lease, Peer};
+use edge::{Announcement, Fault, Lease};
 use spdlog::debug;
 
 use crate::core::Core;
 use crate::feed::PAUSE;
-use crate::peers::Peers;
 
 /// How long an announcement lasts after its last renewal.
 const LASTS: Millis = Millis(20_000);
 
-/// Over how long routers announce themselves anew once the store has lost that: two calls each,
-/// 240 of 120 routers, where sites of 30 have 1,200 writes a second.
+/// Over how long routers announce themselves anew once the store has lost that.
 const SPREAD: Millis = Millis(1_000);
 
 /// How often it is renewed: two renewals may fail before it lapses.
 const RENEW_EVERY: Millis = Millis(6_000);
 
-/// Announces this router in the store, and renews that until a stop is asked
+/// How often it is written anew where other routers hear from this one than it says. A fleet
+/// that starts is known to all within about three seconds.
+const CHANGE_EVERY: Millis = Millis(1_000);
+
+/// What stands in the store.
+struct Written {
+    lease: Lease,
+    announcement: Announcement,
+    renewed: Millis,
+}
+
+/// Announces this router while it follows the store, and keeps that up until a stop is asked
 /// for; then the announcement is taken back.
 pub(crate) async fn keep_up(core: Rc<Core>) {
-    let store = core.edges().store.clone();
-    let mut lease = None;
+    let mut written = None;
+    let mut follows = core.fleet().follows_changes();
     while !core.stop.is_asked() {
-        match renew(&core, lease).await {
-            Ok(kept) => lease = Some(kept),
-            Err(fault) => debug!("not announced", kv: { reason = fault.to_string() }),
+        if core.fleet().follows() {
+            if let Err(fault) = renew(&core, &mut written).await {
+                debug!("not announced", kv: { reason = fault.to_string() });
+            }
+        } else if written.take().is_some() {
+            withdraw(&core).await;
         }
-        let pause = if lease.is_some() { RENEW_EVERY } else { PAUSE };
+        let pause = if written.is_some() { CHANGE_EVERY } else { PAUSE };
         tokio::select! {
             () = tokio::time::sleep(pause.duration()) => {}
             () = core.stop.asked() => {}
-            () = core.store_is_older.notified() => wait_for_turn(&core).await,
+            _ = follows.changed() => {}
+            () = core.store_is_older.notified() => {
+                written = None;
+                wait_for_turn(&core).await;
+            }
         }
     }
-    if lease.is_some()
-        && let Err(fault) = store.withdraw(core.settings.name.clone()).await
-    {
+    if written.is_some() {
+        withdraw(&core).await;
+    }
+}
+
+/// Takes the announcement back.
+async fn withdraw(core: &Core) {
+    if let Err(fault) = core.edges().store.withdraw(core.settings.name.clone()).await {
         // It lapses by itself a little later.
         debug!("announcement not taken back", kv: { reason = fault.to_string() });
     }
@@ -53,14 +75,29 @@
     let _ = tokio::time::timeout(turn.duration(), core.stop.asked()).await;
 }
 
-/// Renews the announcement, or makes it anew where its lease is over.
-async fn renew(core: &Core, lease: Option<Lease>) -> Result<Lease, Fault> {
+/// Renews the lease when it is time, and writes the announcement where it has changed or its
+/// lease is over.
+async fn renew(core: &Core, written: &mut Option<Written>) -> Result<(), Fault> {
     let store = &core.edges().store;
-    if let Some(lease) = lease
-        && store.renew(lease).await?
+    let now = core.clock.now();
+    let announcement = core.fleet().announcement(now);
+    if let Some(it) = written
+        && it.renewed.until(now) >= RENEW_EVERY
     {
-        return Ok(lease);
+        if store.renew(it.lease).await? {
+            it.renewed = now;
+        } else {
+            *written = None;
+        }
+    }
+    if written.as_ref().is_some_and(|it| it.announcement == announcement) {
+        return Ok(());
     }
-    let hints = core.peers().map(Peers::address);
-    store.announce(Peer { name: core.settings.name.clone(), hints }, LASTS).await
+    let (lease, renewed) = match written {
+        Some(it) => (it.lease, it.renewed),
+        None => (store.grant(LASTS).await?, now),
+    };
+    store.announce(announcement.clone(), lease).await?;
+    *written = Some(Written { lease, announcement, renewed });
+    Ok(())
 }
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use clock::{Clock, Millis};
-use edge::Edges;
+use edge::{Edges, Peer};
 use errors::Kind;
 use intents::Plan;
 use link::Links;
@@ -19,6 +19,8 @@
 
 use crate::crashes::Crashes;
 use crate::decisions::Decisions;
+use crate::fleet::Fleet;
+use crate::hearing::Hearing;
 use crate::peers::Peers;
 use crate::reach::Direct;
 use crate::report;
@@ -44,6 +46,10 @@
     pub store: Option<store::Store>,
     /// Set where upstreams are reached directly.
     direct: Option<Direct>,
+    /// The other routers, as far as looks at the platform's store are shared with them.
+    fleet: Fleet,
+    /// Asks other routers.
+    pub hearing: Hearing,
     pub decisions: RefCell<Decisions>,
     notes: Sender<Effect>,
     /// Under what work upstreams ended, as this router tells.
@@ -80,6 +86,8 @@
             None => None,
         };
         let (notes, outbox) = channel(MAX_NOTES);
+        let own = own(&settings, direct.as_ref());
+        let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
         let core = Rc::new(Self {
             clock,
             links: links(&settings),
@@ -87,6 +95,8 @@
             reload,
             store,
             direct,
+            fleet: Fleet::new(own, started),
+            hearing: Hearing::new(hello),
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             notes,
             crashes: Crashes::default(),
@@ -173,6 +183,16 @@
         self.direct.as_ref()?.peers.as_ref()
     }
 
+    /// The other routers, as far as looks at the platform's store are shared with them.
+    pub(crate) fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// How old the proof is that the configuration in force is the newest.
+    pub(crate) fn proof_ms(&self) -> Option<u64> {
+        self.state.borrow().proof_ms(self.clock.now())
+    }
+
     /// Tells the other routers where parts of prompts are warm.
     fn share(&self, warm: &Warm) {
         let peers = self.peers().filter(|_| self.settings.routing.mechanisms.hints);
@@ -333,6 +353,16 @@
     }
 }
 
+/// This router as others know it.
+fn own(settings: &settings::Router, direct: Option<&Direct>) -> Peer {
+    Peer {
+        name: settings.name.clone(),
+        hints: direct.and_then(|it| it.peers.as_ref()).map(Peers::address),
+        domain: settings.domain.clone(),
+        strength: settings.direct.as_ref().map_or(0, |it| it.strength),
+    }
+}
+
 fn links(settings: &settings::Router) -> Links {
     let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
     Links::new(hello, Duration::from_millis(settings.connect_ms))
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -1,23 +1,27 @@
 //! Following the platform's store: the configuration and the upstreams.
 //!
-//! A router looks at the store at a fixed pace. Each look brings what has
-//! changed since the last one, and proves that the configuration in force was
-//! the newest when the look began.
+//! A few routers of each failure domain look at the store at a fixed pace; the others ask these
+//! what has changed. Each answer brings what has changed since the last one, and proves that the
+//! configuration in force was the newest when the look began that it goes back to.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use clock::{Millis, Sleep};
-use edge::{Batch, Era, Fact, Fault, Revision};
+use edge::{Batch, Era, Fact, Fault, Peer, Revision};
+use fleet::Source;
 use intents::{Document, Plan};
 use routing::{Event, Host, Listing, RETURN};
-use spdlog::{info, warn};
+use spdlog::{debug, info, warn};
 
 use crate::core::Core;
 use crate::extent::Extent;
+use crate::hearing::{self, Answer};
 use crate::memory::{self, Memory};
+use crate::telling;
 
 /// How many routers there are taken to be at least: when all start at once, the
 /// first looks see few of them. The sites have four, and seven with all spares.
@@ -26,6 +30,27 @@
 /// How long a look waits for a change, so that it is answered soon in any case.
 const WAIT: Millis = Millis(250);
 
+/// The longest pause between two looks of a router from which others hear: what it learns
+/// reaches them later by a hop.
+const FOLLOWER_PAUSE: Millis = Millis(800);
+
+/// How long an answer of another router may wait for news: it has some with each of its looks.
+const NEWS_WAIT: Millis = Millis(1_500);
+
+/// The least time between two questions to another router.
+const QUESTION_PAUSE: Millis = Millis(100);
+
+/// How old a proof that another router tells may be until others are asked. A look and its pause
+/// take about 1,100 ms, and a hop may add as much where one answer is missed.
+const OLD_PROOF: Millis = Millis(1_800);
+
+/// By how much times that were cut to whole milliseconds may add up.
+const ROUNDING: Millis = Millis(3);
+
+/// Over how long the routers of a fleet that starts for the first time follow the store, those
+/// with the most to spare first: those that come later hear from these.
+const FIRST_SPREAD: u64 = 1_000;
+
 /// How long looks may fail until everything is read anew in place of all that has
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
@@ -46,7 +71,7 @@
         core,
         listing: Listing::default(),
         routers: BTreeSet::new(),
-        known_routers: BTreeSet::new(),
+        source: None,
         evacuated: BTreeSet::new(),
         known_evacuated: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
@@ -61,26 +86,15 @@
         unreadable: BTreeSet::new(),
     };
     feed.core.apply(Event::Routers(ASSUMED_ROUTERS));
+    feed.meet_fleet().await;
     let mut sleep = Sleep::new(feed.core.clock);
     loop {
-        let started = feed.core.clock.now();
         let slept = sleep.passed();
         if slept >= NOTICED {
             feed.core.metrics.belief("host_suspended");
             warn!("the host was suspended", kv: { ms = slept.0 });
         }
-        let pause = match feed.look().await {
-            Ok(()) => {
-                if feed.proves() {
-                    feed.core.apply(Event::Current { at: started });
-                }
-                feed.pause(look)
-            }
-            Err(fault) => {
-                feed.failed(&fault);
-                PAUSE
-            }
-        };
+        let pause = feed.step(look).await;
         tokio::time::sleep(pause.duration()).await;
     }
 }
@@ -107,10 +121,10 @@
 struct Feed {
     core: Rc<Core>,
     listing: Listing,
-    /// The routers that have announced themselves, this one included.
+    /// The routers that there are, as they were told to the reducer last.
     routers: BTreeSet<Arc<str>>,
-    /// The same, as they were told to the reducer last.
-    known_routers: BTreeSet<Arc<str>>,
+    /// The router from which this one has heard last; `None` if it looks at the store.
+    source: Option<Arc<str>>,
     /// The failure domains that are to take nothing.
     evacuated: BTreeSet<Arc<str>>,
     /// The same, as they were told to the reducer last.
@@ -138,6 +152,168 @@
 }
 
 impl Feed {
+    /// Finds out who follows the store already. Where nobody does, or this router did in an
+    /// earlier life, it does so itself.
+    async fn meet_fleet(&mut self) {
+        let Some(direct) = &self.core.settings.direct else { return };
+        let shares = self.core.settings.routing.mechanisms.shared_looks;
+        if !shares || self.core.peers().is_none() {
+            return self.core.fleet().follow();
+        }
+        let mut announced = self.announced(true).await;
+        if announced == Some(0) && direct.first_start {
+            let own = placement::key("first start", &self.core.settings.name) % FIRST_SPREAD;
+            let turn = Millis(own + FIRST_SPREAD / u64::from(direct.strength.max(1)));
+            tokio::time::sleep(turn.duration()).await;
+            announced = self.announced(true).await;
+            if announced == Some(0) {
+                announced = self.announced(false).await;
+            }
+        }
+        let own = &self.core.settings.name;
+        if announced.is_none_or(|it| it == 0) || self.core.fleet().roster().announces(own) {
+            self.core.fleet().follow();
+        }
+    }
+
+    /// Reads who follows the store; returns how many do, or nothing where it does not answer.
+    async fn announced(&self, old: bool) -> Option<usize> {
+        match self.core.edges().store.announced(old).await {
+            Ok(announced) => {
+                let count = announced.len();
+                let mut roster = self.core.fleet().roster();
+                for announcement in announced {
+                    roster.put(announcement);
+                }
+                Some(count)
+            }
+            Err(fault) => {
+                info!("not known who follows the store", kv: { reason = fault.to_string() });
+                None
+            }
+        }
+    }
+
+    /// Looks once where it is best now; returns how long to wait until the next time.
+    async fn step(&mut self, look: Millis) -> Millis {
+        let now = self.core.clock.now();
+        self.meet_routers();
+        let shares = self.core.settings.routing.mechanisms.shared_looks;
+        if shares && !self.core.stop.is_asked() && self.core.fleet().decide(now) {
+            let follows = self.core.fleet().follows();
+            self.core.metrics.belief(if follows { "follows_store" } else { "stands_down" });
+            info!("who follows the store has changed", kv: { follows });
+        }
+        match self.core.fleet().next(now) {
+            Source::Store => self.look_and_prove(look, now).await,
+            Source::Router(peer) => self.ask(&peer, now).await,
+            Source::Pause(pause) => pause,
+        }
+    }
+
+    /// Looks at the store once.
+    async fn look_and_prove(&mut self, look: Millis, started: Millis) -> Millis {
+        match self.look().await {
+            Ok(()) => {
+                self.hears_from(None, Millis::ZERO);
+                self.core.fleet().sources().store_answered();
+                if self.proves() {
+                    self.core.apply(Event::Current { at: started });
+                }
+                self.core.fleet().tell_news();
+                self.pause(look.min(FOLLOWER_PAUSE))
+            }
+            Err(fault) => {
+                self.failed(&fault);
+                // What has no history is there.
+                if fault != Fault::HistoryGone {
+                    self.core.fleet().store_failed(PAUSE, self.core.clock.now());
+                }
+                Millis::ZERO
+            }
+        }
+    }
+
+    /// Asks another router what has changed.
+    async fn ask(&mut self, peer: &Peer, asked: Millis) -> Millis {
+        let fleet = self.core.fleet();
+        let wait = if fleet.follows() { PAUSE } else { NEWS_WAIT };
+        let look = wire::Look {
+            routers: fleet.named(asked),
+            after: self.revision.map(hearing::told),
+            proof_ms: self.core.proof_ms(),
+            wait_ms: wait.0,
+        };
+        let answer = self.core.hearing.ask(peer, look).await;
+        let now = self.core.clock.now();
+        match answer {
+            Ok(Answer::News(news, facts, bytes)) => self.hear(peer, news, facts, bytes, asked),
+            Ok(Answer::Refer(others)) => {
+                debug!("referred to others", kv: { peer = &*peer.name, others = others.len() });
+                self.core.fleet().sources().refer(&peer.name, others, now);
+            }
+            Err(fault) => {
+                let reason = fault.to_string();
+                info!("another router tells nothing", kv: { peer = &*peer.name, reason });
+                self.core.fleet().sources().failed(&peer.name, now);
+            }
+        }
+        QUESTION_PAUSE
+    }
+
+    /// Takes what another router told in answer to a question of `asked`.
+    fn hear(
+        &mut self,
+        peer: &Peer,
+        news: wire::News,
+        facts: Vec<Fact>,
+        bytes: usize,
+        asked: Millis,
+    ) {
+        let now = self.core.clock.now();
+        let revision = telling::revision(news.revision);
+        if !self.may_take(revision, news.whole) {
+            return self.core.fleet().sources().stale(&peer.name, now);
+        }
+        self.absorb(Batch { facts, revision, bytes }, news.whole);
+        // The question came there after it was asked, and the answer began `held_ms` later.
+        let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
+        if let Some(at) = proof.filter(|_| self.proves()) {
+            self.core.apply(Event::Current { at });
+            self.lost.take_if(|since| *since <= at);
+        }
+        let age = self.core.proof_ms().map_or(OLD_PROOF, Millis);
+        let mut sources = self.core.fleet().sources();
+        if age < OLD_PROOF {
+            sources.served();
+        } else {
+            sources.stale(&peer.name, now);
+        }
+        drop(sources);
+        self.hears_from(Some(&peer.name), age);
+        self.core.fleet().tell_news();
+    }
+
+    /// Whether what another router told is not older than what is known.
+    fn may_take(&self, revision: Revision, whole: bool) -> bool {
+        let Some(known) = self.revision else { return whole && revision.era >= self.era };
+        match revision.era.cmp(&known.era) {
+            Ordering::Less => false,
+            Ordering::Equal => revision.number >= known.number,
+            Ordering::Greater => whole,
+        }
+    }
+
+    /// Logs from whom this router hears, where that has changed.
+    fn hears_from(&mut self, source: Option<&Arc<str>>, proof: Millis) {
+        if self.source.as_ref() == source {
+            return;
+        }
+        let from = source.map_or("the store", |it| &**it);
+        info!("hears of the store from another source", kv: { from, proof_ms = proof.0 });
+        self.source = source.cloned();
+    }
+
     /// Looks at the store once, and takes what it says.
     async fn look(&mut self) -> Result<(), Fault> {
         let store = self.core.edges().store.clone();
@@ -155,17 +331,25 @@
             info!("the store answers again", kv: { revision = batch.revision.number });
             self.listing.came_back(self.core.clock.now());
         }
+        self.absorb(batch, whole);
+        let reads_anew = self.extent.take(history, self.core.clock.now());
+        if reads_anew | self.ends_doubt() {
+            self.revision = None;
+        }
+        Ok(())
+    }
+
+    /// Takes what the store or another router told.
+    fn absorb(&mut self, batch: Batch, whole: bool) {
         let era = std::mem::replace(&mut self.era, batch.revision.era);
         if self.started && era != self.era {
             self.come_back_older(batch.revision);
         }
+        let (returns, doubted) = (self.listing.is_returning(), self.doubted_until.is_some());
+        let now = self.core.clock.now();
+        self.core.fleet().learn(&batch, whole, returns, doubted, now);
         self.take(batch, whole);
         self.listing.settle();
-        let reads_anew = self.extent.take(history, self.core.clock.now());
-        if reads_anew | self.ends_doubt() {
-            self.revision = None;
-        }
-        Ok(())
     }
 
     /// The store came back from an older copy. What it lacks others write again; this router does
@@ -233,9 +417,8 @@
             self.note(fact, &mut summary);
         }
         if whole {
-            self.part_from_others(&summary.routers);
+            self.core.fleet().roster().keep_only(&summary.routers);
         }
-        self.count_routers();
         self.meet_routers();
         let stored = summary.newest.as_ref().map(|it| it.generation);
         self.stored = stored.unwrap_or(if whole { 0 } else { self.stored });
@@ -260,8 +443,8 @@
             self.recall_parts(&summary.parts);
         }
         self.revision = Some(batch.revision);
-        // One router writes for the whole fleet: the first by name.
-        let writes = self.routers.first() == Some(&self.core.settings.name);
+        // One router writes for the whole fleet.
+        let writes = self.core.fleet().writes();
         self.memory.set_writer(writes);
         if writes {
             self.memory.remember(&self.listing);
@@ -308,16 +491,14 @@
             Fact::UnreadableUpstream { entry, reason } => {
                 self.leave_unreadable(&entry, &reason, summary);
             }
-            Fact::Router(peer) => {
-                if let Some(peers) = self.core.peers() {
-                    peers.meet(&peer);
-                }
-                summary.routers.insert(peer.name.clone());
-                self.routers.insert(peer.name);
+            Fact::Missing(entry) => self.listing.miss(&entry, self.core.clock.now()),
+            Fact::Router(announcement) => {
+                summary.routers.insert(announcement.router.name.clone());
+                self.core.fleet().roster().put(announcement);
             }
             Fact::RouterGone(name) => {
                 summary.routers.remove(&name);
-                self.part_from(&name);
+                self.core.fleet().roster().remove(&name);
             }
             Fact::Evacuated(domain) => {
                 self.evacuated.insert(domain);
@@ -353,22 +534,6 @@
         }
     }
 
-    /// A router's announcement is gone.
-    fn part_from(&mut self, name: &str) {
-        if let Some(peers) = self.core.peers() {
-            peers.part(name);
-        }
-        self.routers.remove(name);
-    }
-
-    /// All that the store holds names `announced`: the other routers are gone.
-    fn part_from_others(&mut self, announced: &BTreeSet<Arc<str>>) {
-        let gone: Vec<_> = self.routers.difference(announced).cloned().collect();
-        for name in gone {
-            self.part_from(&name);
-        }
-    }
-
     /// Another writer's entry names no upstream to use; one line tells of it until it can be
     /// read again or goes.
     fn leave_unreadable(&mut self, entry: &Arc<str>, reason: &str, summary: &mut Summary) {
@@ -416,21 +581,27 @@
         }
     }
 
-    /// Tells the reducer which routers share what cold upstreams bear.
+    /// Takes which routers there are, where that has changed: for hints, for what cold upstreams
+    /// bear, and for the retry budget.
     fn meet_routers(&mut self) {
-        if self.routers == self.known_routers {
+        let known = self.core.fleet().routers(self.core.clock.now());
+        self.count_routers();
+        if known.len() == self.routers.len() && known.keys().all(|it| self.routers.contains(it)) {
             return;
         }
-        self.known_routers.clone_from(&self.routers);
+        if let Some(peers) = self.core.peers() {
+            peers.meet(&known);
+        }
+        self.routers = known.into_keys().collect();
         let own = self.core.settings.name.clone();
         self.core.apply(Event::Members { own, announced: self.routers.clone() });
     }
 
-    /// Tells the reducer among how many routers the retry budget is divided.
-    /// Announcements lapse in an outage of the store while their routers live:
-    /// the count goes down only with a restart.
+    /// Tells the reducer among how many routers the retry budget is divided. Announcements lapse
+    /// in an outage of the store while their routers live, and those that hear from a router that
+    /// ends are named by nobody for a moment: the count goes down only with a restart of all.
     fn count_routers(&mut self) {
-        let routers = self.routers.len();
+        let routers = self.core.fleet().most();
         if routers <= self.most_routers {
             return;
         }
--- /dev/null
+++ b/components/router/src/fleet.rs
@@ -0,0 +1,247 @@
+//! What this router knows of the others, and what it keeps for those that hear from it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use clock::Millis;
+use edge::{Announcement, Batch, Fact, Peer, Revision};
+use fleet::{Mirror, Roster, Source, Sources};
+use tokio::sync::watch;
+
+/// How long a router counts as hearing from this one after it asked last: it asks again within
+/// its wait for news.
+const HEARS: Millis = Millis(3_000);
+
+/// The most routers that hear from one: a change of 100 KB reaches them within a second over
+/// 20 Mbit/s. Further ones hear from these.
+const MOST_HEARERS: usize = 24;
+
+/// How long a packed answer may be given again: what it says is left of times is older by that.
+const PACKED_LASTS: Millis = Millis(500);
+
+/// A router that asks this one, and those that ask it.
+#[derive(Debug)]
+struct Hearer {
+    routers: Vec<Peer>,
+    asked: Millis,
+}
+
+/// An answer that several routers get.
+#[derive(Debug)]
+struct Packed {
+    after: Option<Revision>,
+    revision: Revision,
+    at: Millis,
+    facts: Bytes,
+}
+
+/// The other routers as this one sees them.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    own: Peer,
+    mirror: RefCell<Mirror>,
+    roster: RefCell<Roster>,
+    sources: RefCell<Sources>,
+    hearers: RefCell<BTreeMap<Arc<str>, Hearer>>,
+    packed: RefCell<Option<Packed>>,
+    /// The most routers that were counted.
+    most: Cell<usize>,
+    /// Counts what was learnt, so that those who wait for news wake.
+    learnt: watch::Sender<u64>,
+    /// Whether this router follows the store by itself, and announces that.
+    follows: watch::Sender<bool>,
+}
+
+impl Fleet {
+    /// A router that knows of no other at `now`.
+    pub(crate) fn new(own: Peer, now: Millis) -> Self {
+        Self {
+            sources: RefCell::new(Sources::new(own.clone(), now)),
+            own,
+            mirror: RefCell::default(),
+            roster: RefCell::default(),
+            hearers: RefCell::default(),
+            packed: RefCell::default(),
+            most: Cell::new(0),
+            learnt: watch::Sender::default(),
+            follows: watch::Sender::default(),
+        }
+    }
+
+    /// Has this router follow the store.
+    pub(crate) fn follow(&self) {
+        self.sources.borrow_mut().follow();
+        self.follows.send_replace(true);
+    }
+
+    /// Whether this router follows the store.
+    pub(crate) fn follows(&self) -> bool {
+        self.sources.borrow().follows()
+    }
+
+    /// Tells when that changes.
+    pub(crate) fn follows_changes(&self) -> watch::Receiver<bool> {
+        self.follows.subscribe()
+    }
+
+    /// Decides whether this router follows the store. Returns whether that has changed.
+    pub(crate) fn decide(&self, now: Millis) -> bool {
+        let changed = self.sources.borrow_mut().decide(&mut self.roster.borrow_mut(), now);
+        if changed {
+            self.follows.send_replace(self.follows());
+        }
+        changed
+    }
+
+    /// Where to look next.
+    pub(crate) fn next(&self, now: Millis) -> Source {
+        self.sources.borrow_mut().next(&mut self.roster.borrow_mut(), now)
+    }
+
+    /// Changes what is known of those that may be asked.
+    pub(crate) fn sources(&self) -> std::cell::RefMut<'_, Sources> {
+        self.sources.borrow_mut()
+    }
+
+    /// The store did not answer; it may be asked again after `pause`.
+    pub(crate) fn store_failed(&self, pause: Millis, now: Millis) {
+        self.sources.borrow_mut().store_failed(pause, &mut self.roster.borrow_mut(), now);
+    }
+
+    /// Which routers there are.
+    pub(crate) fn roster(&self) -> std::cell::RefMut<'_, Roster> {
+        self.roster.borrow_mut()
+    }
+
+    /// All routers known at `now`, this one and those that hear from it included.
+    pub(crate) fn routers(&self, now: Millis) -> BTreeMap<Arc<str>, Peer> {
+        let mut roster = self.roster.borrow_mut();
+        let known = roster.routers(now).cloned();
+        let own = std::iter::once(self.own.clone()).chain(self.hearers(now));
+        let routers: BTreeMap<_, _> = known.chain(own).map(|it| (it.name.clone(), it)).collect();
+        self.most.set(self.most.get().max(roster.most()).max(routers.len()));
+        routers
+    }
+
+    /// The most routers that this one or a follower has counted.
+    pub(crate) fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    /// Whether this router writes for the whole fleet: the first by name of those that follow the
+    /// store.
+    pub(crate) fn writes(&self) -> bool {
+        let roster = self.roster.borrow();
+        let first = roster.followers().map(|it| &it.name).min();
+        self.follows() && first.is_none_or(|it| *it >= self.own.name)
+    }
+
+    /// What this router announces.
+    pub(crate) fn announcement(&self, now: Millis) -> Announcement {
+        let hearers = self.hearers(now);
+        Announcement { router: self.own.clone(), hearers, most: self.most.get() }
+    }
+
+    /// The routers that hear from this one, also by way of others.
+    fn hearers(&self, now: Millis) -> Vec<Peer> {
+        let mut hearers = self.hearers.borrow_mut();
+        hearers.retain(|_, it| it.asked.until(now) < HEARS);
+        hearers.values().flat_map(|it| it.routers.iter().cloned()).collect()
+    }
+
+    /// This router and those that hear from it, as it tells when it asks.
+    pub(crate) fn named(&self, now: Millis) -> Vec<Peer> {
+        let mut named = self.hearers(now);
+        named.insert(0, self.own.clone());
+        named
+    }
+
+    /// Notes that a router asks, with those that hear from it. Returns whether it is answered.
+    pub(crate) fn meet(&self, routers: Vec<Peer>, now: Millis) -> bool {
+        let Some(asks) = routers.first().map(|it| it.name.clone()) else { return false };
+        let mut hearers = self.hearers.borrow_mut();
+        hearers.retain(|_, it| it.asked.until(now) < HEARS);
+        let may = hearers.contains_key(&asks) || hearers.len() < MOST_HEARERS;
+        if may {
+            hearers.insert(asks, Hearer { routers, asked: now });
+        }
+        may
+    }
+
+    /// The routers that ask this one, to which others are referred.
+    pub(crate) fn relays(&self) -> Vec<Peer> {
+        let hearers = self.hearers.borrow();
+        hearers.values().filter_map(|it| it.routers.first().cloned()).collect()
+    }
+
+    /// Keeps what was learnt for others; see [`Mirror::take`].
+    pub(crate) fn learn(
+        &self,
+        batch: &Batch,
+        whole: bool,
+        returns: bool,
+        doubted: bool,
+        now: Millis,
+    ) {
+        self.mirror.borrow_mut().take(batch, whole, returns, doubted, now);
+    }
+
+    /// Wakes those that wait for news.
+    pub(crate) fn tell_news(&self) {
+        self.learnt.send_modify(|it| *it += 1);
+    }
+
+    /// Tells when something was learnt.
+    pub(crate) fn news(&self) -> watch::Receiver<u64> {
+        self.learnt.subscribe()
+    }
+
+    /// How far this router has come.
+    pub(crate) fn position(&self) -> Option<Revision> {
+        self.mirror.borrow().position()
+    }
+
+    /// Whether something has changed after `revision`.
+    pub(crate) fn has_news(&self, revision: Revision) -> bool {
+        self.mirror.borrow().has_news(revision)
+    }
+
+    /// What has changed after `after`, or everything; returns whether it is everything.
+    pub(crate) fn facts(&self, after: Option<Revision>, now: Millis) -> (Vec<Fact>, bool) {
+        let mirror = self.mirror.borrow();
+        match after.and_then(|it| mirror.since(it, now)) {
+            Some(changes) => (changes, false),
+            None => (mirror.all(now), true),
+        }
+    }
+
+    /// The same, packed. Routers of a fleet ask for the same at about the same time.
+    ///
+    /// # Errors
+    ///
+    /// A fact that can't be written.
+    pub(crate) fn packed(
+        &self,
+        after: Option<Revision>,
+        now: Millis,
+    ) -> Result<(Bytes, bool), wire::Error> {
+        let revision = self.position().unwrap_or_default();
+        let (facts, whole) = self.facts(after, now);
+        if facts.is_empty() {
+            return Ok((Bytes::new(), whole));
+        }
+        let after = after.filter(|_| !whole);
+        let is_same = |it: &&Packed| {
+            it.after == after && it.revision == revision && it.at.until(now) < PACKED_LASTS
+        };
+        if let Some(packed) = self.packed.borrow().as_ref().filter(is_same) {
+            return Ok((packed.facts.clone(), whole));
+        }
+        let bytes = wire::pack(&facts)?;
+        let facts = bytes.clone();
+        self.packed.replace(Some(Packed { after, revision, at: now, facts }));
+        Ok((bytes, whole))
+    }
+}
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -14,7 +14,9 @@
 mod error;
 mod extent;
 mod feed;
+mod fleet;
 mod headers;
+mod hearing;
 mod hints;
 mod http;
 mod ingress;
@@ -28,6 +30,7 @@
 mod server;
 mod shared;
 mod target;
+mod telling;
 mod template;
 
 pub use error::Error;
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -56,18 +56,18 @@
         self.address
     }
 
-    /// Takes a router's announcement.
-    pub(crate) fn meet(&self, peer: &Peer) {
-        let Some(address) = peer.hints.filter(|_| peer.name != self.name) else { return };
-        if self.others.borrow_mut().insert(peer.name.clone(), address) != Some(address) {
-            info!("another router announced itself", kv: { peer = &*peer.name });
+    /// Takes the routers that there are.
+    pub(crate) fn meet(&self, routers: &BTreeMap<Arc<str>, Peer>) {
+        let is_other = |it: &&Peer| it.name != self.name;
+        let told = |it: &Peer| Some((it.name.clone(), it.hints?));
+        let others: BTreeMap<_, _> = routers.values().filter(is_other).filter_map(told).collect();
+        let known = self.others.replace(others);
+        let others = self.others.borrow();
+        for (name, _) in others.iter().filter(|(name, it)| known.get(*name) != Some(it)) {
+            info!("another router announced itself", kv: { peer = &**name });
         }
-    }
-
-    /// Takes the end of a router's announcement.
-    pub(crate) fn part(&self, name: &str) {
-        if self.others.borrow_mut().remove(name).is_some() {
-            info!("another router's announcement is gone", kv: { peer = name });
+        for name in known.keys().filter(|it| !others.contains_key(*it)) {
+            info!("another router's announcement is gone", kv: { peer = &**name });
         }
     }
 
--- a/components/routing/src/beliefs/listing.rs
+++ b/components/routing/src/beliefs/listing.rs
@@ -118,6 +118,18 @@
         false
     }
 
+    /// Takes that an entry was missing when the store answered others again after an outage.
+    pub fn miss(&mut self, name: &str, now: Millis) {
+        if let Some(entry) = self.hosts.get_mut(name) {
+            entry.gone_at.get_or_insert(now + RETURN);
+        }
+    }
+
+    /// Whether what is missing now may come back.
+    pub fn is_returning(&self) -> bool {
+        self.returned.is_some()
+    }
+
     /// Takes an entry that can't be read: the upstream that stood there is not used, also
     /// where an entry that is missing would be waited for. Returns whether there was one.
     pub fn drop_unreadable(&mut self, entry: &str) -> bool {
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -265,6 +265,9 @@
             | Frame::Heard(_)
             | Frame::Delays(_)
             | Frame::Ended(_)
+            | Frame::Look(_)
+            | Frame::News(_)
+            | Frame::Refer(_)
             | Frame::Outcomes(_) => Self::Strange,
         }
     }
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -34,6 +34,8 @@
     pub admission: bool,
     /// A router that stops takes what will have ended in time.
     pub late_takes: bool,
+    /// Most routers hear from others what the platform's store holds.
+    pub shared_looks: bool,
 }
 
 impl Default for Mechanisms {
@@ -52,6 +54,7 @@
             retries: true,
             admission: true,
             late_takes: true,
+            shared_looks: true,
         }
     }
 }
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -73,6 +73,10 @@
     /// How long to wait between two looks at the platform's store, in
     /// milliseconds.
     pub look_ms: u64,
+    /// How much the host has to spare for other routers; only the order among hosts counts.
+    pub strength: u32,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
 }
 
 impl Router {
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -17,6 +17,7 @@
 
 /// A frame that can't be written or read.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The frame is longer than [`MAX_FRAME`].
     #[snafu(display("a frame of {length} bytes is over the limit of {MAX_FRAME}"))]
@@ -36,6 +37,12 @@
         /// What `bincode` says.
         source: bincode::error::EncodeError,
     },
+    /// The bytes can't be decompressed.
+    #[snafu(display("the bytes can't be decompressed: {reason}"))]
+    Compression {
+        /// What the library says.
+        reason: String,
+    },
     /// Bytes are left over after a frame.
     #[snafu(display("{left} bytes are left over after the frame"))]
     Trailing {
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! The frames and their fields.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -51,6 +52,71 @@
     Delays(Vec<Delay>),
     /// Between routers: an upstream has ended.
     Ended(Ended),
+    /// Asks another router what the platform's store holds. It is answered by `News`, whose
+    /// facts follow in `Chunk`s, or by `Refer`.
+    Look(Look),
+    /// What has changed in the platform's store, or all that it holds.
+    News(News),
+    /// The router that was asked can't tell; others may.
+    Refer(Refer),
+}
+
+/// A question of a router what the platform's store holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Look {
+    /// The router that asks, and those that hear from it.
+    pub routers: Vec<Peer>,
+    /// The revision up to which it knows all; `None` asks for everything.
+    pub after: Option<Revision>,
+    /// How old its proof is that it knows the newest configuration, in milliseconds.
+    pub proof_ms: Option<u64>,
+    /// How long the answer may wait for something new, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// A router of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where it takes hints and questions of other routers, if it does.
+    #[serde(default)]
+    pub hints: Option<SocketAddr>,
+    /// Its failure domain.
+    #[serde(default)]
+    pub domain: Arc<str>,
+    /// How much it has to spare for others; only the order counts.
+    #[serde(default)]
+    pub strength: u32,
+}
+
+/// A place in the history of the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// How often the store has come back from an older copy.
+    pub era: u64,
+    /// The number of the revision in that era.
+    pub number: u64,
+}
+
+/// What another router knows of the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The revision that the facts are of.
+    pub revision: Revision,
+    /// Whether the facts are all there are, not only changes.
+    pub whole: bool,
+    /// How long the question waited for this answer, in milliseconds.
+    pub held_ms: u64,
+    /// How old the proof is that nothing newer is in force, as the answer begins.
+    pub proof_ms: Option<u64>,
+}
+
+/// The router that was asked can't tell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refer {
+    /// Others that may be asked; none where it has just started itself.
+    pub routers: Vec<Peer>,
 }
 
 /// An upstream has ended while it had requests.
