Leave circles of routers that hear from each other, and ask those that follow next

Those found to be behind were asked again after a second, so that no others were tried, and the time without news began anew with each of them.

Change: routers whose proofs were old are asked last, the one first that was asked longest ago, for 10 s; the time without news counts whoever is asked; one that does not answer counts as lost until it does; where all followers are lost those are asked that follow next by rank. A router that starts while the store is silent waits, and then for its turn, in place of following at once.

--- a/components/fleet/src/roster.rs
+++ b/components/fleet/src/roster.rs
@@ -72,6 +72,11 @@
         self.named.values().map(|(it, _)| it)
     }
 
+    /// All routers that were known when this was noticed last.
+    pub fn known(&self) -> impl Iterator<Item = &Peer> {
+        self.named.values().map(|(it, _)| it)
+    }
+
     /// The most routers that any follower has counted.
     pub fn most(&self) -> usize {
         self.announced.values().map(|it| it.most).max().unwrap_or_default()
--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -27,14 +27,18 @@
 /// How long a router is not asked again that did not answer.
 const FAILED: Millis = Millis(1_000);
 
+/// How long one that did not answer counts as lost, unless it answers: its announcement is over
+/// by then.
+const LOST: Millis = Millis(20_000);
+
 /// How long a router is not asked again that has just started and knows nothing.
 const STARTS: Millis = Millis(100);
 
 /// How long a router is not asked again that has enough others to answer.
 const FULL: Millis = Millis(5_000);
 
-/// How long a router is asked last whose proof was old.
-const STALE: Millis = Millis(1_000);
+/// How long routers are asked last whose proof was old, the one first that was asked longest ago.
+const STALE: Millis = Millis(10_000);
 
 /// How long all may fail until a router looks at the store that does not follow it; each
 /// further one in rank waits [`PROBE`] longer, so that a domain asks about once a second
@@ -48,6 +52,9 @@
 /// until then it does not know who else might.
 const SETTLE: Millis = Millis(3_000);
 
+/// How many of those that would follow next are asked where all followers are lost.
+const SUCCESSORS: usize = 3;
+
 /// What tells draws for followers apart from others.
 const DRAW: &str = "follower";
 
@@ -69,17 +76,17 @@
     started: Millis,
     /// Whether this router follows the store and announces that.
     follows: bool,
-    /// Until when routers are not asked.
+    /// When routers last did not answer.
     failed: BTreeMap<Arc<str>, Millis>,
     /// Until when routers are not asked that answered that they can't tell.
     unable: BTreeMap<Arc<str>, Millis>,
-    /// Until when routers are asked last.
+    /// When the proof of routers was last found to be old.
     stale: BTreeMap<Arc<str>, Millis>,
     /// The routers that one names that has too many to answer.
     referred: Vec<Peer>,
     /// When the store may be asked again after it failed.
     store_at: Millis,
-    /// Since when nobody has told anything of use; `None` if somebody does.
+    /// Since when nobody has told anything new; `None` if somebody just has.
     alone: Option<Millis>,
     /// Since when this domain has had too few followers.
     short: Option<Millis>,
@@ -209,33 +216,34 @@
         if self.follows && store_answers {
             return Source::Store;
         }
-        self.failed.retain(|_, until| *until > now);
-        self.unable.retain(|_, until| *until > now);
-        self.stale.retain(|_, until| *until > now);
-        let candidates = self.candidates(roster);
-        let fresh = candidates.iter().find(|it| !self.stale.contains_key(&it.name));
-        if let Some(peer) = fresh {
-            return Source::Router(peer.clone());
-        }
         let alone = *self.alone.get_or_insert(now);
         if store_answers && alone.until(now) >= self.patience(roster, now) {
             return Source::Store;
         }
-        match candidates.first() {
-            Some(peer) => Source::Router(peer.clone()),
+        self.forget(now);
+        match self.candidates(roster, now).into_iter().next() {
+            Some(peer) => Source::Router(peer),
             None => Source::Pause(TURN),
         }
     }
 
-    /// The routers that may be asked, which name their domains, as earlier versions do not:
-    /// those to which this one was referred, those of its domain,
-    /// all others; each group by rank, which differs from router to router.
-    fn candidates(&self, roster: &Roster) -> Vec<Peer> {
+    /// Forgets what no longer counts.
+    fn forget(&mut self, now: Millis) {
+        self.failed.retain(|_, at| at.until(now) < LOST);
+        self.unable.retain(|_, until| *until > now);
+        self.stale.retain(|_, at| at.until(now) < STALE);
+    }
+
+    /// The routers that may be asked, which name their domains, as earlier versions do not: those
+    /// to which this one was referred, those of its domain, all others; each group by rank, which
+    /// differs from router to router. Those whose proofs were old come last.
+    fn candidates(&self, roster: &Roster, now: Millis) -> Vec<Peer> {
+        let rests = |it: &Peer| self.failed.get(&it.name).is_some_and(|at| at.until(now) < FAILED);
         let may_be_asked = |it: &&Peer| {
             it.name != self.own.name
                 && it.hints.is_some()
                 && !it.domain.is_empty()
-                && !self.failed.contains_key(&it.name)
+                && !rests(it)
                 && !self.unable.contains_key(&it.name)
         };
         let draw = key(DRAW, &self.own.name);
@@ -246,7 +254,20 @@
             is_far(one).cmp(&is_far(other)).then(drawn(other).total_cmp(&drawn(one)))
         });
         let referred = self.referred.iter().filter(may_be_asked).cloned();
-        referred.chain(followers).collect()
+        let mut candidates: Vec<_> = referred.chain(followers).collect();
+        // Where all followers are lost, those follow next whom nobody has announced yet.
+        candidates.extend(self.successors(roster).into_iter().filter(|it| may_be_asked(&it)));
+        candidates.sort_by_key(|it| self.stale.get(&it.name).copied());
+        candidates
+    }
+
+    /// The routers of this domain that are the first to follow where others are lost.
+    fn successors(&self, roster: &Roster) -> Vec<Peer> {
+        let may_follow = |it: &&Peer| it.domain == self.own.domain && !roster.announces(&it.name);
+        let mut successors: Vec<_> = roster.known().filter(may_follow).cloned().collect();
+        successors.sort_by_key(rank);
+        successors.truncate(SUCCESSORS);
+        successors
     }
 
     /// How long nobody may tell anything until this router looks at the store.
@@ -257,13 +278,16 @@
         PATIENCE + Millis(PROBE.0 * before as u64)
     }
 
+    /// Whether a router has not answered lately.
     fn is_failed(&self, name: &str, now: Millis) -> bool {
-        self.failed.get(name).is_some_and(|until| *until > now)
+        self.failed.get(name).is_some_and(|at| at.until(now) < LOST)
     }
 
-    /// A router told something that is new enough, or the store did.
-    pub fn served(&mut self) {
+    /// A router told something that is new enough.
+    pub fn served(&mut self, name: &str) {
         self.alone = None;
+        self.failed.remove(name);
+        self.stale.remove(name);
     }
 
     /// The store answered. A router that does not follow it has asked since nobody told it
@@ -290,19 +314,21 @@
 
     /// A router did not answer.
     pub fn failed(&mut self, name: &Arc<str>, now: Millis) {
-        self.failed.insert(name.clone(), now + FAILED);
+        self.failed.insert(name.clone(), now);
         self.referred.retain(|it| it.name != *name);
     }
 
     /// A router answered, but what it knows is old.
     pub fn stale(&mut self, name: &Arc<str>, now: Millis) {
-        self.stale.insert(name.clone(), now + STALE);
+        self.failed.remove(name);
+        self.stale.insert(name.clone(), now);
         self.referred.retain(|it| it.name != *name);
     }
 
     /// A router can't tell, and names `others` that may be asked. Where it names none it has just
     /// started, and soon can.
     pub fn refer(&mut self, name: &Arc<str>, mut others: Vec<Peer>, now: Millis) {
+        self.failed.remove(name);
         if others.is_empty() {
             self.unable.insert(name.clone(), now + STARTS);
             return;
--- a/components/fleet/tests/sources.rs
+++ b/components/fleet/tests/sources.rs
@@ -36,11 +36,16 @@
     proof: Option<Millis>,
     /// From whom it heard last.
     source: Option<Arc<str>>,
+    /// The step whose announcements it knows.
+    seen: Option<usize>,
 }
 
-/// A fleet whose announcements all routers see at once, and whose calls take no time.
+/// A fleet whose calls take no time. Who looks at the store learns there who follows it; who hears
+/// from another learns as much as that one knows.
 struct Fleet {
     routers: Vec<Router>,
+    /// What was announced at each step.
+    announced: Vec<Vec<Announcement>>,
     now: Millis,
     looks: usize,
 }
@@ -56,8 +61,14 @@
             reaches: true,
             proof: None,
             source: None,
+            seen: None,
+        };
+        let mut fleet = Self {
+            routers: own.map(router).collect(),
+            announced: Vec::new(),
+            now: Millis::ZERO,
+            looks: 0,
         };
-        let mut fleet = Self { routers: own.map(router).collect(), now: Millis::ZERO, looks: 0 };
         fleet.routers[0].sources.follow();
         fleet
     }
@@ -77,14 +88,23 @@
     /// Lets a step of time pass, in which each router looks once.
     fn step(&mut self) {
         self.now = self.now + STEP;
-        let announcements = self.announcements();
-        let known: Vec<_> =
-            self.routers.iter().map(|it| (it.own.name.clone(), it.lives, it.proof)).collect();
+        self.announced.push(self.announcements());
+        let latest = self.announced.len() - 1;
+        let known: Vec<_> = self
+            .routers
+            .iter()
+            .map(|it| (it.own.name.clone(), it.lives, it.proof, it.seen))
+            .collect();
         let (now, mut looks) = (self.now, 0);
         for router in self.routers.iter_mut().filter(|it| it.lives) {
+            // At its start a router reads from the store who follows it.
+            if router.seen.is_none() && router.reaches {
+                router.seen = Some(latest);
+            }
+            let announcements = router.seen.map_or(&[][..], |it| &self.announced[it]);
             let names = announcements.iter().map(|it| it.router.name.clone()).collect();
             router.roster.keep_only(&names);
-            for announcement in &announcements {
+            for announcement in announcements {
                 router.roster.put(announcement.clone());
             }
             router.sources.decide(&mut router.roster, now);
@@ -94,6 +114,7 @@
                     router.sources.store_answered(now);
                     router.proof = Some(now);
                     router.source = None;
+                    router.seen = Some(latest);
                 }
                 Source::Store => {
                     looks += 1;
@@ -101,11 +122,12 @@
                 }
                 Source::Router(peer) => {
                     let told = known.iter().find(|it| it.0 == peer.name).filter(|it| it.1);
+                    router.seen = router.seen.max(told.and_then(|it| it.3));
                     match told.and_then(|it| it.2) {
                         Some(proof) if proof.until(now) < Millis(1_800) => {
                             router.proof = router.proof.max(Some(proof));
                             router.source = Some(peer.name.clone());
-                            router.sources.served();
+                            router.sources.served(&peer.name);
                         }
                         Some(_) => router.sources.stale(&peer.name, now),
                         None if told.is_some() => router.sources.refer(&peer.name, Vec::new(), now),
@@ -209,6 +231,24 @@
     assert!(fleet.oldest().is_some_and(|it| it <= Millis(1_500)), "{:?}", fleet.oldest());
 }
 
+#[test]
+fn a_fleet_in_which_all_follow_comes_down_to_few_and_all_hear_of_the_store() {
+    for (domains, size) in [(3, 10), (1, 30), (5, 20)] {
+        let mut fleet = Fleet::new(domains, size);
+        for router in &mut fleet.routers {
+            router.sources.follow();
+        }
+        fleet.run(Millis(6_000));
+        for _ in 0..150 {
+            fleet.step();
+            let oldest = fleet.oldest();
+            assert!(oldest.is_some_and(|it| it <= Millis(2_500)), "{oldest:?} at {}", fleet.now);
+        }
+        let most = (0..domains).map(|it| fleet.followers(it)).max();
+        assert!(most.is_some_and(|it| it <= FOLLOWING), "{most:?} of {size}");
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Fault {
     Kill(usize),
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -160,22 +160,41 @@
         if !shares || self.core.peers().is_none() {
             return self.core.fleet().follow();
         }
-        let mut announced = self.announced(true).await;
-        if announced == Some(0) && direct.first_start {
-            let own = placement::key("first start", &self.core.settings.name) % FIRST_SPREAD;
-            let turn = Millis(own + FIRST_SPREAD / u64::from(direct.strength.max(1)));
-            tokio::time::sleep(turn.duration()).await;
-            announced = self.announced(true).await;
-            if announced == Some(0) {
-                announced = self.announced(false).await;
-            }
+        let (mut count, mut waited) = (self.announced(true).await, false);
+        while count.is_none() {
+            waited = true;
+            tokio::time::sleep(PAUSE.duration()).await;
+            count = self.announced(true).await;
+        }
+        // Many routers may start at the same moment, and find nobody.
+        if count == Some(0) && (waited || direct.first_start) {
+            count = self.wait_for_followers(direct.strength, waited).await;
         }
         let own = &self.core.settings.name;
-        if announced.is_none_or(|it| it == 0) || self.core.fleet().roster().announces(own) {
+        if count.is_none_or(|it| it == 0) || self.core.fleet().roster().announces(own) {
             self.core.fleet().follow();
         }
     }
 
+    /// Waits until this router is to follow the store as long as nobody else does; returns how
+    /// many do then. Where callers wait, it asks again and again meanwhile.
+    async fn wait_for_followers(&self, strength: u32, hurries: bool) -> Option<usize> {
+        let draw = placement::key("first start", &self.core.settings.name) % FIRST_SPREAD;
+        let turn = self.core.clock.now() + Millis(draw + FIRST_SPREAD / u64::from(strength.max(1)));
+        loop {
+            let left = self.core.clock.now().until(turn);
+            let pause = if hurries { left.min(PAUSE) } else { left };
+            tokio::time::sleep(pause.duration()).await;
+            let count = self.announced(true).await;
+            if count != Some(0) {
+                return count;
+            }
+            if self.core.clock.now() >= turn {
+                return self.announced(false).await;
+            }
+        }
+    }
+
     /// Reads who follows the store; returns how many do, or nothing where it does not answer.
     async fn announced(&self, old: bool) -> Option<usize> {
         match self.core.edges().store.announced(old).await {
@@ -244,11 +263,14 @@
     /// Asks another router what has changed.
     async fn ask(&mut self, peer: &Peer, asked: Millis) -> Millis {
         let fleet = self.core.fleet();
-        let wait = if fleet.follows() { PAUSE } else { NEWS_WAIT };
+        let proof_ms = self.core.proof_ms();
+        // A router that follows the store asks it again soon, and one whose proof is old others.
+        let is_old = proof_ms.is_none_or(|it| it >= OLD_PROOF.0);
+        let wait = if fleet.follows() || is_old { PAUSE } else { NEWS_WAIT };
         let look = wire::Look {
             routers: fleet.named(asked),
             after: self.revision.map(hearing::told),
-            proof_ms: self.core.proof_ms(),
+            proof_ms,
             wait_ms: wait.0,
         };
         let answer = self.core.hearing.ask(peer, look).await;
@@ -292,7 +314,7 @@
         let age = self.core.proof_ms().map_or(OLD_PROOF, Millis);
         let mut sources = self.core.fleet().sources();
         if age < OLD_PROOF {
-            sources.served();
+            sources.served(&peer.name);
         } else {
             sources.stale(&peer.name, now);
         }
