Have looks that ask for less be complete: a test that fails

Read in the code: such a look reads the configuration while it waits for changes of upstreams, and takes the revision of those. A configuration written between the two is taken to be known. The router itself reads it with its next look; one that had heard from it and goes on elsewhere from that revision never does, and counts its proof as whole.

Change: a test of the order in which the store answers; the stand-in keeps that order.

--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -163,3 +163,18 @@
     router.store.put("op/config", &changed);
     router.until("in force", || router.ask("GET /safe/x", &[], "").unwrap().status == 404);
 }
+
+#[test]
+fn looks_that_ask_for_less_read_the_configuration_after_all_that_they_say_is_known() {
+    let upstream = plain();
+    let router = Router::start(&configuration(1), &[&upstream]);
+    router.shorten_looks();
+    let before = router.store.beside_watches().len();
+    let looks = router.store.targets().len();
+    let is_key = |it: &&String| it.starts_with("/v1/kv-key?privateKey=op/config");
+    router.until("looked", || router.store.targets()[looks..].iter().filter(is_key).count() > 3);
+    // One that is read while changes are waited for may be older than the revision of these.
+    let beside = router.store.beside_watches();
+    let read: Vec<_> = beside[before..].iter().filter(is_key).collect();
+    assert!(read.is_empty(), "{read:?}");
+}
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -41,6 +41,10 @@
     watching: Vec<usize>,
     calls: usize,
     targets: Vec<String>,
+    /// What calls asked for while somebody waited for changes on another connection.
+    beside_watches: Vec<String>,
+    /// How many wait for changes.
+    waiting: usize,
     /// How many bytes of an answer go out in a tenth of a second; all at once, if zero.
     pace: usize,
     /// How many items a page holds; all, if zero.
@@ -203,6 +207,11 @@
         self.lock().targets.clone()
     }
 
+    /// What calls asked for while somebody waited for changes.
+    pub fn beside_watches(&self) -> Vec<String> {
+        self.lock().beside_watches.clone()
+    }
+
     /// How many calls have come.
     pub fn calls(&self) -> usize {
         self.lock().calls
@@ -225,11 +234,20 @@
             }
             if request.target.starts_with("/v1/kv-watch?") {
                 let mut state = self.lock();
+                state.waiting += 1;
                 if !state.watching.contains(&number) {
                     state.watching.push(number);
                 }
             }
+            let mut state = self.lock();
+            if state.waiting > 0 && !request.target.starts_with("/v1/kv-watch?") {
+                state.beside_watches.push(request.target.clone());
+            }
+            drop(state);
             let Some((status, body)) = self.answer(&request) else { return };
+            if request.target.starts_with("/v1/kv-watch?") {
+                self.lock().waiting -= 1;
+            }
             let body = body.to_string();
             let head = format!(
                 "HTTP/1.1 {status} .\r\nstore-era: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
