--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -152,8 +152,8 @@
     /// nothing after `wait`. The history of an earlier era is gone.
     fn watch(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
-    /// The same, without changes to the configuration that others have followed, and
-    /// without routers.
+    /// The same, without changes to the configuration that others have followed, and without
+    /// routers whose announcements have ended.
     fn watch_less(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
     /// The routers that announce themselves. Where it may be `old`, it may lack those of the
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -76,6 +76,7 @@
         known_evacuated: BTreeSet::new(),
         most_routers: ASSUMED_ROUTERS,
         revision: None,
+        reads_anew: false,
         era: Era::default(),
         stored: 0,
         doubted_until: None,
@@ -133,6 +134,8 @@
     most_routers: usize,
     /// The revision up to which all changes were taken.
     revision: Option<Revision>,
+    /// Whether the next look at the store reads everything in place of its history.
+    reads_anew: bool,
     /// The era of the store in which it was told.
     era: Era,
     /// The generation of the configuration that the store holds; it may be lower than the one in
@@ -309,7 +312,10 @@
         let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
         if let Some(at) = proof.filter(|_| self.proves()) {
             self.core.apply(Event::Current { at });
-            self.lost.take_if(|since| *since <= at);
+            // What changed meanwhile is known: there is no long history to be read.
+            if self.lost.take_if(|since| *since <= at).is_some() {
+                self.reads_anew = false;
+            }
         }
         let age = self.core.proof_ms().map_or(OLD_PROOF, Millis);
         let mut sources = self.core.fleet().sources();
@@ -348,8 +354,9 @@
     /// Looks at the store once, and takes what it says.
     async fn look(&mut self) -> Result<(), Fault> {
         let store = self.core.edges().store.clone();
-        let whole = self.revision.is_none();
-        let batch = match self.revision {
+        let revision = self.revision.filter(|_| !self.reads_anew);
+        let whole = revision.is_none();
+        let batch = match revision {
             Some(revision) if self.extent.is_narrow() => store.watch_less(revision, WAIT).await?,
             Some(revision) => store.watch(revision, WAIT).await?,
             None => store.read().await?,
@@ -362,9 +369,10 @@
             info!("the store answers again", kv: { revision = batch.revision.number });
             self.listing.came_back(self.core.clock.now());
         }
+        self.reads_anew = false;
         self.absorb(batch, whole);
-        let reads_anew = self.extent.take(history, self.core.clock.now());
-        if reads_anew | self.ends_doubt() {
+        self.reads_anew = self.extent.take(history, self.core.clock.now());
+        if self.ends_doubt() {
             self.revision = None;
         }
         Ok(())
@@ -426,7 +434,7 @@
     fn failed(&mut self, fault: &Fault) {
         if *fault == Fault::HistoryGone {
             info!("the store's history is gone; everything is read anew");
-            self.revision = None;
+            self.reads_anew = true;
             return;
         }
         let now = self.core.clock.now();
@@ -435,7 +443,7 @@
                 warn!("the store does not answer", kv: { reason = fault.to_string() });
                 self.lost = Some(now);
             }
-            Some(since) if since.until(now) >= OUTAGE => self.revision = None,
+            Some(since) if since.until(now) >= OUTAGE => self.reads_anew = true,
             Some(_) => {}
         }
     }
