Test eras, lapsed entries and evacuations of routers that hear from others

Cause: these were built for routers that look at the store by themselves.

The test of lapsed entries waits until both followers have noticed the outage: one whose looks all succeeded knows of none, as before.

--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -50,6 +50,13 @@
     name.is_some_and(|it| router.store.holds(&format!("{FOLLOWERS}{it}")))
 }
 
+/// Whether a line of a log tells who follows the store, or why.
+fn is_about_followers(line: &Value) -> bool {
+    let told =
+        ["whether this router follows the store has changed", "another router tells nothing"];
+    told.iter().any(|it| line["payload"] == *it)
+}
+
 /// The status of a request to the route of `version`.
 fn asks(router: &Router, path: &str) -> u16 {
     router.ask(&format!("GET /{path}/x"), &[], "").map_or(0, |it| it.status)
@@ -69,7 +76,9 @@
     let store = &routers[0].store;
     store.watchers();
     sleep(Duration::from_secs(2));
-    assert!(store.watchers() <= FOLLOWING, "others look as well");
+    let watchers = store.watchers();
+    let reasons = || routers.iter().flat_map(Router::log).filter(is_about_followers);
+    assert!(watchers <= FOLLOWING, "{watchers} look: {:?}", reasons().collect::<Vec<_>>());
     assert!(routers.iter().all(|it| asks(it, "safe") == 200));
 }
 
@@ -174,3 +183,66 @@
         router.until("serves", || listens() && asks(router, "safe") == 200);
     }
 }
+
+#[test]
+fn all_hear_of_a_store_that_came_back_older_and_none_goes_back_with_it() {
+    let (routers, _upstream) = fleet();
+    let store = &routers[0].store;
+    store.copy();
+    store.put("op/config", &with_route(2, "added"));
+    for router in &routers {
+        router.until("in force", || asks(router, "added") == 200);
+    }
+    store.come_back_older();
+    for router in &routers {
+        router.until("told", || router.has_logged("the store came back from an older copy"));
+        assert_ne!(asks(router, "added"), 404, "an older configuration is in force");
+    }
+    sleep(PROOF_LASTS);
+    for router in &routers {
+        assert_eq!(asks(router, "safe"), 503, "an older configuration counts as the newest");
+    }
+    store.put("op/config", &with_route(3, "added"));
+    for router in &routers {
+        router.until("in force again", || asks(router, "added") == 200);
+    }
+}
+
+#[test]
+fn upstreams_whose_entries_lapsed_in_an_outage_are_kept_by_those_that_hear_of_it_from_others() {
+    let (routers, upstream) = fleet();
+    let store = &routers[0].store;
+    store.set_mode(Mode::Busy);
+    // A router whose looks all succeeded knows of no outage.
+    let missed = |it: &&Router| it.has_logged("the store does not answer");
+    routers[0].until("missed", || routers.iter().filter(missed).count() >= FOLLOWING);
+    store.remove(&upstream.key());
+    store.set_mode(Mode::Up);
+    routers[0].until("back", || routers.iter().any(|it| it.has_logged("the store answers again")));
+    for router in &routers {
+        assert_eq!(asks(router, "safe"), 200, "an upstream that lives is taken to be gone");
+    }
+    store.put(&upstream.key(), &upstream.entry("ready", 2));
+    for router in &routers {
+        router.until("serves", || asks(router, "safe") == 200);
+    }
+}
+
+#[test]
+fn a_domain_that_is_evacuated_takes_nothing_of_those_that_hear_of_it_from_others() {
+    let (routers, upstream) = fleet();
+    let store = &routers[0].store;
+    store.put(&format!("op/evacuate/{}", domain(&upstream)), &json!({}));
+    for router in &routers {
+        router.until("left", || asks(router, "safe") == 503);
+    }
+    store.remove(&format!("op/evacuate/{}", domain(&upstream)));
+    for router in &routers {
+        router.until("taken back", || asks(router, "safe") == 200);
+    }
+}
+
+/// The failure domain of an upstream, as its entry names it.
+fn domain(upstream: &Upstream) -> String {
+    upstream.entry("ready", 1)["zone"].as_str().expect("a zone").to_owned()
+}
