Take turns of two seconds at following the store, and split the feed

Change: the first in rank follows after 2 s in place of 300 ms, each further one 2 s later. That holds at any size: an announcement is written at once, followers look each 1,100 ms, a question waits for 1,200 ms at most; meanwhile other followers answer. `feed` is split by what it does: starting, hearing from others, taking facts (moved as it was).

--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -18,8 +18,13 @@
 const STAYS: Millis = Millis(20_000);
 
 /// How long the first in rank waits before it follows in place of one that is missing, and how
-/// much longer each further one does.
-const TURN: Millis = Millis(300);
+/// much longer each further one does. The others know of it by then, however many they are: it
+/// announces itself at once, followers look each 1,100 ms, and a question waits no longer for
+/// news than 1,200 ms.
+const TURN: Millis = Millis(2_000);
+
+/// How long a router waits that has nobody to ask.
+const IDLE: Millis = Millis(300);
 
 /// How long there must be too many followers until one stands down: both may have just begun.
 const SURPLUS: Millis = Millis(3_000);
@@ -223,7 +228,7 @@
         self.forget(now);
         match self.candidates(roster, now).into_iter().next() {
             Some(peer) => Source::Router(peer),
-            None => Source::Pause(TURN),
+            None => Source::Pause(IDLE),
         }
     }
 
--- /dev/null
+++ b/components/router/src/feed/others.rs
@@ -0,0 +1,115 @@
+//! Hearing from another router what the store holds.
+
+use std::cmp::Ordering;
+
+use clock::Millis;
+use edge::{Batch, Fact, Peer, Revision};
+use routing::Event;
+use spdlog::{debug, info};
+
+use super::{Feed, PAUSE};
+use crate::hearing::{self, Answer};
+use crate::telling;
+
+/// How long an answer of another router may wait for news: it has some with each of its looks.
+const NEWS_WAIT: Millis = Millis(1_200);
+
+/// The least time between two questions to another router.
+const QUESTION_PAUSE: Millis = Millis(100);
+
+/// How old a proof that another router tells may be until others are asked. A look and its pause
+/// take about 1,100 ms, and a hop may add as much where one answer is missed.
+const OLD_PROOF: Millis = Millis(1_800);
+
+/// By how much times that were cut to whole milliseconds may add up.
+const ROUNDING: Millis = Millis(3);
+
+impl Feed {
+    /// Asks another router what has changed.
+    pub(super) async fn ask(&mut self, peer: &Peer, asked: Millis) -> Millis {
+        let fleet = self.core.fleet();
+        let proof_ms = self.core.proof_ms();
+        // A router that follows the store asks it again soon, and one whose proof is old others.
+        let is_old = proof_ms.is_none_or(|it| it >= OLD_PROOF.0);
+        let wait = if fleet.follows() || is_old { PAUSE } else { NEWS_WAIT };
+        let look = wire::Look {
+            routers: fleet.named(asked),
+            after: self.revision.map(hearing::told),
+            proof_ms,
+            wait_ms: wait.0,
+        };
+        let answer = self.core.hearing.ask(peer, look).await;
+        let now = self.core.clock.now();
+        match answer {
+            Ok(Answer::News(news, facts, bytes)) => self.hear(peer, news, facts, bytes, asked),
+            Ok(Answer::Refer(others)) => {
+                debug!("referred to others", kv: { peer = &*peer.name, others = others.len() });
+                self.core.fleet().sources().refer(&peer.name, others, now);
+            }
+            Err(fault) => {
+                let reason = fault.to_string();
+                info!("another router tells nothing", kv: { peer = &*peer.name, reason });
+                self.core.fleet().sources().failed(&peer.name, now);
+            }
+        }
+        QUESTION_PAUSE
+    }
+
+    /// Takes what another router told in answer to a question of `asked`.
+    fn hear(
+        &mut self,
+        peer: &Peer,
+        news: wire::News,
+        facts: Vec<Fact>,
+        bytes: usize,
+        asked: Millis,
+    ) {
+        let now = self.core.clock.now();
+        let revision = telling::revision(news.revision);
+        if !self.may_take(revision, news.whole) {
+            return self.core.fleet().sources().stale(&peer.name, now);
+        }
+        self.absorb(Batch { facts, revision, bytes }, news.whole);
+        // The question came there after it was asked, and the answer began `held_ms` later.
+        let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
+        if let Some(at) = proof.filter(|_| self.proves()) {
+            self.core.apply(Event::Current { at });
+            // What changed meanwhile is known: there is no long history to be read.
+            if self.lost.take_if(|since| *since <= at).is_some() {
+                self.reads_anew = false;
+            }
+        }
+        let age = self.core.proof_ms().map_or(OLD_PROOF, Millis);
+        let mut sources = self.core.fleet().sources();
+        if age < OLD_PROOF {
+            sources.served(&peer.name);
+        } else {
+            sources.stale(&peer.name, now);
+        }
+        drop(sources);
+        self.hears_from(Some(peer), age);
+        self.core.fleet().tell_news();
+    }
+
+    /// Whether what another router told is not older than what is known.
+    fn may_take(&self, revision: Revision, whole: bool) -> bool {
+        let Some(known) = self.revision else { return whole && revision.era >= self.era };
+        match revision.era.cmp(&known.era) {
+            Ordering::Less => false,
+            Ordering::Equal => revision.number >= known.number,
+            Ordering::Greater => whole,
+        }
+    }
+
+    /// Notes from whom this router hears; `None` is the store.
+    pub(super) fn hears_from(&mut self, source: Option<&Peer>, proof: Millis) {
+        let name = source.map(|it| it.name.clone());
+        if self.source == name {
+            return;
+        }
+        let from = name.as_deref().unwrap_or("the store");
+        info!("hears of the store from another source", kv: { from, proof_ms = proof.0 });
+        self.core.fleet().set_source(source);
+        self.source = name;
+    }
+}
