Name oneself to those that hear of everything, and hurry after an outage

Causes, by tests of the platform that failed on the commit before: - A follower that had not yet read its own announcement told one that started of all followers but itself, and was taken to be gone: that one looked at the store by itself half a second later, and followed for 20 s.

Change: who follows names itself with all that it tells; the silence is logged and remembered as one of looks is, so that entries that lapsed have their time; turns after an outage are 300 ms in all.

--- a/components/router/src/feed/start.rs
+++ b/components/router/src/feed/start.rs
@@ -1,7 +1,6 @@
 //! Finding out at a start who follows the store.
 
 use clock::Millis;
-use spdlog::info;
 
 use super::{Feed, PAUSE};
 
@@ -9,11 +8,14 @@
 /// with the most to spare first: those that come later hear from these.
 const FIRST_SPREAD: u64 = 1_000;
 
+/// The same where callers wait already.
+const HURRIED_SPREAD: u64 = 300;
+
 impl Feed {
     /// Finds out who follows the store already. Where nobody does, or this router did in an
     /// earlier life, it does so itself.
     pub(super) async fn meet_fleet(&mut self) {
-        let Some(direct) = &self.core.settings.direct else { return };
+        let Some(direct) = self.core.settings.direct.clone() else { return };
         let shares = self.core.settings.routing.mechanisms.shared_looks;
         if !shares || self.core.peers().is_none() {
             return self.core.fleet().follow();
@@ -36,9 +38,14 @@
 
     /// Waits until this router is to follow the store as long as nobody else does; returns how
     /// many do then. Where callers wait, it asks again and again meanwhile.
-    async fn wait_for_followers(&self, strength: u32, hurries: bool) -> Option<usize> {
-        let draw = placement::key("first start", &self.core.settings.name) % FIRST_SPREAD;
-        let turn = self.core.clock.now() + Millis(draw + FIRST_SPREAD / u64::from(strength.max(1)));
+    async fn wait_for_followers(&mut self, strength: u32, hurries: bool) -> Option<usize> {
+        let draw = placement::key("first start", &self.core.settings.name);
+        let turn = if hurries {
+            draw % HURRIED_SPREAD
+        } else {
+            draw % FIRST_SPREAD + FIRST_SPREAD / u64::from(strength.max(1))
+        };
+        let turn = self.core.clock.now() + Millis(turn);
         loop {
             let left = self.core.clock.now().until(turn);
             let pause = if hurries { left.min(PAUSE) } else { left };
@@ -54,7 +61,7 @@
     }
 
     /// Reads who follows the store; returns how many do, or nothing where it does not answer.
-    async fn announced(&self, old: bool) -> Option<usize> {
+    async fn announced(&mut self, old: bool) -> Option<usize> {
         match self.core.edges().store.announced(old).await {
             Ok(announced) => {
                 let count = announced.len();
@@ -65,7 +72,7 @@
                 Some(count)
             }
             Err(fault) => {
-                info!("not known who follows the store", kv: { reason = fault.to_string() });
+                self.failed(&fault);
                 None
             }
         }
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -243,10 +243,20 @@
     /// What has changed after `after`, or everything; returns whether it is everything.
     pub(crate) fn facts(&self, after: Option<Revision>, now: Millis) -> (Vec<Fact>, bool) {
         let mirror = self.mirror.borrow();
-        match after.and_then(|it| mirror.since(it, now)) {
-            Some(changes) => (changes, false),
-            None => (mirror.all(now), true),
+        if let Some(changes) = after.and_then(|it| mirror.since(it, now)) {
+            return (changes, false);
         }
+        let mut facts = mirror.all(now);
+        facts.extend(self.own_announcement(&facts, now));
+        (facts, true)
+    }
+
+    /// That this router follows the store, where `facts` do not say so: it may not have read its
+    /// own announcement yet, and who hears from it would take it to be gone.
+    fn own_announcement(&self, facts: &[Fact], now: Millis) -> Option<Fact> {
+        let is_own = |it: &Fact| matches!(it, Fact::Router(it) if it.router.name == self.own.name);
+        let lacks = self.follows() && !facts.iter().any(is_own);
+        lacks.then(|| Fact::Router(self.announcement(now)))
     }
 
     /// The same, packed. Routers of a fleet ask for the same at about the same time.
