Reckon with how fast upstreams say that they are

Cause: engines of one pool differ in speed and are slower for moments; they say so as a fourth figure of their load, which was cut off at the edge, so that a request waited at an engine that could not be in time. Change: crate pace (usual pace and the moment, with its age), read in platform/, told between routers where upstreams tell it, counted in what is expected of an answer. Switch: routing.mechanisms.pace. Not built: pace from own answers, a second try beside a slow one.

--- a/components/edge/src/dialect.rs
+++ b/components/edge/src/dialect.rs
@@ -86,6 +86,9 @@
     pub running: u64,
     /// Requests whose answers have not.
     pub waiting: u64,
+    /// How long work takes there at the moment, as a percentage of the usual time, where that
+    /// is told.
+    pub pace: Option<u32>,
 }
 
 /// The headers that a platform's callers and upstreams speak.
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -234,6 +234,11 @@
         self.state.borrow_mut().outcomes()
     }
 
+    /// What upstreams have told of their pace since this was asked last.
+    pub(crate) fn paces(&self) -> Vec<wire::Pace> {
+        self.state.borrow_mut().paces(self.clock.now())
+    }
+
     /// How long requests have waited since this was asked last.
     pub(crate) fn delays(&self) -> Vec<Delay> {
         self.state.borrow_mut().delays()
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -176,8 +176,11 @@
 
     /// Takes what the head of an answer says of its upstream.
     fn hear(&self, told: &Told) {
-        if let Some(edge::Load { running, waiting }) = told.load {
+        if let Some(edge::Load { running, waiting, pace }) = told.load {
             let (upstream, requests) = (self.upstream.clone(), running.saturating_add(waiting));
+            if let Some(percent) = pace {
+                self.core.apply(Event::Pace { upstream: upstream.clone(), percent });
+            }
             self.core.apply(Event::Load { upstream, requests, waiting });
         }
         if let Some(left) = told.cold {
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -57,6 +57,7 @@
             judged = core.clock.now();
             tell_outcomes(&core, peers);
             tell_delays(&core, peers);
+            tell_paces(&core, peers);
         }
         if peers.count() > MOST_PEERS {
             if rounds >= ROUNDS {
@@ -106,6 +107,16 @@
     }
 }
 
+/// Tells the others what upstreams have told of their pace; in fleets whose upstreams tell
+/// nothing of it, that is nothing.
+fn tell_paces(core: &Core, peers: &Peers) {
+    let paces = core.paces();
+    if !paces.is_empty() {
+        let bytes = peers.tell(Frame::Paces(paces), core.clock.now());
+        core.metrics.control("paces", bytes);
+    }
+}
+
 /// Takes hints until the process stops.
 pub(crate) async fn listen(core: Rc<Core>) {
     let Some(peers) = core.peers() else { return };
@@ -176,6 +187,9 @@
         Frame::Outcomes(outcomes) => {
             core.apply(Event::Outcomes(outcomes));
         }
+        Frame::Paces(paces) => {
+            core.apply(Event::Paces(paces));
+        }
         Frame::Ended(ended) => take_ended(core, &ended, from),
         _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
     }
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -48,7 +48,13 @@
             return Forecast::default();
         };
         let waiting = upstream.waiting_at(outlook);
-        waiting.map_or_else(Forecast::default, |it| flow.forecast(priority, it, outlook.now))
+        let usual =
+            waiting.map_or_else(Forecast::default, |it| flow.forecast(priority, it, outlook.now));
+        if !self.settings.mechanisms.pace {
+            return usual;
+        }
+        let base_ms = flow.base_ms(priority);
+        Forecast { wait_ms: upstream.pace.beyond_ms(base_ms, usual.wait_ms, outlook.now), ..usual }
     }
 
     /// The same for a request that has come.
--- a/components/routing/src/admission/flow.rs
+++ b/components/routing/src/admission/flow.rs
@@ -68,6 +68,12 @@
         Forecast { queued, wait_ms }
     }
 
+    /// How long an answer to a request of `priority` takes to begin where nothing waits, in
+    /// milliseconds.
+    pub(crate) fn base_ms(&self, priority: i32) -> f64 {
+        self.lanes.get(&priority).map_or(0.0, Lane::base_ms)
+    }
+
     /// The longest wait at which a request of `priority` is sent, in milliseconds: by the
     /// shortest objective of all that are as urgent or more, so that none is turned away for
     /// one that is less urgent and can wait for longer.
@@ -79,8 +85,7 @@
         let before = objectives(..=priority).count().saturating_sub(1);
         let before = i32::try_from(before).unwrap_or(i32::MAX);
         let all = count(least) * PART * GIVES_WAY.powi(before);
-        let base = self.lanes.get(&priority).map_or(0.0, Lane::base_ms);
-        Some((all - base).max(all * LEAST))
+        Some((all - self.base_ms(priority)).max(all * LEAST))
     }
 
     /// Books a time to come back, `soonest_ms` from now at the earliest; returns how long it
--- /dev/null
+++ b/components/routing/src/beliefs/pace.rs
@@ -0,0 +1,38 @@
+//! How fast upstreams are, as their answers and other routers tell.
+
+use clock::Millis;
+use wire::Pace;
+
+use crate::Upstream;
+use crate::state::State;
+
+/// The most upstreams of which a router tells at a time, so that it fits one datagram.
+const MOST_TOLD: usize = 30;
+
+impl State {
+    /// Takes how long work takes an upstream at the moment, as a percentage of the usual time.
+    pub(crate) fn hear_pace(&mut self, upstream: &str, percent: u32, now: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.pace.tell(percent, now);
+            upstream.heard_pace = Some((percent, now));
+        }
+    }
+
+    /// Takes the same from another router.
+    pub(crate) fn hear_paces(&mut self, paces: &[Pace], now: Millis) {
+        for told in paces {
+            if let Some(upstream) = self.upstreams.get_mut(&told.upstream) {
+                upstream.pace.tell(told.percent, now - Millis(told.age_ms));
+            }
+        }
+    }
+
+    /// What upstreams have told this router since it was asked last, for the others.
+    pub fn paces(&mut self, now: Millis) -> Vec<Pace> {
+        let told = |it: &mut Upstream| {
+            let (percent, at) = it.heard_pace.take()?;
+            Some(Pace { upstream: it.name().clone(), percent, age_ms: at.until(now).0 })
+        };
+        self.upstreams.values_mut().filter_map(told).take(MOST_TOLD).collect()
+    }
+}
--- a/components/routing/src/beliefs/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -4,6 +4,7 @@
 
 use clock::Millis;
 use intents::Labels;
+use pace::Pace;
 use placement::Pool;
 use wire::Status;
 
@@ -81,6 +82,10 @@
     pub(crate) cold: Cold,
     /// What it has said of itself with its answers.
     pub(crate) word: Word,
+    /// How fast it is.
+    pub(crate) pace: Pace,
+    /// What it told this router of that, and when, until others know.
+    pub(crate) heard_pace: Option<(u32, Millis)>,
 }
 
 impl Upstream {
@@ -106,6 +111,8 @@
             evacuated: false,
             cold: Cold::default(),
             word: Word::default(),
+            pace: Pace::default(),
+            heard_pace: None,
         }
     }
 
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -123,6 +123,15 @@
         /// Those of them whose answers have not begun.
         waiting: u64,
     },
+    /// An upstream told with an answer how fast it is at the moment.
+    Pace {
+        /// The upstream.
+        upstream: Arc<str>,
+        /// How long work takes it, as a percentage of the usual time.
+        percent: u32,
+    },
+    /// Another router told how fast upstreams said that they were.
+    Paces(Vec<wire::Pace>),
     /// Another router told where parts of prompts are warm.
     Warm(Warm),
     /// Another router told its own load.
@@ -269,7 +278,8 @@
             | Frame::News(_)
             | Frame::Refer(_)
             | Frame::PassOn(_)
-            | Frame::Outcomes(_) => Self::Strange,
+            | Frame::Outcomes(_)
+            | Frame::Paces(_) => Self::Strange,
         }
     }
 }
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -36,6 +36,8 @@
     pub late_takes: bool,
     /// Most routers hear from others what the platform's store holds.
     pub shared_looks: bool,
+    /// Routers reckon with how fast upstreams say that they are.
+    pub pace: bool,
 }
 
 impl Default for Mechanisms {
@@ -55,6 +57,7 @@
             admission: true,
             late_takes: true,
             shared_looks: true,
+            pace: true,
         }
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -190,6 +190,14 @@
             Event::Load { upstream, requests, waiting } => {
                 self.load(&upstream, requests, waiting, now)
             }
+            Event::Pace { upstream, percent } => {
+                self.hear_pace(&upstream, percent, now);
+                Vec::new()
+            }
+            Event::Paces(paces) => {
+                self.hear_paces(&paces, now);
+                Vec::new()
+            }
             Event::Warm(warm) => self.warm(&warm, now),
             Event::Loads(loads) => {
                 self.hear_loads(loads, now);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -62,6 +62,8 @@
     /// The first frame of a datagram whose hints are to be passed on to others: how many routers
     /// have passed on one of them already, at most.
     PassOn(u32),
+    /// Between routers: how fast upstreams said that they were.
+    Paces(Vec<Pace>),
 }
 
 /// A question of a router what the platform's store holds.
@@ -379,3 +381,14 @@
     /// How long ago the answer came, in milliseconds.
     pub age_ms: u64,
 }
+
+/// How fast an upstream said that it was.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// How long work took it, as a percentage of the usual time.
+    pub percent: u32,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u64,
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use codec::{Error, MAX_FRAME, Reader, encode};
 pub use frame::{
     Admitted, Broken, Chunk, Delay, End, Ended, Frame, Head, Heard, Hello, Load, Loads, Look, News,
-    Note, Open, Outcome, Peer, Refer, Refused, Report, Revision, Stage, Status, Told, Warm,
+    Note, Open, Outcome, Pace, Peer, Refer, Refused, Report, Revision, Stage, Status, Told, Warm,
     Welcome,
 };
 pub use pack::{pack, unpack};
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -4,8 +4,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use wire::{
-    Chunk, Delay, End, Ended, Error, Frame, Heard, Load, Loads, MAX_FRAME, Open, Outcome, Reader,
-    Report, Stage, Status, Told, Warm, encode,
+    Chunk, Delay, End, Ended, Error, Frame, Heard, Load, Loads, MAX_FRAME, Open, Outcome, Pace,
+    Reader, Report, Stage, Status, Told, Warm, encode,
 };
 
 /// The seed of the cases, so that every run is the same.
@@ -95,6 +95,14 @@
             };
             Frame::Outcomes(outcomes.into_iter().map(outcome).collect())
         }),
+        prop::collection::vec(any::<(String, u32, u64)>(), 0..40).prop_map(|paces| {
+            let pace = |(upstream, percent, age_ms): (String, u32, u64)| Pace {
+                upstream: upstream.into(),
+                percent,
+                age_ms,
+            };
+            Frame::Paces(paces.into_iter().map(pace).collect())
+        }),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
                 name: name.into(),
