Hold back no work that was ever answered in full

Cause: all that runs at an upstream that ends is blamed alike; where upstreams end by themselves and callers repeat, innocent work gathers three ends and is refused for ten minutes by all routers. Change: a whole answer clears work, at all routers: each remembers what it answered and tells, by datagram and in its entry of the store, as soon as ends are counted under it; what broke off and was answered elsewhere is not blamed. Ends of many upstreams in one moment still count.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -168,6 +168,13 @@
                 self.crashes.add(crashes);
                 false
             }
+            Effect::Clear(clearing) => {
+                self.metrics.belief("work_cleared");
+                report::cleared(clearing.content);
+                self.tell_cleared(clearing.content);
+                self.crashes.clear(clearing);
+                false
+            }
             Effect::HoldBack { content, lasts } => {
                 self.metrics.belief("work_held_back");
                 report::held_back(*content, *lasts);
@@ -214,6 +221,15 @@
         }
     }
 
+    /// Tells the other routers that work was answered in full, beside what is told through the
+    /// store.
+    fn tell_cleared(&self, content: u64) {
+        if let Some(peers) = self.peers() {
+            let bytes = peers.tell(Frame::Cleared(vec![content]), self.clock.now());
+            self.metrics.control("cleared", bytes);
+        }
+    }
+
     /// This router's own load at its upstreams.
     pub(crate) fn loads(&self) -> Loads {
         self.state.borrow().loads(&self.settings.name, self.clock.now())
--- a/components/router/src/crashes.rs
+++ b/components/router/src/crashes.rs
@@ -49,6 +49,22 @@
         self.to_tell.notify_one();
     }
 
+    /// Has the other routers told that work is cleared, in place of its ends.
+    pub(crate) fn clear(&self, clearing: &Crash) {
+        self.take_back(&[clearing.content]);
+        self.add(std::slice::from_ref(clearing));
+    }
+
+    /// Tells no longer that upstreams ended under these works.
+    pub(crate) fn take_back(&self, contents: &[u64]) {
+        let mut own = self.own.borrow_mut();
+        let before = own.len();
+        own.retain(|it| it.cleared || !contents.contains(&it.content));
+        if own.len() < before {
+            self.to_tell.notify_one();
+        }
+    }
+
     /// Takes what this router told before, in an earlier life.
     pub(crate) fn recall(&self, crashes: &[Crash]) {
         self.keep(crashes);
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -191,6 +191,7 @@
             core.apply(Event::Paces(paces));
         }
         Frame::Ended(ended) => take_ended(core, &ended, from),
+        Frame::Cleared(contents) => take_cleared(core, &contents, from),
         _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
     }
 }
@@ -205,7 +206,12 @@
 /// Takes ends of an upstream from another router, as of now: its clock may differ.
 fn take_ended(core: &Core, ended: &Ended, from: SocketAddr) {
     let at = core.clock.now();
-    let crash = |content: &u64| Crash { content: *content, upstream: ended.upstream.clone(), at };
+    let crash = |content: &u64| Crash {
+        content: *content,
+        upstream: ended.upstream.clone(),
+        at,
+        cleared: false,
+    };
     let crashes: Vec<_> = ended.contents.iter().map(crash).collect();
     info!("another router told of ends", kv: {
         upstream = &*ended.upstream,
@@ -215,6 +221,14 @@
     core.apply(Event::Crashes(crashes));
 }
 
+/// Takes from another router that work was answered in full: this one takes back what it told.
+fn take_cleared(core: &Core, contents: &[u64], from: SocketAddr) {
+    let at = core.clock.now();
+    info!("another router cleared work", kv: { works = contents.len(), from = from.to_string() });
+    core.crashes.take_back(contents);
+    core.apply(Event::Crashes(contents.iter().map(|it| Crash::clearing(*it, at)).collect()));
+}
+
 /// Logs the hints of the last second, if there were any: a line for each would be
 /// many times those of all requests in a large fleet.
 fn log_hints(peers: &Peers) {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -179,6 +179,7 @@
             | Effect::Rest { .. }
             | Effect::Check { .. }
             | Effect::Report(_)
+            | Effect::Clear(_)
             | Effect::HoldBack { .. }
             | Effect::Drained => {}
         }
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -73,6 +73,11 @@
     info!("work is held back", kv: { content = format!("{content:016x}"), ms = lasts.0 });
 }
 
+/// Logs that work was answered in full and is not held back.
+pub(crate) fn cleared(content: u64) {
+    info!("work is cleared", kv: { content = format!("{content:016x}") });
+}
+
 /// A number for the log, or the word `none`.
 fn or_none(number: Option<impl Into<u64>>) -> String {
     number.map_or_else(|| "none".to_owned(), |it| it.into().to_string())
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -89,6 +89,9 @@
     },
     /// Tell the other routers, also those that start later, under what work upstreams ended.
     Report(Vec<Crash>),
+    /// Tell the other routers, also those that start later, that work was answered in full and is
+    /// not held back.
+    Clear(Crash),
     /// Work is held back from now on; a line for the log.
     HoldBack {
         /// The hash of the work.
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -279,7 +279,8 @@
             | Frame::Refer(_)
             | Frame::PassOn(_)
             | Frame::Outcomes(_)
-            | Frame::Paces(_) => Self::Strange,
+            | Frame::Paces(_)
+            | Frame::Cleared(_) => Self::Strange,
         }
     }
 }
--- a/components/routing/src/recovery/quarantine.rs
+++ b/components/routing/src/recovery/quarantine.rs
@@ -4,8 +4,10 @@
 //! that is answered there. Its caller sends it again under a new id, to whichever router comes
 //! next. So what is remembered goes by the work that was asked for, not by the request, and
 //! routers tell each other through the platform's store.
+//!
+//! Work that was ever answered in full is not why upstreams end: it is cleared, at all routers.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
@@ -25,6 +27,12 @@
 /// The most works of which ends are remembered: about 1 MB.
 const MOST_WORKS: usize = 4_096;
 
+/// The most works that are remembered as answered in full: about 200 KB.
+const MOST_ANSWERED: usize = 8_192;
+
+/// The most works that are remembered as cleared.
+const MOST_CLEARED: usize = 4_096;
+
 /// An upstream ended while it had a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -34,6 +42,17 @@
     pub upstream: Arc<str>,
     /// When the end was learnt, in milliseconds since the Unix epoch.
     pub at: Millis,
+    /// Set where it is no end: the work was answered in full, which clears it. There is no
+    /// upstream then.
+    #[serde(default)]
+    pub cleared: bool,
+}
+
+impl Crash {
+    /// Says at `at` that work is cleared.
+    pub fn clearing(content: u64, at: Millis) -> Self {
+        Self { content, upstream: "".into(), at, cleared: true }
+    }
 }
 
 /// Whether an upstream still takes connections.
@@ -57,6 +76,36 @@
     checking: BTreeSet<Arc<str>>,
     /// The ends of upstreams under each work.
     crashes: HashMap<u64, Vec<Crash>>,
+    /// Work that this router has passed on whole answers to.
+    answered: Recent,
+    /// Work of which some router has said so.
+    cleared: Recent,
+}
+
+/// The latest of some works.
+#[derive(Debug, Default)]
+struct Recent {
+    known: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Recent {
+    /// Remembers `content`, and no more than `most` works.
+    fn put(&mut self, content: u64, most: usize) {
+        if !self.known.insert(content) {
+            return;
+        }
+        self.order.push_back(content);
+        if self.order.len() > most
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.known.remove(&oldest);
+        }
+    }
+
+    fn has(&self, content: u64) -> bool {
+        self.known.contains(&content)
+    }
 }
 
 impl Quarantine {
@@ -96,6 +145,15 @@
         }
     }
 
+    /// Forgets that upstreams ended under `content`.
+    fn clear(&mut self, content: u64) {
+        self.cleared.put(content, MOST_CLEARED);
+        self.crashes.remove(&content);
+        for doubts in self.doubts.values_mut() {
+            doubts.retain(|(it, _)| *it != content);
+        }
+    }
+
     /// Drops work whose last end is older than `lasts`.
     fn expire(&mut self, lasts: Millis, now: Millis) {
         self.crashes.retain(|_, it| latest(it).until(now) < lasts);
@@ -149,9 +207,11 @@
 
     /// An upstream has ended: what broke off there may be why.
     pub(crate) fn end_upstream(&mut self, upstream: &Arc<str>, now: Millis) {
-        let crash = |content| Crash { content, upstream: upstream.clone(), at: now };
-        let crashes: Vec<_> =
+        let crash =
+            |content| Crash { content, upstream: upstream.clone(), at: now, cleared: false };
+        let mut crashes: Vec<_> =
             self.quarantine.settle(upstream, now).into_iter().map(crash).collect();
+        crashes.retain(|it| !self.is_innocent(it.content, now));
         if crashes.is_empty() {
             return;
         }
@@ -165,8 +225,14 @@
         let lasts = Millis(self.settings.quarantine_ms);
         self.quarantine.expire(lasts, now);
         for mut crash in crashes {
-            crash.at = crash.at.min(now);
             let content = crash.content;
+            if crash.cleared {
+                self.quarantine.clear(content);
+            }
+            if crash.cleared || self.is_innocent(content, now) {
+                continue;
+            }
+            crash.at = crash.at.min(now);
             let old = crash.at.until(now) >= lasts;
             let ends = if old { None } else { self.quarantine.learn(crash) };
             if ends == Some(self.settings.quarantine_ends) {
@@ -175,6 +241,33 @@
         }
     }
 
+    /// Whether work was answered in full; if this router has done so, it tells the others.
+    fn is_innocent(&mut self, content: u64, now: Millis) -> bool {
+        if !self.quarantine.cleared.has(content) && self.quarantine.answered.has(content) {
+            self.tell_cleared(content, now);
+        }
+        self.quarantine.cleared.has(content)
+    }
+
+    /// A whole answer to `content` was passed on: it is not why upstreams end.
+    pub(crate) fn note_whole(&mut self, content: u64, now: Millis) {
+        if !self.settings.path.judges_upstreams() {
+            return;
+        }
+        self.quarantine.answered.put(content, MOST_ANSWERED);
+        if self.quarantine.crashes.contains_key(&content) {
+            self.tell_cleared(content, now);
+        }
+        for doubts in self.quarantine.doubts.values_mut() {
+            doubts.retain(|(it, _)| *it != content);
+        }
+    }
+
+    fn tell_cleared(&mut self, content: u64, now: Millis) {
+        self.quarantine.clear(content);
+        self.notices.push(Effect::Clear(Crash::clearing(content, now)));
+    }
+
     /// For how much longer work is held back; `None` if it is not.
     pub(crate) fn held_back(&self, content: u64, now: Millis) -> Option<Millis> {
         let crashes = self.quarantine.crashes.get(&content)?;
--- a/components/routing/src/requests/ending.rs
+++ b/components/routing/src/requests/ending.rs
@@ -122,6 +122,7 @@
         }
         if error.is_none() {
             self.note_end(&request, now);
+            self.note_whole(request.ask.content, now);
             self.durations.note(&request.ask.kind, request.came, now);
         }
         let shared = request.ask.shared.last().copied();
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -144,8 +144,8 @@
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
-    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Leave`, `Rest`, `Check`, `Report` and
-    /// `HoldBack`.
+    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Leave`, `Rest`, `Check`, `Report`, `Clear`
+    /// and `HoldBack`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.take(event, now);
         effects.append(&mut self.notices);
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod fleet;
 mod health;
+mod innocent;
 mod loads;
 mod pace;
 mod quarantine;
--- a/components/routing/tests/direct/quarantine.rs
+++ b/components/routing/tests/direct/quarantine.rs
@@ -20,7 +20,7 @@
 }
 
 fn crash(upstream: &str, at: Millis) -> Crash {
-    Crash { content: WORK, upstream: upstream.into(), at }
+    Crash { content: WORK, upstream: upstream.into(), at, cleared: false }
 }
 
 /// Another router tells that these upstreams have ended under the work.
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -433,6 +433,7 @@
                 | Effect::Rest { .. }
                 | Effect::Check { .. }
                 | Effect::Report(_)
+                | Effect::Clear(_)
                 | Effect::HoldBack { .. }
                 | Effect::Drained => {}
             }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -64,6 +64,9 @@
     PassOn(u32),
     /// Between routers: how fast upstreams said that they were.
     Paces(Vec<Pace>),
+    /// Between routers: work that was answered in full, by its hash, and is not why upstreams
+    /// end.
+    Cleared(Vec<u64>),
 }
 
 /// A question of a router what the platform's store holds.
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -103,6 +103,7 @@
             };
             Frame::Paces(paces.into_iter().map(pace).collect())
         }),
+        prop::collection::vec(any::<u64>(), 0..40).prop_map(Frame::Cleared),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
                 name: name.into(),
--- a/tests/platform/crashing.rs
+++ b/tests/platform/crashing.rs
@@ -232,3 +232,28 @@
     });
     assert!(!router.has_logged("upstream ended under work"));
 }
+
+#[test]
+fn work_that_was_answered_in_full_is_not_held_back_for_long() {
+    let engines = engines(20);
+    let set_fatal = |body| engines.iter().for_each(|it| it.set_fatal(body));
+    let first = Router::start(&configuration(1), &engines.iter().collect::<Vec<_>>());
+    let second = Router::join(&first.store, "front-2");
+    set_fatal("nothing");
+    let served = send(&first, "stream", FATAL, 1).expect("an answer");
+    assert_eq!((served.status, served.whole), (200, true), "{served:?}");
+    set_fatal(FATAL);
+    for number in 2..5 {
+        send(&second, "stream", FATAL, number);
+    }
+    assert_eq!(arrived(&engines), 4);
+    set_fatal("nothing");
+    // The first router knows that it was not why they ended, also one that starts later.
+    first.until("cleared", || first.has_logged("work is cleared"));
+    let third = Router::join(&first.store, "front-3");
+    for (router, number) in [(&second, 6), (&third, 7)] {
+        router.until("served", || {
+            send(router, "stream", FATAL, number).is_some_and(|it| it.status == 200 && it.whole)
+        });
+    }
+}
