Say who is over a fair share of a pool, without sockets or clocks

Cause: routers know no workspace where they turn requests away directly, so that one that sends many times its usual takes the room of the others. Nothing uses it yet.

--- /dev/null
+++ b/components/shares/src/pool.rs
@@ -0,0 +1,131 @@
+//! One pool of upstreams, as one router sees it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+
+use crate::ledger::Ledger;
+use crate::standing::Standing;
+use crate::view::{Held, View};
+use crate::word::{MOST_LINES, Word};
+
+/// For how long a pool is taken to be short after a sign of it.
+const SHORT_LASTS: Millis = Millis(2_000);
+
+/// For how long a router's word counts after which nothing more came: a few tellings.
+const WORD_LASTS: Millis = Millis(2_000);
+
+/// How old the view may be that requests are judged by, in milliseconds.
+const VIEW_LASTS: Millis = Millis(100);
+
+/// The most routers whose words are kept.
+const MOST_ROUTERS: usize = 1_024;
+
+/// What is asked of a pool, and the shares that follow.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    own: Ledger,
+    /// The latest word of each other router, and when it came.
+    words: BTreeMap<Arc<str>, (Millis, Word)>,
+    view: Option<View>,
+    /// Until when the pool is short by what this router has seen, and by what others told.
+    short: Millis,
+    told_short: Millis,
+}
+
+impl Pool {
+    /// Takes that a workspace asked for the work whose hash is `content`.
+    pub fn ask(&mut self, workspace: u64, priority: i32, content: u64, now: Millis) {
+        self.own.ask(workspace, priority, content, now);
+    }
+
+    /// Takes that a request of a workspace was sent to the pool.
+    pub fn serve(&mut self, workspace: u64, priority: i32, now: Millis) {
+        self.own.serve(workspace, priority, now);
+    }
+
+    /// Takes that work was refused for lack of room: the pool is short, and the work may be
+    /// asked for again.
+    pub fn refuse(&mut self, content: u64, now: Millis) {
+        self.own.refuse(content, now);
+        self.run_short(now);
+    }
+
+    /// Takes a sign that the pool is short.
+    pub fn run_short(&mut self, now: Millis) {
+        self.short = now + SHORT_LASTS;
+    }
+
+    /// Whether the pool is short, by this router's own signs or by those of others.
+    pub fn is_short(&self, now: Millis) -> bool {
+        now < self.short.max(self.told_short)
+    }
+
+    /// Takes the word of another router, unless a later one has come.
+    pub fn hear(&mut self, router: &Arc<str>, mut word: Word, now: Millis) {
+        self.forget(now);
+        if self.words.get(router).is_some_and(|(_, known)| known.at >= word.at) {
+            return;
+        }
+        if self.words.len() >= MOST_ROUTERS && !self.words.contains_key(router) {
+            return;
+        }
+        if word.short {
+            self.told_short = now + SHORT_LASTS;
+        }
+        word.lines.truncate(MOST_LINES);
+        self.words.insert(router.clone(), (now, word));
+    }
+
+    /// The own word for other routers; none unless the pool is short.
+    ///
+    /// What others told of a shortage is not handed on as an own sign: routers would keep each
+    /// other short.
+    pub fn tell(&self, now: Millis) -> Option<Word> {
+        if !self.is_short(now) {
+            return None;
+        }
+        let (lines, rest) = self.own.tell(now);
+        Some(Word { at: now, short: now < self.short, lines, rest })
+    }
+
+    /// How a workspace stands for requests of `priority`; `weight` is what each workspace
+    /// counts, all above zero.
+    pub fn standing(
+        &mut self,
+        workspace: u64,
+        priority: i32,
+        weight: impl Fn(u64) -> f64,
+        now: Millis,
+    ) -> Standing {
+        let own = weight(workspace);
+        self.view(weight, now).standing(workspace, priority, own)
+    }
+
+    /// The `most` workspaces with the largest demand, the largest first.
+    pub fn largest(&self, most: usize, now: Millis) -> Vec<(u64, Held)> {
+        let mut all: Vec<_> = self.view_now(|_| 1.0, now).held.into_iter().collect();
+        all.sort_by(|one, other| other.1.demand().total_cmp(&one.1.demand()));
+        all.truncate(most);
+        all
+    }
+
+    /// The view that requests are judged by, worked out anew if it is too old.
+    fn view(&mut self, weight: impl Fn(u64) -> f64, now: Millis) -> &View {
+        let known = self.view.take().filter(|it| it.at.until(now) < VIEW_LASTS);
+        let view = known.unwrap_or_else(|| self.view_now(weight, now));
+        self.view.insert(view)
+    }
+
+    fn view_now(&self, weight: impl Fn(u64) -> f64, now: Millis) -> View {
+        let counts = |it: &&(Millis, Word)| it.0.until(now) < WORD_LASTS;
+        let words = self.words.values().filter(counts).map(|it| (it.0.until(now), &it.1));
+        View::new(self.own.lines(now), words, weight, now)
+    }
+
+    /// Forgets words of routers that say nothing more.
+    fn forget(&mut self, now: Millis) {
+        self.words.retain(|_, (at, _)| at.until(now) < WORD_LASTS);
+    }
+}
--- /dev/null
+++ b/components/shares/src/standing.rs
@@ -0,0 +1,61 @@
+//! How a workspace stands to its share.
+
+use clock::Millis;
+use serde::Serialize;
+
+/// A workspace in a pool, for requests of one priority.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Standing {
+    /// Whether it is over its share.
+    pub rank: Rank,
+    /// What it wants at this priority and at more urgent ones, in requests that fade.
+    pub demand: f64,
+    /// What of all its requests was sent.
+    pub served: f64,
+    /// Its share of what the pool serves.
+    pub share: f64,
+    /// The age of the oldest word of another router that counts, in milliseconds; none if no
+    /// other router has told anything.
+    pub age_ms: Option<u64>,
+}
+
+/// Where a workspace is beside its share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rank {
+    /// All that it wants is within its share.
+    Below,
+    /// It wants more, and so do the others: it gives way to nobody.
+    #[default]
+    At,
+    /// Its share holds less of what it wants than the pool serves of what all want, by so many
+    /// times.
+    Over(f64),
+}
+
+impl Rank {
+    /// Its name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Below => "below",
+            Self::At => "at",
+            Self::Over(_) => "over",
+        }
+    }
+
+    /// How many times it is over; 1 if it isn't.
+    pub fn times(self) -> f64 {
+        match self {
+            Self::Over(times) => times.max(1.0),
+            Self::Below | Self::At => 1.0,
+        }
+    }
+}
+
+impl Standing {
+    /// The age of what others told as a time.
+    pub(crate) fn aged(mut self, age: Option<Millis>) -> Self {
+        self.age_ms = age.map(|it| it.0);
+        self
+    }
+}
