Refuse first what is over its workspace's share where a pool is short

Cause: a router turned away whoever came last, so that one workspace's surge took the others' room. Now a pool that is short (a refusal, or a wait near its limit, here or told by others within 2 s) shortens the limit of workspaces over their max-min share to between 1 and 0.5 of itself; the others keep theirs. Demands are told each 400 ms while short (Frame::Demands, one datagram a pool). Switch routing.mechanisms.shares.

--- a/components/experiment/src/overload/fleet/hints.rs
+++ b/components/experiment/src/overload/fleet/hints.rs
@@ -25,6 +25,9 @@
             self.tell(router, &Event::Outcomes(outcomes));
             let delays = self.routers[router].delays();
             self.tell(router, &Event::Delays(delays));
+            for demands in self.routers[router].demands(&router_name(router), self.now) {
+                self.tell(router, &Event::Demands(demands));
+            }
         }
         self.queue.add(self.now + WAITS_EVERY, Happening::Waits);
     }
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -11,11 +11,11 @@
 use intents::Plan;
 use link::Links;
 use outbound::Client;
-use routing::{Crash, Decision, Effect, Event, Owner, State};
+use routing::{Crash, Decision, Effect, Event, Owner, Standing, State};
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
-use wire::{Delay, Ended, Frame, Heard, Hello, Loads, Outcome, Warm};
+use wire::{Delay, Demands, Ended, Frame, Heard, Hello, Loads, Outcome, Warm};
 
 use crate::crashes::Crashes;
 use crate::decisions::Decisions;
@@ -31,6 +31,9 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
+/// Of how many workspaces the status tells in a pool that is short.
+const MOST_SHARES: usize = 8;
+
 /// How long a request waits for the first configuration. A router that starts
 /// has it after 60 to 140 ms on the sites.
 const FIRST_PLAN: Duration = Duration::from_millis(300);
@@ -239,6 +242,11 @@
         self.state.borrow_mut().delays()
     }
 
+    /// What is asked of the pools that are short.
+    pub(crate) fn demands(&self) -> Vec<Demands> {
+        self.state.borrow().demands(&self.settings.name, self.clock.now())
+    }
+
     /// When a caller that is refused for `kind` is told to come back, in milliseconds.
     pub(crate) fn retry_after_ms(&self, kind: Kind) -> u64 {
         self.state.borrow().retry_after_ms(kind, self.clock.now())
@@ -292,6 +300,9 @@
         let outcome: &'static str = decision.outcome.into();
         self.metrics.request(outcome, error);
         self.metrics.attempts(decision.tries.len());
+        if let Some(standing) = decision.standing {
+            self.metrics.standing(&decision.pool, standing.rank.name());
+        }
         report::ended(decision, trace);
         self.decisions.borrow_mut().keep(decision.clone());
     }
@@ -349,10 +360,21 @@
             "draining": self.stop.is_asked(),
             "evacuated": state.evacuated().collect::<Vec<_>>(),
             "upstreams": upstreams,
+            "short": short(&state, now),
         })
     }
 }
 
+/// The pools that are short, and how the largest workspaces stand to their shares of them.
+fn short(state: &State, now: Millis) -> serde_json::Value {
+    let standing = |(workspace, it): (Arc<str>, Standing)| serde_json::json!({ "workspace": &*workspace, "standing": it });
+    let pool = |(pool, largest): (Arc<str>, Vec<(Arc<str>, Standing)>)| {
+        let largest: Vec<_> = largest.into_iter().map(standing).collect();
+        serde_json::json!({ "pool": &*pool, "largest": largest })
+    };
+    state.largest_shares(MOST_SHARES, now).into_iter().map(pool).collect()
+}
+
 /// This router as others know it.
 fn own(settings: &settings::Router, direct: Option<&Direct>) -> Peer {
     Peer {
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -20,7 +20,8 @@
 /// takes 20 to 500 ms.
 const TELL_EVERY: Millis = Millis(100);
 
-/// How often routers tell how their requests ended, and how long they waited. Two failures are enough to pass
+/// How often routers tell how their requests ended, how long they waited and what is
+/// asked of pools that are short. Two failures are enough to pass
 /// an upstream over where the pool has none; all routers of a site see those in half a
 /// second at an upstream that fails half of its requests.
 const OUTCOMES_EVERY: Millis = Millis(400);
@@ -57,6 +58,7 @@
             judged = core.clock.now();
             tell_outcomes(&core, peers);
             tell_delays(&core, peers);
+            tell_demands(&core, peers);
         }
         if peers.count() > MOST_PEERS {
             if rounds >= ROUNDS {
@@ -106,6 +108,14 @@
     }
 }
 
+/// Tells the others what is asked of pools that are short, a datagram for each.
+fn tell_demands(core: &Core, peers: &Peers) {
+    for demands in core.demands() {
+        let bytes = peers.tell(Frame::Demands(demands), core.clock.now());
+        core.metrics.control("demands", bytes);
+    }
+}
+
 /// Takes hints until the process stops.
 pub(crate) async fn listen(core: Rc<Core>) {
     let Some(peers) = core.peers() else { return };
@@ -173,6 +183,9 @@
         Frame::Delays(delays) => {
             core.apply(Event::Delays(delays));
         }
+        Frame::Demands(demands) => {
+            core.apply(Event::Demands(demands));
+        }
         Frame::Outcomes(outcomes) => {
             core.apply(Event::Outcomes(outcomes));
         }
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -1,7 +1,7 @@
 //! The log line of a request that has ended.
 
 use clock::Millis;
-use routing::{Crash, Decision, Try};
+use routing::{Crash, Decision, Standing, Try};
 use spdlog::info;
 
 /// Logs what was decided on a request.
@@ -22,6 +22,7 @@
         status = or_none(decision.status),
         error = error.unwrap_or(""),
         detail = &*decision.detail,
+        standing = standing(decision),
         attempts = decision.tries.len(),
         passed = passed(decision),
         tries = tries(decision),
@@ -83,6 +84,20 @@
     decision.passed.first().map_or_else(String::new, |it| format!("{}: {}", it.upstream, it.why))
 }
 
+/// How the workspace of a request that was turned away stood to its share of the pool; empty
+/// for others.
+fn standing(decision: &Decision) -> String {
+    let one = |it: Standing| {
+        let age = or_none(it.age_ms);
+        let (rank, times) = (it.rank.name(), it.rank.times());
+        let Standing { share, demand, served, .. } = it;
+        format!(
+            "{rank},times={times:.1},share={share:.1},demand={demand:.1},served={served:.1},age={age}"
+        )
+    };
+    decision.standing.map_or_else(String::new, one)
+}
+
 /// The attempts as one word each: where, when after the request came, the load
 /// believed to be there, what of it waits and for how long, the shared tokens to be read and copied, where from, and why
 /// it failed.
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -19,17 +19,20 @@
 mod flow;
 mod lane;
 mod returns;
+mod shares;
 
 use std::sync::Arc;
 
 use clock::Millis;
 use wire::Delay;
 
+use self::shares::part;
 use crate::Effect;
 use crate::beliefs::outlook::Outlook;
 use crate::requests::request::Request;
 use crate::state::State;
 
+pub(crate) use self::shares::Shares;
 pub(crate) use flow::Flow;
 
 /// What a router expects of an upstream for one request.
@@ -61,15 +64,18 @@
     }
 
     /// Puts the first in rank before the others whose wait is within the limit, or else the
-    /// one with the shortest wait; `candidates` has the best last.
+    /// one with the shortest wait; `candidates` has the best last. `part` is the part of the
+    /// limit that the request's workspace has.
     pub(crate) fn put_in_time_first(
         &self,
         candidates: &mut Vec<Arc<str>>,
         pool: &str,
         priority: i32,
+        part: f64,
         outlook: &Outlook,
     ) {
         let Some(limit) = self.limit_ms(pool, priority) else { return };
+        let limit = limit * part;
         let wait = |name: &Arc<str>| self.forecast(pool, priority, name, outlook).wait_ms;
         if candidates.last().is_none_or(|it| wait(it) <= limit) {
             return;
@@ -89,14 +95,19 @@
     /// One that may have run already is not turned away: its caller could not send it again.
     pub(crate) fn turn_away(&mut self, id: u64, best: &str, now: Millis) -> Option<u64> {
         let request = self.requests.get(&id).filter(|it| it.uncertain().is_none())?;
-        let limit = self.limit_ms(&request.pool, request.priority)?;
+        let full = self.limit_ms(&request.pool, request.priority)?;
+        let pool = request.pool.clone();
         let wait = self.forecast_for(id, best, now).wait_ms;
+        self.watch_room(&pool, wait / full, now);
+        let standing = self.standing(id, now);
+        let limit = full * part(standing);
         if wait <= limit {
             return None;
         }
-        let pool = request.pool.clone();
+        self.note_refused(id, standing, now);
+        let times = standing.map_or(1.0, |it| it.rank.times());
         let flow = self.flows.get_mut(&pool)?;
-        Some(flow.book(wait - limit, now))
+        Some(flow.book(wait - limit, times, now))
     }
 
     /// The longest wait at which a request of `priority` is sent, in milliseconds.
--- a/components/routing/src/admission/flow.rs
+++ b/components/routing/src/admission/flow.rs
@@ -84,15 +84,16 @@
     }
 
     /// Books a time to come back, `soonest_ms` from now at the earliest; returns how long it
-    /// is until then, in milliseconds.
-    pub(crate) fn book(&mut self, soonest_ms: f64, now: Millis) -> u64 {
+    /// is until then, in milliseconds. `times` says how many times the caller's workspace is
+    /// over its share.
+    pub(crate) fn book(&mut self, soonest_ms: f64, times: f64, now: Millis) -> u64 {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a few seconds, not negative"
         )]
         let soonest = Millis(soonest_ms as u64);
-        self.returns.book(soonest, now).0
+        self.returns.book(soonest, times, now).0
     }
 
     fn lane(&mut self, priority: i32) -> &mut Lane {
--- a/components/routing/src/admission/returns.rs
+++ b/components/routing/src/admission/returns.rs
@@ -28,6 +28,8 @@
     since: Option<Millis>,
     /// The time of the latest booking.
     booked: Millis,
+    /// The same for workspaces that are over their shares.
+    booked_over: Millis,
 }
 
 impl Returns {
@@ -40,11 +42,25 @@
 
     /// Books a time to come back, `soonest` from now at the earliest; returns how long it is
     /// until then.
-    pub(crate) fn book(&mut self, soonest: Millis, now: Millis) -> Millis {
+    ///
+    /// Callers whose workspace is over its share, `times` times, come after all others that are
+    /// booked, and that much further apart.
+    pub(crate) fn book(&mut self, soonest: Millis, times: f64, now: Millis) -> Millis {
         let latest = now + LONGEST;
         let earliest = self.booked.max(now + soonest);
-        self.booked = (earliest + self.gap(now)).min(latest);
-        now.until(self.booked)
+        if times <= 1.0 {
+            self.booked = (earliest + self.gap(now)).min(latest);
+            return now.until(self.booked);
+        }
+        let gap = ms(self.gap(now)) * times;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a few seconds"
+        )]
+        let gap = Millis(gap as u64);
+        self.booked_over = (earliest.max(self.booked_over) + gap).min(latest);
+        now.until(self.booked_over)
     }
 
     /// How long after one booking the next one is. A router that has not seen a request
--- /dev/null
+++ b/components/routing/src/admission/shares.rs
@@ -0,0 +1,178 @@
+//! Whose requests are refused first where a pool is short: those of workspaces over their
+//! shares.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use placement::digest;
+use shares::{Pool, Rank, Standing};
+use wire::Demands;
+
+use crate::Effect;
+use crate::state::State;
+
+/// The part of the limit on waits from which on a wait is a sign that the pool is short.
+const NEAR: f64 = 0.8;
+
+/// The part of the limit that is left to a workspace however far it is over its share: where
+/// less is waited for at some upstream, nobody is refused.
+const LEAST: f64 = 0.5;
+
+/// What is asked of each pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Shares {
+    pools: BTreeMap<Arc<str>, Pool>,
+    /// What workspaces count, by the hash of their names.
+    weights: BTreeMap<u64, f64>,
+}
+
+impl Shares {
+    pub(crate) fn new(weights: &BTreeMap<Arc<str>, f64>) -> Self {
+        let mut shares = Self::default();
+        shares.weigh(weights);
+        shares
+    }
+
+    /// Takes what workspaces count, by name.
+    pub(crate) fn weigh(&mut self, weights: &BTreeMap<Arc<str>, f64>) {
+        self.weights = weights.iter().map(|(name, weight)| (hash(name), *weight)).collect();
+    }
+
+    fn pool(&mut self, name: &Arc<str>) -> &mut Pool {
+        self.pools.entry(name.clone()).or_default()
+    }
+
+    /// How a workspace stands; none unless the pool is short.
+    fn standing(
+        &mut self,
+        pool: &str,
+        workspace: &str,
+        priority: i32,
+        now: Millis,
+    ) -> Option<Standing> {
+        let pool = self.pools.get_mut(pool).filter(|it| it.is_short(now))?;
+        let weights = &self.weights;
+        let weight = |it: u64| weights.get(&it).copied().unwrap_or(1.0);
+        Some(pool.standing(hash(workspace), priority, weight, now))
+    }
+}
+
+impl State {
+    /// Notes that a request has come.
+    pub(crate) fn note_asked(&mut self, id: u64, now: Millis) {
+        if !self.shares_out() {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let pool = self.shares.pool(&request.pool);
+        pool.ask(hash(&request.ask.workspace), request.priority, request.ask.content, now);
+    }
+
+    /// Notes that a request is sent for the first time.
+    pub(crate) fn note_sent(&mut self, id: u64, now: Millis) {
+        if !self.shares_out() {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let pool = self.shares.pool(&request.pool);
+        pool.serve(hash(&request.ask.workspace), request.priority, now);
+    }
+
+    /// Notes that a request is turned away, and how its workspace stands.
+    pub(crate) fn note_refused(&mut self, id: u64, standing: Option<Standing>, now: Millis) {
+        if !self.shares_out() {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.standing = standing;
+        self.shares.pool(&request.pool).refuse(request.ask.content, now);
+    }
+
+    /// Takes the part of the limit that the least wait in a pool is.
+    pub(crate) fn watch_room(&mut self, pool: &Arc<str>, part: f64, now: Millis) {
+        if self.shares_out() && part > NEAR {
+            self.shares.pool(pool).run_short(now);
+        }
+    }
+
+    /// How the workspace of a request stands to its share; none unless the pool is short.
+    pub(crate) fn standing(&mut self, id: u64, now: Millis) -> Option<Standing> {
+        if !self.shares_out() {
+            return None;
+        }
+        let request = self.requests.get(&id)?;
+        let workspace = &request.ask.workspace;
+        self.shares.standing(&request.pool, workspace, request.priority, now)
+    }
+
+    /// The part of the limit on waits that a workspace has.
+    pub(crate) fn share_part(
+        &mut self,
+        pool: &str,
+        workspace: &str,
+        priority: i32,
+        now: Millis,
+    ) -> f64 {
+        if !self.shares_out() {
+            return 1.0;
+        }
+        part(self.shares.standing(pool, workspace, priority, now))
+    }
+
+    /// Takes what another router tells of a pool that is short.
+    pub(crate) fn hear_demands(&mut self, demands: Demands, now: Millis) -> Vec<Effect> {
+        if self.shares_out() {
+            self.shares.pool(&demands.pool).hear(&demands.router, demands.word, now);
+        }
+        Vec::new()
+    }
+
+    /// What is asked of the pools that are short, for the others; `router` is this one's name.
+    pub fn demands(&self, router: &Arc<str>, now: Millis) -> Vec<Demands> {
+        let told = |(pool, shares): (&Arc<str>, &Pool)| {
+            let word = shares.tell(now)?;
+            Some(Demands { router: router.clone(), pool: pool.clone(), word })
+        };
+        self.shares.pools.iter().filter_map(told).collect()
+    }
+
+    /// The largest `most` workspaces of each pool that is short, by name or else by hash, and
+    /// how they stand for all that they ask for.
+    pub fn largest_shares(&self, most: usize, now: Millis) -> Vec<(Arc<str>, Vec<Largest>)> {
+        let workspaces = self.plan.iter().flat_map(|it| &it.document().workspaces);
+        let names: BTreeMap<u64, &Arc<str>> =
+            workspaces.map(|it| (hash(&it.name), &it.name)).collect();
+        let weight = |it: u64| self.shares.weights.get(&it).copied().unwrap_or(1.0);
+        let short = self.shares.pools.iter().filter(|(_, it)| it.is_short(now));
+        let largest = |pool: &Pool| {
+            let named = |(workspace, standing): (u64, Standing)| {
+                let unnamed = || format!("{workspace:016x}").into();
+                let name = names.get(&workspace).map_or_else(unnamed, |it| (*it).clone());
+                (name, standing)
+            };
+            pool.largest(most, weight, now).into_iter().map(named).collect()
+        };
+        short.map(|(name, pool)| (name.clone(), largest(pool))).collect()
+    }
+
+    fn shares_out(&self) -> bool {
+        let mechanisms = self.settings.mechanisms;
+        self.settings.path.judges_upstreams() && mechanisms.admission && mechanisms.shares
+    }
+}
+
+/// A workspace by name, and how it stands.
+pub type Largest = (Arc<str>, Standing);
+
+/// The part of the limit on waits that a workspace has.
+pub(super) fn part(standing: Option<Standing>) -> f64 {
+    match standing.map(|it| it.rank) {
+        Some(Rank::Over(times)) => LEAST + (1.0 - LEAST) / times.max(1.0),
+        Some(Rank::Below | Rank::At) | None => 1.0,
+    }
+}
+
+fn hash(workspace: &str) -> u64 {
+    digest(&[workspace.as_bytes()])
+}
--- a/components/routing/src/choosing/ranking.rs
+++ b/components/routing/src/choosing/ranking.rs
@@ -28,8 +28,10 @@
             self.index.choose(&self.upstreams, &target, ask, &self.settings, &outlook);
         self.put_warm_first(&mut candidates, ask);
         let pool = candidates.last().map_or_else(|| asked_pool(target.intent), |it| self.pool(it));
+        let workspace = ask.workspace.clone();
         self.expect(&pool, target.priority, target.intent.objective_ms);
-        self.put_in_time_first(&mut candidates, &pool, target.priority, &outlook);
+        let part = self.share_part(&pool, &workspace, target.priority, now);
+        self.put_in_time_first(&mut candidates, &pool, target.priority, part, &outlook);
         if let Some(request) = self.requests.get_mut(&id) {
             request.pool = pool;
             request.outlook = outlook;
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -7,7 +7,8 @@
 use intents::{Labels, Plan};
 use serde::{Deserialize, Serialize};
 use wire::{
-    Admitted, Broken, Chunk, Delay, End, Frame, Head, Heard, Loads, Outcome, Refused, Warm, Welcome,
+    Admitted, Broken, Chunk, Delay, Demands, End, Frame, Head, Heard, Loads, Outcome, Refused,
+    Warm, Welcome,
 };
 
 use crate::{Check, Crash, Settings};
@@ -133,6 +134,8 @@
     Outcomes(Vec<Outcome>),
     /// Another router told how long its requests waited.
     Delays(Vec<Delay>),
+    /// Another router told what is asked of a pool that is short.
+    Demands(Demands),
     /// Upstreams have ended while they had requests, as routers have told.
     Crashes(Vec<Crash>),
     /// An upstream was checked at which a request broke off.
@@ -264,6 +267,7 @@
             | Frame::Loads(_)
             | Frame::Heard(_)
             | Frame::Delays(_)
+            | Frame::Demands(_)
             | Frame::Ended(_)
             | Frame::Look(_)
             | Frame::News(_)
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -27,4 +27,5 @@
 pub use recovery::quarantine::{Check, Crash};
 pub use requests::decision::{Decision, Passed, Try};
 pub use settings::{Policy, Settings};
+pub use shares::{Rank, Standing};
 pub use state::State;
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -32,6 +32,8 @@
     pub retries: bool,
     /// A request is refused that would be late wherever it went.
     pub admission: bool,
+    /// Where a pool is short, what is over its workspace's share is refused first.
+    pub shares: bool,
     /// A router that stops takes what will have ended in time.
     pub late_takes: bool,
     /// Most routers hear from others what the platform's store holds.
@@ -53,6 +55,7 @@
             silence: true,
             retries: true,
             admission: true,
+            shares: true,
             late_takes: true,
             shared_looks: true,
         }
--- a/components/routing/src/requests/ask.rs
+++ b/components/routing/src/requests/ask.rs
@@ -34,6 +34,7 @@
         let request = self.request(ask, &target, now);
         self.requests.insert(id, request);
         self.rank(id, now);
+        self.note_asked(id, now);
         self.budget(id).earn();
         self.hops.earn();
         self.start(id, now)
@@ -98,6 +99,7 @@
             first: None,
             hints: Vec::new(),
             tries: Vec::new(),
+            standing: None,
         }
     }
 
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -5,6 +5,7 @@
 use clock::Millis;
 use errors::{Kind, Outcome};
 use serde::Serialize;
+use shares::Standing;
 
 use crate::Part;
 
@@ -42,6 +43,10 @@
     pub passed: Vec<Passed>,
     /// The attempts, in order.
     pub tries: Vec<Try>,
+    /// The pool that it was for; empty if none was found.
+    pub pool: Arc<str>,
+    /// How its workspace stood to its share of the pool when it was turned away.
+    pub standing: Option<Standing>,
     /// The HTTP status of the answer that was passed on.
     pub status: Option<u16>,
     /// What is known about the run.
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -4,6 +4,7 @@
 
 use clock::Millis;
 use errors::{Kind, Outcome};
+use shares::Standing;
 
 use crate::beliefs::outlook::Outlook;
 use crate::{Ask, Once, Passed, Try};
@@ -65,6 +66,8 @@
     /// Where the home said that the chat's context is.
     pub hints: Vec<Arc<str>>,
     pub tries: Vec<Try>,
+    /// How its workspace stood to its share when it was turned away.
+    pub standing: Option<Standing>,
 }
 
 impl Request {
--- a/components/routing/src/requests/sending.rs
+++ b/components/routing/src/requests/sending.rs
@@ -49,7 +49,7 @@
         match why {
             COLD => {
                 let soonest = self.opens_in(&pool, now).unwrap_or_default();
-                self.flows.entry(pool).or_default().book(ms(soonest), now)
+                self.flows.entry(pool).or_default().book(ms(soonest), 1.0, now)
             }
             RESTS => {
                 let soonest = self.opens_in(&pool, now).unwrap_or_default();
@@ -129,6 +129,7 @@
         upstream.take(request.ask.weight);
         upstream.cold.send(now);
         let mechanisms = self.settings.mechanisms;
+        let first = request.tries.is_empty();
         let need = Need::new(&self.warmth, &self.upstreams, request, name, mechanisms);
         request.tries.push(Try {
             upstream: name.clone(),
@@ -146,6 +147,9 @@
             judged: None,
             over: false,
         });
+        if first {
+            self.note_sent(id, now);
+        }
         Some(())
     }
 
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -52,6 +52,8 @@
     pub cold_multiple: f64,
     /// How many requests more it bears in a second.
     pub cold_extra: f64,
+    /// What workspaces count where a pool is short; 1 for those that are not named.
+    pub weights: BTreeMap<Arc<str>, f64>,
     /// The region of each failure domain, where intents name regions.
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// How long a sidecar's word on its load counts, in milliseconds.
@@ -110,6 +112,7 @@
             known_bound: Bound::default(),
             cold_multiple: 1.0,
             cold_extra: 0.0,
+            weights: BTreeMap::new(),
             regions: BTreeMap::new(),
             fresh_ms: 300,
             max_attempts: 4,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::admission::Flow;
+use crate::admission::{Flow, Shares};
 use crate::beliefs::cold::Members;
 use crate::beliefs::fleet::labels;
 use crate::beliefs::loads::Peers;
@@ -37,6 +37,8 @@
     pub(crate) means: HashMap<Arc<str>, f64>,
     /// What has passed through each pool.
     pub(crate) flows: BTreeMap<Arc<str>, Flow>,
+    /// What is asked of each pool, and by whom.
+    pub(crate) shares: Shares,
     /// Among how many routers the retry budget is divided.
     pub(crate) routers: usize,
     /// The failure domains that are to take nothing.
@@ -66,6 +68,7 @@
     /// A router that knows nothing yet; `seed` decides its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let hops = Budget::new(settings.hop_share, settings.hop_burst);
+        let shares = Shares::new(&settings.weights);
         Self {
             settings,
             plan: None,
@@ -76,6 +79,7 @@
             hops,
             means: HashMap::new(),
             flows: BTreeMap::new(),
+            shares,
             routers: 1,
             evacuated: BTreeSet::new(),
             members: Members::default(),
@@ -201,6 +205,7 @@
             }
             Event::Outcomes(outcomes) => self.hear_outcomes(&outcomes, now),
             Event::Delays(delays) => self.hear_delays(&delays, now),
+            Event::Demands(demands) => self.hear_demands(demands, now),
             Event::Crashes(crashes) => {
                 self.learn_crashes(crashes, now);
                 Vec::new()
@@ -213,6 +218,7 @@
 
     /// Requests under way keep what was decided on them.
     fn set(&mut self, settings: Settings) -> Vec<Effect> {
+        self.shares.weigh(&settings.weights);
         self.settings = settings;
         self.change_budgets();
         self.index.clear();
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -14,6 +14,9 @@
 /// When everything begins.
 pub const NOW: Millis = Millis(1_000_000);
 
+/// All workspaces; most tests know the first.
+const WORKSPACES: [&str; 8] = ["w", "a", "b", "c", "d", "hot", "new", "small"];
+
 /// The settings of most tests.
 pub fn settings() -> Settings {
     Settings {
@@ -40,7 +43,7 @@
     };
     let document = json!({
         "generation": 1,
-        "workspaces": [{ "name": "w", "key_sha256": "0".repeat(64) }],
+        "workspaces": WORKSPACES.map(|it| json!({ "name": it, "key_sha256": "0".repeat(64) })),
         "models": ["m"],
         "pools": [{ "name": "engine", "cold_ms": 3_000, "cold_per_s": 8.0 }],
         "kinds": [kind("safe", true), kind("unsafe", false), kind("stream", true), kind("bulk", true)],
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod quarantine;
 mod refusals;
+mod shares;
 mod silence;
 mod stopping;
 mod warmth;
--- a/components/shares/src/lib.rs
+++ b/components/shares/src/lib.rs
@@ -20,5 +20,4 @@
 pub use fill::{Claim, level};
 pub use pool::Pool;
 pub use standing::{Rank, Standing};
-pub use view::Held;
 pub use word::{Line, MOST_LINES, Rest, Word};
--- a/components/shares/src/pool.rs
+++ b/components/shares/src/pool.rs
@@ -7,7 +7,7 @@
 
 use crate::ledger::Ledger;
 use crate::standing::Standing;
-use crate::view::{Held, View};
+use crate::view::View;
 use crate::word::{MOST_LINES, Word};
 
 /// For how long a pool is taken to be short after a sign of it.
@@ -103,10 +103,18 @@
         self.view(weight, now).standing(workspace, priority, own)
     }
 
-    /// The `most` workspaces with the largest demand, the largest first.
-    pub fn largest(&self, most: usize, now: Millis) -> Vec<(u64, Held)> {
-        let mut all: Vec<_> = self.view_now(|_| 1.0, now).held.into_iter().collect();
-        all.sort_by(|one, other| other.1.demand().total_cmp(&one.1.demand()));
+    /// The `most` workspaces with the largest demand, the largest first, and how they stand for
+    /// all that they want.
+    pub fn largest(
+        &self,
+        most: usize,
+        weight: impl Fn(u64) -> f64,
+        now: Millis,
+    ) -> Vec<(u64, Standing)> {
+        let view = self.view_now(&weight, now);
+        let standing = |it: &u64| (*it, view.standing(*it, i32::MAX, weight(*it)));
+        let mut all: Vec<_> = view.held.keys().map(standing).collect();
+        all.sort_by(|one, other| other.1.demand.total_cmp(&one.1.demand));
         all.truncate(most);
         all
     }
--- a/components/shares/src/view.rs
+++ b/components/shares/src/view.rs
@@ -19,7 +19,7 @@
 
 /// What is known of a workspace, in requests that fade.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Held {
+pub(crate) struct Held {
     /// What it wants, for each priority.
     pub lines: BTreeMap<i32, f64>,
     /// What it may want beside that, of the sums that others told.
--- a/components/shares/tests/views.rs
+++ b/components/shares/tests/views.rs
@@ -102,9 +102,9 @@
 
 /// The part of the pool's demand that each workspace is.
 fn parts(pool: &Pool, now: Millis) -> HashMap<u64, f64> {
-    let all = pool.largest(usize::MAX, now);
-    let demand: f64 = all.iter().map(|it| it.1.demand()).sum();
-    all.into_iter().map(|(name, it)| (name, it.demand() / demand)).collect()
+    let all = pool.largest(usize::MAX, |_| 1.0, now);
+    let demand: f64 = all.iter().map(|it| it.1.demand).sum();
+    all.into_iter().map(|(name, it)| (name, it.demand / demand)).collect()
 }
 
 /// The most by which a view errs in the part of the demand that a workspace is.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -18,6 +18,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    standings: Counter<u64>,
     control: Counter<u64>,
     beliefs: Counter<u64>,
     first_token: Histogram<f64>,
@@ -39,6 +40,10 @@
             requests: count("silverstack_requests", "Requests that ended, by outcome"),
             refusals: count("silverstack_refusals", "Errors answered, by kind"),
             attempts: count("silverstack_attempts", "Attempts sent to sidecars"),
+            standings: count(
+                "silverstack_share_refusals",
+                "Refusals in a pool that is short, by the workspace's standing",
+            ),
             control: count("silverstack_control_bytes", "Bytes of control traffic, by kind"),
             beliefs: count("silverstack_beliefs", "Changes of what is believed, by kind"),
             first_token: time("silverstack_first_token", "From arrival to the answer's head"),
@@ -62,6 +67,12 @@
         self.attempts.add(count as u64, &[]);
     }
 
+    /// Counts a refusal in a `pool` that is short: `below`, `at` or `over` the workspace's share.
+    pub fn standing(&self, pool: &str, standing: &'static str) {
+        let pool = KeyValue::new("pool", pool.to_owned());
+        self.standings.add(1, &[pool, KeyValue::new("standing", standing)]);
+    }
+
     /// Counts control traffic: `hosts`, `report`, `greeting` and so on.
     pub fn control(&self, kind: &'static str, bytes: usize) {
         self.control.add(bytes as u64, &[KeyValue::new("kind", kind)]);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -7,6 +7,7 @@
 use errors::Kind;
 use placement::Pool;
 use serde::{Deserialize, Serialize};
+use shares::Word;
 
 /// One frame of a stream.
 ///
@@ -62,6 +63,8 @@
     /// The first frame of a datagram whose hints are to be passed on to others: how many routers
     /// have passed on one of them already, at most.
     PassOn(u32),
+    /// Between routers: what is asked of a pool that is short.
+    Demands(Demands),
 }
 
 /// A question of a router what the platform's store holds.
@@ -367,6 +370,17 @@
     pub queued: u32,
 }
 
+/// What is asked of a pool that is short, as one router sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demands {
+    /// The router.
+    pub router: Arc<str>,
+    /// The pool of upstreams.
+    pub pool: Arc<str>,
+    /// What it tells.
+    pub word: Word,
+}
+
 /// What an answer told of an upstream's load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,8 +9,8 @@
 
 pub use codec::{Error, MAX_FRAME, Reader, encode};
 pub use frame::{
-    Admitted, Broken, Chunk, Delay, End, Ended, Frame, Head, Heard, Hello, Load, Loads, Look, News,
-    Note, Open, Outcome, Peer, Refer, Refused, Report, Revision, Stage, Status, Told, Warm,
-    Welcome,
+    Admitted, Broken, Chunk, Delay, Demands, End, Ended, Frame, Head, Heard, Hello, Load, Loads,
+    Look, News, Note, Open, Outcome, Peer, Refer, Refused, Report, Revision, Stage, Status, Told,
+    Warm, Welcome,
 };
 pub use pack::{pack, unpack};
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -1,11 +1,13 @@
 //! Frames survive the codec, however the bytes are cut; garbage does no harm.
 
 use bytes::Bytes;
+use clock::Millis;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use shares::{Line, MOST_LINES, Rest, Word};
 use wire::{
-    Chunk, Delay, End, Ended, Error, Frame, Heard, Load, Loads, MAX_FRAME, Open, Outcome, Reader,
-    Report, Stage, Status, Told, Warm, encode,
+    Chunk, Delay, Demands, End, Ended, Error, Frame, Heard, Load, Loads, MAX_FRAME, Open, Outcome,
+    Reader, Report, Stage, Status, Told, Warm, encode,
 };
 
 /// The seed of the cases, so that every run is the same.
@@ -36,6 +38,14 @@
     })
 }
 
+fn demands(at: u64, lines: Vec<(u64, i32, u32, u32)>) -> Demands {
+    let line = |(workspace, priority, asked, served)| Line { workspace, priority, asked, served };
+    let lines = lines.into_iter().map(line).collect();
+    let rest = Rest { workspaces: 3, asked: 70, served: 20 };
+    let word = Word { at: Millis(at), short: true, lines, rest };
+    Demands { router: "front-1".into(), pool: "engine".into(), word }
+}
+
 fn frames() -> impl Strategy<Value = Frame> {
     let bytes = || prop::collection::vec(any::<u8>(), 0..300);
     prop_oneof![
@@ -84,6 +94,8 @@
             };
             Frame::Delays(delays.into_iter().map(delay).collect())
         }),
+        (any::<u64>(), prop::collection::vec(any::<(u64, i32, u32, u32)>(), 0..40))
+            .prop_map(|(at, lines)| Frame::Demands(demands(at, lines))),
         (any::<String>(), prop::collection::vec(any::<u64>(), 0..40)).prop_map(
             |(upstream, contents)| Frame::Ended(Ended { upstream: upstream.into(), contents })
         ),
@@ -150,3 +162,15 @@
 fn an_oversized_frame_is_not_written() {
     assert!(encode(&open(vec![0; MAX_FRAME + 1], None)).is_err());
 }
+
+/// What a datagram between routers may have, in bytes.
+const DATAGRAM: usize = 1_200;
+
+#[test]
+fn the_longest_word_on_a_pool_fits_one_datagram() {
+    let demands = demands(u64::MAX, vec![(u64::MAX, i32::MIN, u32::MAX, u32::MAX); MOST_LINES]);
+    let name: std::sync::Arc<str> = "n".repeat(128).into();
+    let demands = Demands { router: name.clone(), pool: name, ..demands };
+    let bytes = encode(&Frame::Demands(demands)).expect("it fits");
+    assert!(bytes.len() <= DATAGRAM, "{}", bytes.len());
+}
