--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -11,7 +11,7 @@
 use intents::Plan;
 use link::Links;
 use outbound::Client;
-use routing::{Crash, Decision, Effect, Event, Owner, Standing, State};
+use routing::{Crash, Decision, Effect, Event, Owner, State};
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
@@ -23,7 +23,7 @@
 use crate::hearing::Hearing;
 use crate::peers::Peers;
 use crate::reach::Direct;
-use crate::report;
+use crate::{report, shares};
 
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -31,9 +31,6 @@
 /// The most notes that wait to be sent.
 const MAX_NOTES: usize = 1_024;
 
-/// Of how many workspaces the status tells in a pool that is short.
-const MOST_SHARES: usize = 8;
-
 /// How long a request waits for the first configuration. A router that starts
 /// has it after 60 to 140 ms on the sites.
 const FIRST_PLAN: Duration = Duration::from_millis(300);
@@ -360,21 +357,11 @@
             "draining": self.stop.is_asked(),
             "evacuated": state.evacuated().collect::<Vec<_>>(),
             "upstreams": upstreams,
-            "short": short(&state, now),
+            "short": shares::short(&state, now),
         })
     }
 }
 
-/// The pools that are short, and how the largest workspaces stand to their shares of them.
-fn short(state: &State, now: Millis) -> serde_json::Value {
-    let standing = |(workspace, it): (Arc<str>, Standing)| serde_json::json!({ "workspace": &*workspace, "standing": it });
-    let pool = |(pool, largest): (Arc<str>, Vec<(Arc<str>, Standing)>)| {
-        let largest: Vec<_> = largest.into_iter().map(standing).collect();
-        serde_json::json!({ "pool": &*pool, "largest": largest })
-    };
-    state.largest_shares(MOST_SHARES, now).into_iter().map(pool).collect()
-}
-
 /// This router as others know it.
 fn own(settings: &settings::Router, direct: Option<&Direct>) -> Peer {
     Peer {
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -29,6 +29,7 @@
 mod report;
 mod server;
 mod shared;
+mod shares;
 mod target;
 mod telling;
 mod template;
--- a/components/routing/src/admission/shares.rs
+++ b/components/routing/src/admission/shares.rs
@@ -17,7 +17,7 @@
 
 /// The part of the limit that is left to a workspace however far it is over its share: where
 /// less is waited for at some upstream, nobody is refused.
-const LEAST: f64 = 0.5;
+const LEAST: f64 = 0.4;
 
 /// What is asked of each pool.
 #[derive(Clone, Debug, Default)]
@@ -146,12 +146,12 @@
         let weight = |it: u64| self.shares.weights.get(&it).copied().unwrap_or(1.0);
         let short = self.shares.pools.iter().filter(|(_, it)| it.is_short(now));
         let largest = |pool: &Pool| {
-            let named = |(workspace, standing): (u64, Standing)| {
+            let one = |(workspace, standing): (u64, Standing)| {
                 let unnamed = || format!("{workspace:016x}").into();
                 let name = names.get(&workspace).map_or_else(unnamed, |it| (*it).clone());
                 (name, standing)
             };
-            pool.largest(most, weight, now).into_iter().map(named).collect()
+            pool.largest(most, weight, now).into_iter().map(one).collect()
         };
         short.map(|(name, pool)| (name.clone(), largest(pool))).collect()
     }
@@ -168,7 +168,7 @@
 /// The part of the limit on waits that a workspace has.
 pub(super) fn part(standing: Option<Standing>) -> f64 {
     match standing.map(|it| it.rank) {
-        Some(Rank::Over(times)) => LEAST + (1.0 - LEAST) / times.max(1.0),
+        Some(Rank::Over(times)) => (1.0 / times).clamp(LEAST, 1.0),
         Some(Rank::Below | Rank::At) | None => 1.0,
     }
 }
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -151,6 +151,10 @@
         positive("body_ms", self.body_ms)?;
         positive("connect_ms", self.connect_ms)?;
         bound("routing.bound", &self.routing.bound)?;
+        for weight in self.routing.weights.values() {
+            let holds = weight.is_finite() && *weight > 0.0;
+            crate::check::rule(holds, "routing.weights", weight, "a number above 0")?;
+        }
         positive("routing.quarantine_ends", self.routing.quarantine_ends as u64)?;
         positive("routing.max_attempts", u64::from(self.routing.max_attempts))
     }
--- a/components/shares/src/standing.rs
+++ b/components/shares/src/standing.rs
@@ -28,8 +28,8 @@
     /// It wants more, and so do the others: it gives way to nobody.
     #[default]
     At,
-    /// Its share holds less of what it wants than the pool serves of what all want, by so many
-    /// times.
+    /// Its share holds less of what it wants than the shares of all others do of what they want,
+    /// by so many times.
     Over(f64),
 }
 
--- a/components/shares/src/view.rs
+++ b/components/shares/src/view.rs
@@ -9,8 +9,8 @@
 use crate::standing::{Rank, Standing};
 use crate::word::{Word, requests};
 
-/// By how much the parts may differ that are served of a workspace and of all before the
-/// workspace is over its share: within it callers come by chance, and views of routers differ.
+/// By how much the parts may differ that are served of a workspace and of all others before
+/// the workspace is over its share: within it callers come by chance, and views of routers differ.
 const TOLERANCE: f64 = 0.25;
 
 /// The least demand of a pool, and of a workspace, that says anything, in requests.
@@ -48,10 +48,9 @@
     pub at: Millis,
     pub held: BTreeMap<u64, Held>,
     level: f64,
-    /// The part that is served of what all want.
-    part: f64,
-    /// Whether there is enough to say anything.
-    tells: bool,
+    /// What all want, and what of it is in their shares.
+    demand: f64,
+    shares: f64,
     /// The age of the oldest word.
     age: Option<Millis>,
 }
@@ -103,9 +102,9 @@
         }
         let demand: f64 = claims.iter().map(|it| it.demand * it.count).sum();
         let room: f64 = held.values().map(|it| it.served).sum::<f64>() + served;
-        let part = if demand > 0.0 { (room / demand).min(1.0) } else { 1.0 };
         let level = level(&mut claims, room);
-        Self { at: now, held, level, part, tells: demand >= LEAST_POOL, age }
+        let shares = room.min(demand);
+        Self { at: now, held, level, demand, shares, age }
     }
 
     /// How `workspace`, which counts `weight`, stands for requests of `priority`.
@@ -115,17 +114,22 @@
         };
         let (all, demand) = (held.demand(), held.demand_up_to(priority));
         let share = all.min(weight * self.level);
-        let rank = self.rank(demand, share);
+        let rank = self.rank(demand, share, all);
         Standing { rank, demand, served: held.served, share, age_ms: None }.aged(self.age)
     }
 
-    fn rank(&self, demand: f64, share: f64) -> Rank {
+    /// Where a workspace is that wants `demand` of `all` its requests.
+    fn rank(&self, demand: f64, share: f64, all: f64) -> Rank {
         if demand <= share {
             return Rank::Below;
         }
-        let times = self.part * demand / share.max(f64::MIN_POSITIVE);
-        let over = self.tells && demand >= LEAST_WORKSPACE && times > 1.0 + TOLERANCE;
-        if over { Rank::Over(times) } else { Rank::At }
+        let others = self.demand - all;
+        if self.demand < LEAST_POOL || demand < LEAST_WORKSPACE || others < LEAST_WORKSPACE {
+            return Rank::At;
+        }
+        let served = (self.shares - share) / others;
+        let times = served * demand / share.max(f64::MIN_POSITIVE);
+        if times > 1.0 + TOLERANCE { Rank::Over(times) } else { Rank::At }
     }
 }
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -7,7 +7,8 @@
 use errors::Kind;
 use placement::Pool;
 use serde::{Deserialize, Serialize};
-use shares::Word;
+
+use crate::demands::Demands;
 
 /// One frame of a stream.
 ///
@@ -370,17 +371,6 @@
     pub queued: u32,
 }
 
-/// What is asked of a pool that is short, as one router sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Demands {
-    /// The router.
-    pub router: Arc<str>,
-    /// The pool of upstreams.
-    pub pool: Arc<str>,
-    /// What it tells.
-    pub word: Word,
-}
-
 /// What an answer told of an upstream's load.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,13 +4,15 @@
 //! only user of `bincode`, so that a successor is a change to one file.
 
 mod codec;
+mod demands;
 mod frame;
 mod pack;
 
 pub use codec::{Error, MAX_FRAME, Reader, encode};
+pub use demands::Demands;
 pub use frame::{
-    Admitted, Broken, Chunk, Delay, Demands, End, Ended, Frame, Head, Heard, Hello, Load, Loads,
-    Look, News, Note, Open, Outcome, Peer, Refer, Refused, Report, Revision, Stage, Status, Told,
-    Warm, Welcome,
+    Admitted, Broken, Chunk, Delay, End, Ended, Frame, Head, Heard, Hello, Load, Loads, Look, News,
+    Note, Open, Outcome, Peer, Refer, Refused, Report, Revision, Stage, Status, Told, Warm,
+    Welcome,
 };
 pub use pack::{pack, unpack};
