--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -15,7 +15,7 @@
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
-use wire::{Delay, Ended, Frame, Heard, Hello, Loads, Outcome, Warm};
+use wire::{Delay, Demands, Ended, Frame, Heard, Hello, Loads, Outcome, Warm};
 
 use crate::crashes::Crashes;
 use crate::decisions::Decisions;
@@ -23,7 +23,7 @@
 use crate::hearing::Hearing;
 use crate::peers::Peers;
 use crate::reach::Direct;
-use crate::report;
+use crate::{report, shares};
 
 /// The name of this kind of process in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -260,6 +260,11 @@
         self.state.borrow_mut().delays()
     }
 
+    /// What is asked of the pools that are short.
+    pub(crate) fn demands(&self) -> Vec<Demands> {
+        self.state.borrow().demands(&self.settings.name, self.clock.now())
+    }
+
     /// When a caller that is refused for `kind` is told to come back, in milliseconds.
     pub(crate) fn retry_after_ms(&self, kind: Kind) -> u64 {
         self.state.borrow().retry_after_ms(kind, self.clock.now())
@@ -313,6 +318,9 @@
         let outcome: &'static str = decision.outcome.into();
         self.metrics.request(outcome, error);
         self.metrics.attempts(decision.tries.len());
+        if let Some(standing) = decision.standing {
+            self.metrics.standing(&decision.pool, standing.rank.name());
+        }
         report::ended(decision, trace);
         self.decisions.borrow_mut().keep(decision.clone());
     }
@@ -370,6 +378,7 @@
             "draining": self.stop.is_asked(),
             "evacuated": state.evacuated().collect::<Vec<_>>(),
             "upstreams": upstreams,
+            "short": shares::short(&state, now),
         })
     }
 }
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod quarantine;
 mod refusals;
+mod shares;
 mod silence;
 mod stopping;
 mod warmth;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -8,6 +8,8 @@
 use placement::Pool;
 use serde::{Deserialize, Serialize};
 
+use crate::demands::Demands;
+
 /// One frame of a stream.
 ///
 /// A stream begins with [`Frame::Hello`], [`Frame::Open`] or [`Frame::Report`].
@@ -67,6 +69,8 @@
     /// Between routers: work that was answered in full, by its hash, and is not why upstreams
     /// end.
     Cleared(Vec<u64>),
+    /// Between routers: what is asked of a pool that is short.
+    Demands(Demands),
 }
 
 /// A question of a router what the platform's store holds.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,10 +4,12 @@
 //! only user of `bincode`, so that a successor is a change to one file.
 
 mod codec;
+mod demands;
 mod frame;
 mod pack;
 
 pub use codec::{Error, MAX_FRAME, Reader, encode};
+pub use demands::Demands;
 pub use frame::{
     Admitted, Broken, Chunk, Delay, End, Ended, Frame, Head, Heard, Hello, Load, Loads, Look, News,
     Note, Open, Outcome, Pace, Peer, Refer, Refused, Report, Revision, Stage, Status, Told, Warm,
