Deal out the room of upstreams among routers while much of a pool takes nothing

A third of the pool was left, another third cold.

Change: while a quarter of a pool is left or cold, the room that was heard of at an upstream that is beyond a third of the way from the mean to its bound is dealt out among the routers by a draw for each word heard; who has none left goes on in rank, and where all is dealt out requests spread over all that have some. Only where routers do not tell each other their loads, and not in a pool that is nearly idle. Switch `dealt_room`.

Test that failed first: rooms::routers_do_not_fill_an_upstream_together_that_tells_nothing_for_a_while, 1,720 of 2,080 requests beyond the rule.

--- a/components/routing/src/beliefs.rs
+++ b/components/routing/src/beliefs.rs
@@ -8,6 +8,7 @@
 pub(crate) mod listing;
 pub(crate) mod loads;
 pub(crate) mod outlook;
+pub(crate) mod room;
 pub(crate) mod upstream;
 pub(crate) mod warmth;
 pub(crate) mod word;
--- a/components/routing/src/beliefs/cold.rs
+++ b/components/routing/src/beliefs/cold.rs
@@ -69,6 +69,11 @@
         self.since.is_some_and(|at| at.until(now) >= SETTLE)
     }
 
+    /// What tells this router from the others, once its name is known.
+    pub(crate) fn seat(&self) -> Option<u64> {
+        (!self.own.is_empty()).then(|| key("seat", &self.own))
+    }
+
     /// How many of `limit` requests to `upstream` are this router's.
     fn part(&self, upstream: &str, limit: u32, now: Millis) -> u32 {
         let lingering = self.gone.iter().filter(|(_, at)| at.until(now) < LINGERS);
@@ -111,6 +116,11 @@
         self.is_cold(now) && sent >= self.part as usize
     }
 
+    /// How many requests this router has sent there after `at`, of the latest window.
+    pub(crate) fn sent_since(&self, at: Millis) -> u64 {
+        self.sent.iter().rev().take_while(|it| **it > at).count() as u64
+    }
+
     /// Notes that a request is sent there.
     pub(crate) fn send(&mut self, now: Millis) {
         while self.sent.front().is_some_and(|it| it.until(now) >= WINDOW) {
--- a/components/routing/src/beliefs/outlook.rs
+++ b/components/routing/src/beliefs/outlook.rs
@@ -3,7 +3,7 @@
 
 use clock::Millis;
 
-use crate::Path;
+use crate::{Path, Settings};
 
 /// After how long what an answer told of other routers' requests counts half, in
 /// milliseconds. Streams of the sites take 0.5 to 1 s.
@@ -29,6 +29,8 @@
     pub now: Millis,
     /// How many routers share the upstreams.
     pub routers: f64,
+    /// What tells this router from the others, once it is known.
+    pub seat: Option<u64>,
     /// The load of an upstream of the pool on the mean, as answers tell it.
     pub mean: f64,
     /// Whether other routers tell their loads.
@@ -40,6 +42,23 @@
 }
 
 impl Outlook {
+    /// Whether what was heard of the room of upstreams is dealt out among the routers: all
+    /// hear of it alike, and none of what the others send.
+    pub(crate) fn deals(&self, settings: &Settings) -> bool {
+        let counts = self.told && !self.known && !self.path.has_sidecars();
+        settings.mechanisms.dealt_room && counts && self.seat.is_some()
+    }
+
+    /// How many routers share the upstreams.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a whole number of routers"
+    )]
+    pub(crate) fn shares(&self) -> u64 {
+        self.routers.max(1.0) as u64
+    }
+
     /// The load that other routers have at an upstream, where this router has
     /// `own`, and `told` at `then` is the latest that was heard.
     ///
--- a/components/routing/src/beliefs/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -41,6 +41,9 @@
 /// Why an upstream is passed over that has asked this router for rest.
 pub(crate) const RESTS: &str = "asked for rest";
 
+/// Why an upstream is passed over whose room is left to other routers for now.
+pub(crate) const DEALT: &str = "its room is dealt out";
+
 /// Why an upstream is passed over whose bound leaves no room.
 pub(crate) const OVER_BOUND: &str = "over the load bound";
 
@@ -191,6 +194,16 @@
         self.own + whole(outlook.others(count(self.own), count(others), told))
     }
 
+    /// When an answer last told its load.
+    pub(crate) fn heard_at(&self) -> Millis {
+        self.others.1
+    }
+
+    /// Whether it has just started.
+    pub(crate) fn is_cold(&self, now: Millis) -> bool {
+        self.cold.is_cold(now)
+    }
+
     /// The load that counts in the mean of its pool.
     pub(crate) fn load_in_mean(&self, outlook: &Outlook) -> u64 {
         let (others, told) = self.others;
--- a/components/routing/src/choosing/choice.rs
+++ b/components/routing/src/choosing/choice.rs
@@ -9,7 +9,8 @@
 
 use crate::beliefs::health::Outcomes;
 use crate::beliefs::outlook::Outlook;
-use crate::beliefs::upstream::{OVER_BOUND, POOR, SUSPECT};
+use crate::beliefs::room::{Deal, is_short};
+use crate::beliefs::upstream::{DEALT, OVER_BOUND, POOR, SUSPECT};
 use crate::{Ask, Passed, Policy, Settings, Upstream};
 
 /// The most upstreams that one request may be tried at.
@@ -79,7 +80,8 @@
         } else {
             settings.policy
         };
-        let mut best = order(policy, key, &ask.request, sorted.candidates(outlook), outlook);
+        let mut best =
+            order(policy, key, &ask.request, sorted.candidates(&ask.request, outlook), outlook);
         if let Some(home) = home.filter(|_| settings.policy == Policy::Directory) {
             // The home is asked first even if it is believed to be full: it
             // knows where the chat's context is.
@@ -142,10 +144,14 @@
     ) -> Self {
         let mut sorted = Self { open: Vec::new(), objected: Vec::new() };
         let pool = (!settings.path.has_sidecars()).then(|| pool(fitting.clone(), outlook));
+        let short = outlook.deals(settings) && is_short(fitting.clone(), outlook.now);
+        let deal = pool.filter(|_| short).map(|pool| Deal { pool, bound: settings.bound });
         let judged = settings.path.judges_upstreams() && settings.mechanisms.health;
         let outcomes = judged.then(|| outcomes(fitting.clone(), outlook));
         for upstream in fitting {
-            match upstream.objection(weight, pool, outcomes, settings, outlook) {
+            let objection = upstream.objection(weight, pool, outcomes, settings, outlook);
+            let dealt = || deal.filter(|it| it.leaves_none(upstream, weight, outlook));
+            match objection.or_else(|| dealt().map(|_| DEALT)) {
                 None => sorted.open.push(upstream),
                 Some(why) => sorted.objected.push((upstream, why)),
             }
@@ -160,16 +166,22 @@
 
     /// The first in rank of those that are up.
     fn home(&self, key: u64) -> Option<&'a Upstream> {
-        let up = self.open.iter().copied().chain(self.full());
+        let up = self.open.iter().copied().chain(self.full()).chain(self.objected_for(DEALT));
         top(key, up, 1, |it| (it.name(), 1.0)).pop()
     }
 
     /// Those to try. Loads are known with a lag: one sidecar is asked before all
     /// are believed to be full.
-    fn candidates(self, outlook: &Outlook) -> Vec<&'a Upstream> {
+    fn candidates(self, request: &str, outlook: &Outlook) -> Vec<&'a Upstream> {
         if !self.open.is_empty() {
             return self.open;
         }
+        // Where all room is dealt out, requests spread over all that have some.
+        let draw = key("", request);
+        let spread = top(draw, self.objected_for(DEALT), 1, |it| (it.name(), 1.0));
+        if !spread.is_empty() {
+            return spread;
+        }
         let poor: Vec<_> = self.objected_for(POOR).collect();
         if !poor.is_empty() {
             return poor;
--- a/components/routing/src/choosing/ranking.rs
+++ b/components/routing/src/choosing/ranking.rs
@@ -101,7 +101,8 @@
         let known = self.settings.mechanisms.loads && self.peers.are_known(now);
         let told = self.peers.are_told(now);
         let takes_part = self.takes_part(now);
-        Outlook { path: self.settings.path, now, routers, mean, known, told, takes_part }
+        let seat = self.members.seat();
+        Outlook { path: self.settings.path, now, routers, seat, mean, known, told, takes_part }
     }
 }
 
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -36,6 +36,8 @@
     pub late_takes: bool,
     /// Most routers hear from others what the platform's store holds.
     pub shared_looks: bool,
+    /// Routers deal out the room of upstreams among them while much of a pool takes nothing.
+    pub dealt_room: bool,
 }
 
 impl Default for Mechanisms {
@@ -55,6 +57,7 @@
             admission: true,
             late_takes: true,
             shared_looks: true,
+            dealt_room: true,
         }
     }
 }
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod quarantine;
 mod refusals;
+mod rooms;
 mod silence;
 mod stopping;
 mod warmth;
