Leave the room of upstreams that tell no loads to all routers

Plain services tell no loads, so that there is no word to deal out their room by; a router counted all it had sent in the window against it. Test that failed first: rooms::room_of_which_nothing_was_ever_heard_is_not_dealt_out.

--- a/components/routing/src/beliefs/room.rs
+++ b/components/routing/src/beliefs/room.rs
@@ -42,6 +42,10 @@
             return false;
         }
         let heard = upstream.heard_at();
+        // Plain services tell no loads: their room is not known to any router.
+        if heard == Millis::ZERO {
+            return false;
+        }
         let sent = upstream.cold.sent_since(heard);
         let room = ceiling.saturating_sub(load) + sent;
         let routers = outlook.shares();
--- a/components/routing/tests/direct/rooms.rs
+++ b/components/routing/tests/direct/rooms.rs
@@ -116,3 +116,16 @@
     let places: Vec<_> = (1..=3).map(place).collect();
     assert!(places.iter().all(|it| it.is_some() && *it == places[0]), "{places:?}");
 }
+
+#[test]
+fn room_of_which_nothing_was_ever_heard_is_not_dealt_out() {
+    let places = |mechanisms| -> Vec<_> {
+        let mut state = fleet(0, mechanisms);
+        state.apply(evacuated(&["c"]), NOW);
+        state.apply(Event::Current { at: SETTLED }, SETTLED);
+        state.apply(heard(&BTreeMap::new()), SETTLED);
+        (0..40).map(|id| sent(&state.apply(ask(id, "stream", "one"), SETTLED))).collect()
+    };
+    let without = Mechanisms { dealt_room: false, ..Mechanisms::default() };
+    assert_eq!(places(Mechanisms::default()), places(without));
+}
