--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -40,6 +40,8 @@
     pub shared_looks: bool,
     /// Routers reckon with how fast upstreams say that they are.
     pub pace: bool,
+    /// Routers deal out the room of upstreams among them while much of a pool takes nothing.
+    pub dealt_room: bool,
 }
 
 impl Default for Mechanisms {
@@ -61,6 +63,7 @@
             late_takes: true,
             shared_looks: true,
             pace: true,
+            dealt_room: true,
         }
     }
 }
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod quarantine;
 mod refusals;
+mod rooms;
 mod shares;
 mod silence;
 mod stopping;
