Ask for a place before sending to a pool that is short of them

Change: where a request is turned away for lack of room by an upstream of a pool that lists slots and tells no load, further ones ask the pool's owner first (reducer: requests/placing.rs; edge: router/src/places.rs). Switch mechanisms.places. Chats are left out: four tests of refusals by engines failed with them in.

--- a/components/places/src/limit.rs
+++ b/components/places/src/limit.rs
@@ -89,8 +89,12 @@
     }
 
     /// The upstream had no room while `in_flight` permits were out, this one included. It counts
-    /// once for all that were sent before the first was heard of.
+    /// once for all that were sent before the first was heard of. One that has no room for a
+    /// single request takes nothing.
     pub fn refused(&mut self, in_flight: usize, now: Millis) {
+        if in_flight <= 1 || self.bears <= 1.0 {
+            return self.failed(now);
+        }
         let round = Millis(whole(self.out.unwrap_or(100.0)));
         if self.lowered.until(now) < round && self.lowered > Millis::ZERO {
             return;
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,7 +18,7 @@
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::memory::Memory;
-use crate::{announcement, crashes, feed, hints, memory, telling};
+use crate::{announcement, crashes, feed, hints, memory, places, telling};
 
 /// How often the file of the intents is looked at.
 const INTENTS_EVERY: Duration = Duration::from_secs(1);
@@ -44,6 +44,7 @@
             tasks.spawn_local(hints::listen(core.clone()));
             tasks.spawn_local(hints::tell_loads(core.clone()));
             tasks.spawn_local(hints::spread(core.clone()));
+            tasks.spawn_local(places::run(core.clone()));
             tasks.spawn_local(telling::serve(core.clone()));
             tasks.spawn_local(crashes::check(core.clone()));
             tasks.spawn_local(crashes::tell(core.clone()));
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Fleet;
 use crate::hearing::Hearing;
 use crate::peers::Peers;
+use crate::places::Places;
 use crate::reach::Direct;
 use crate::report;
 
@@ -54,6 +55,8 @@
     notes: Sender<Effect>,
     /// Under what work upstreams ended, as this router tells.
     pub crashes: Crashes,
+    /// The places of pools that are short.
+    pub places: Places,
     /// Tells that the platform's store has lost what was written there last.
     pub store_is_older: Notify,
     pub metrics: Metrics,
@@ -100,6 +103,7 @@
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             notes,
             crashes: Crashes::default(),
+            places: Places::default(),
             store_is_older: Notify::new(),
             metrics: Metrics::new(SERVICE),
             tracer: tracer(&settings),
@@ -168,6 +172,14 @@
                 self.crashes.add(crashes);
                 false
             }
+            Effect::Release { pool, number, end, took } => {
+                self.places.release(self, pool, *number, *end, *took);
+                false
+            }
+            Effect::RunsShort { pool } => {
+                self.places.runs_short(self, pool);
+                false
+            }
             Effect::HoldBack { content, lasts } => {
                 self.metrics.belief("work_held_back");
                 report::held_back(*content, *lasts);
@@ -188,6 +200,11 @@
         &self.fleet
     }
 
+    /// The upstreams of a pool that may be sent to, and their slots.
+    pub(crate) fn places_of(&self, pool: &str) -> Vec<(Arc<str>, u64)> {
+        self.state.borrow().places(pool, self.clock.now())
+    }
+
     /// How old the proof is that the configuration in force is the newest.
     pub(crate) fn proof_ms(&self) -> Option<u64> {
         self.state.borrow().proof_ms(self.clock.now())
@@ -349,6 +366,7 @@
             "draining": self.stop.is_asked(),
             "evacuated": state.evacuated().collect::<Vec<_>>(),
             "upstreams": upstreams,
+            "places": self.places.status(now),
         })
     }
 }
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -177,6 +177,9 @@
             core.apply(Event::Outcomes(outcomes));
         }
         Frame::Ended(ended) => take_ended(core, &ended, from),
+        Frame::Claims(claims) => core.places.hear(core, &claims, from),
+        Frame::Verdicts(verdicts) => core.places.take(core, &verdicts),
+        Frame::Short(short) => core.places.shorten(core, &short),
         _ => debug!("a datagram is no hint", kv: { from = from.to_string() }),
     }
 }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod key;
 mod memory;
 mod peers;
+mod places;
 mod prompt;
 mod reach;
 mod relay;
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -124,6 +124,17 @@
         others.values().filter_map(|it| self.socket.try_send_to(&bytes, *it).ok()).sum()
     }
 
+    /// Tells one router; returns how many bytes went out. What does not go out at once is lost.
+    pub(crate) fn tell_one(&self, frame: &Frame, address: SocketAddr) -> usize {
+        match wire::encode(frame) {
+            Ok(bytes) => self.socket.try_send_to(&bytes, address).unwrap_or_default(),
+            Err(fault) => {
+                warn!("a message can't be written", kv: { fault = fault.to_string() });
+                0
+            }
+        }
+    }
+
     /// Whether there are too many routers for each to tell all others.
     pub(crate) fn is_large(&self) -> bool {
         self.count() > MOST_TOLD
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 use clock::Millis;
-use errors::Answer;
+use errors::Answer as Final;
+use places::Answer;
 use routing::{Ask, Attempt, Decision, Effect, Event, Owner};
 use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
-use wire::{Frame, Head, Open};
+use wire::{Claim, Frame, Head, Open};
 
 use crate::core::Core;
 use crate::direct::{self, Progress};
@@ -52,9 +53,9 @@
     /// The answer is whole.
     Finished,
     /// The final answer is an error.
-    Failed(Answer),
+    Failed(Final),
     /// The answer that has begun will not be whole.
-    Cut(Answer),
+    Cut(Final),
 }
 
 /// A request between its arrival and its final answer. Dropping it earlier
@@ -167,6 +168,7 @@
             Effect::Cancel => self.hang_up(),
             Effect::Bind { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
+            Effect::Claim { pool, claim } => self.claim(&pool, claim).await,
             Effect::Note { .. } => self.core.tell(effect),
             Effect::Forget { address } => self.core.client().forget(&address),
             Effect::Wait(pause) => self.pause = Some(Instant::now() + pause.duration()),
@@ -180,6 +182,8 @@
             | Effect::Check { .. }
             | Effect::Report(_)
             | Effect::HoldBack { .. }
+            | Effect::Release { .. }
+            | Effect::RunsShort { .. }
             | Effect::Drained => {}
         }
         None
@@ -203,6 +207,18 @@
         self.apply(Event::Bound { id: self.id, owner });
     }
 
+    /// Asks the owner of a pool for a place.
+    async fn claim(&mut self, pool: &Arc<str>, claim: Claim) {
+        let (id, number) = (self.id, claim.number);
+        let core = self.core.clone();
+        let event = match core.places.ask(&core, pool, claim).await {
+            Some(Answer::Granted(upstream)) => Event::Granted { id, number, upstream },
+            Some(Answer::Refused(after_ms)) => Event::Denied { id, number, after_ms },
+            Some(Answer::Unanswered) | None => Event::Unanswered { id, number },
+        };
+        self.apply(event);
+    }
+
     /// Gives up the current attempt.
     fn hang_up(&mut self) {
         if let Some(Call::Direct(call)) = self.call.take() {
--- a/components/routing/src/beliefs/upstream.rs
+++ b/components/routing/src/beliefs/upstream.rs
@@ -211,6 +211,11 @@
         new
     }
 
+    /// Whether an answer, or a router that got one, has told of its load.
+    pub(crate) fn tells_load(&self) -> bool {
+        self.others.1 > Millis::ZERO || self.heard_load.is_some()
+    }
+
     /// The requests there whose answers have not begun: what a further one waits for. None
     /// where neither the other routers nor answers tell of theirs: a router's own requests
     /// say little then, and calls to plain services were refused by them that had room.
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use errors::{Answer, Kind};
-use wire::{Head, Note, Warm};
+use wire::{Claim, Finish, Head, Note, Warm};
 
 use crate::{Crash, Decision, Owner};
 
@@ -103,6 +103,30 @@
         /// The address of its sidecar.
         address: Arc<str>,
     },
+    /// Ask the owner of a pool that is short for a place; the answer is one of
+    /// `Granted`, `Denied` and `Unanswered`.
+    Claim {
+        /// The pool.
+        pool: Arc<str>,
+        /// The request.
+        claim: Claim,
+    },
+    /// Give back a permit, or take back an ask for one.
+    Release {
+        /// The pool.
+        pool: Arc<str>,
+        /// The number of both.
+        number: u64,
+        /// What became of it.
+        end: Finish,
+        /// How long the upstream had it.
+        took: Millis,
+    },
+    /// A pool runs short: tell its owner.
+    RunsShort {
+        /// The pool.
+        pool: Arc<str>,
+    },
     /// Nothing is in flight any more.
     Drained,
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -102,6 +102,38 @@
         /// For how much longer.
         left: Millis,
     },
+    /// The owner of a pool that is short has granted a request a place.
+    Granted {
+        /// The request.
+        id: u64,
+        /// The number under which it asked.
+        number: u64,
+        /// The upstream.
+        upstream: Arc<str>,
+    },
+    /// The owner has refused a request.
+    Denied {
+        /// The request.
+        id: u64,
+        /// The number under which it asked.
+        number: u64,
+        /// When its caller may come back, in milliseconds.
+        after_ms: u64,
+    },
+    /// The owner says nothing, and this router's own part has room for a request.
+    Unanswered {
+        /// The request.
+        id: u64,
+        /// The number under which it asked.
+        number: u64,
+    },
+    /// A pool is short of places.
+    Short {
+        /// The pool.
+        pool: Arc<str>,
+        /// For how long, unless it is told again; zero once it is short no more.
+        lasts: Millis,
+    },
     /// An upstream said with an answer that it leaves.
     Leaves {
         /// The upstream.
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -36,6 +36,8 @@
     pub late_takes: bool,
     /// Most routers hear from others what the platform's store holds.
     pub shared_looks: bool,
+    /// Where a pool is short of places, routers ask its owner for one before they send.
+    pub places: bool,
 }
 
 impl Default for Mechanisms {
@@ -55,6 +57,7 @@
             admission: true,
             late_takes: true,
             shared_looks: true,
+            places: true,
         }
     }
 }
--- a/components/routing/src/recovery/retry.rs
+++ b/components/routing/src/recovery/retry.rs
@@ -62,6 +62,7 @@
     /// Notes why the current attempt failed.
     pub(crate) fn mark(&mut self, id: u64, kind: Kind) {
         self.release(id);
+        self.give_back(id, Some(kind));
         let last = self.requests.get_mut(&id).and_then(|it| it.tries.last_mut());
         if let Some(last) = last {
             last.error = Some(kind);
--- a/components/routing/src/requests/ask.rs
+++ b/components/routing/src/requests/ask.rs
@@ -7,7 +7,7 @@
 use intents::{Miss, Plan, Target};
 
 use crate::choosing::share::patience;
-use crate::requests::request::{Phase, Request};
+use crate::requests::request::{Phase, Place, Request};
 use crate::state::State;
 use crate::{Ask, Effect, Owner};
 
@@ -98,6 +98,8 @@
             first: None,
             hints: Vec::new(),
             tries: Vec::new(),
+            place: Place::None,
+            unusable: Vec::new(),
         }
     }
 
--- a/components/routing/src/requests/ending.rs
+++ b/components/routing/src/requests/ending.rs
@@ -45,7 +45,7 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::Cancelled,
+            Phase::Binding | Phase::Waiting | Phase::Claiming => Kind::Cancelled,
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -60,7 +60,7 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::ExpiredWaiting,
+            Phase::Binding | Phase::Waiting | Phase::Claiming => Kind::ExpiredWaiting,
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -112,6 +112,7 @@
         now: Millis,
     ) -> Vec<Effect> {
         self.release(id);
+        self.give_back(id, error);
         let Some(mut request) = self.requests.remove(&id) else {
             return Vec::new();
         };
--- a/components/routing/src/requests/reply.rs
+++ b/components/routing/src/requests/reply.rs
@@ -43,9 +43,9 @@
 
     /// Whether replies to `attempt` still count.
     fn is_current(&self, id: u64, attempt: u32) -> bool {
-        self.requests
-            .get(&id)
-            .is_some_and(|it| it.attempt() == attempt && it.phase != Phase::Binding)
+        self.requests.get(&id).is_some_and(|it| {
+            it.attempt() == attempt && !matches!(it.phase, Phase::Binding | Phase::Claiming)
+        })
     }
 
     fn refused(&mut self, id: u64, refused: &Refused, now: Millis) -> Vec<Effect> {
@@ -56,6 +56,7 @@
         if self.settings.path.judges_upstreams() {
             match refused.kind {
                 Kind::Leaving => self.replaced(id, now),
+                Kind::QueueFull if self.runs_short(id, now) => {}
                 Kind::QueueFull => self.turned_away(id, now),
                 _ => {}
             }
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -15,6 +15,8 @@
     Binding,
     /// Not sent yet: its upstream is reading what it shares with another.
     Waiting,
+    /// Not sent yet: its pool is short, and the pool's owner is asked for a place.
+    Claiming,
     /// Sent; the sidecar has not said anything.
     Sent,
     /// The sidecar has taken it.
@@ -23,6 +25,20 @@
     Answering { chunks: u64, bytes: u64 },
 }
 
+/// How a request stands with the owner of its pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// It has asked for none.
+    #[default]
+    None,
+    /// It has asked, under this number.
+    Asked(u64),
+    /// It holds the permit of this number.
+    Held(u64),
+    /// It goes without a permit, by this router's own part.
+    Own,
+}
+
 /// The state of a request between its arrival and its final answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -65,6 +81,10 @@
     /// Where the home said that the chat's context is.
     pub hints: Vec<Arc<str>>,
     pub tries: Vec<Try>,
+    /// Its place in a pool that is short.
+    pub place: Place,
+    /// Upstreams where it was granted a place that it can't use.
+    pub unusable: Vec<Arc<str>>,
 }
 
 impl Request {
--- a/components/routing/src/requests/sending.rs
+++ b/components/routing/src/requests/sending.rs
@@ -32,6 +32,9 @@
             let after = self.returns_after(id, detail, now);
             return self.fail(id, kind, after, detail, now);
         };
+        if let Some(claim) = self.claim(id, &upstream, now) {
+            return vec![claim];
+        }
         if self.should_wait(id, &upstream, now) {
             return self.wait(id);
         }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -95,6 +95,8 @@
     /// The same where all upstreams are in failure domains that are to take nothing: routers
     /// learn that one is taken back with a look at the store.
     pub evacuated_retry_after_ms: u64,
+    /// What is set about the places of pools that are short of them.
+    pub places: places::Settings,
 }
 
 impl Default for Settings {
@@ -128,6 +130,7 @@
             stale_retry_after_ms: 3_000,
             elsewhere_retry_after_ms: 50,
             evacuated_retry_after_ms: 1_500,
+            places: places::Settings::default(),
         }
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -18,6 +18,7 @@
 use crate::choosing::choice::{Index, Upstreams};
 use crate::recovery::quarantine::Quarantine;
 use crate::recovery::stopping::{Durations, Stop};
+use crate::requests::placing::Shorts;
 use crate::requests::request::Request;
 use crate::{Budget, Effect, Event, Settings, Upstream};
 
@@ -57,6 +58,8 @@
     pub(crate) words: Words,
     /// What other routers told of their own load.
     pub(crate) peers: Peers,
+    /// The pools that are short of places.
+    pub(crate) shorts: Shorts,
     /// What has come to be believed of upstreams while an event was taken.
     pub(crate) notices: Vec<Effect>,
     pub(crate) random: ChaCha8Rng,
@@ -86,6 +89,7 @@
             quarantine: Quarantine::default(),
             words: Words::default(),
             peers: Peers::default(),
+            shorts: Shorts::new(seed),
             notices: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -144,8 +148,8 @@
     /// Takes one event and returns what is to be done about it.
     ///
     /// Effects of an event about one request all concern that request, apart
-    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Leave`, `Rest`, `Check`, `Report` and
-    /// `HoldBack`.
+    /// from `Drained`, `Share`, `Suspect`, `Revive`, `Leave`, `Rest`, `Check`, `Report`,
+    /// `HoldBack`, `Release` and `RunsShort`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.take(event, now);
         effects.append(&mut self.notices);
@@ -207,6 +211,13 @@
             }
             Event::Checked { upstream, check } => self.checked(&upstream, check, now),
             Event::Waited { id } => self.waited(id, now),
+            Event::Granted { id, number, upstream } => self.granted(id, number, &upstream, now),
+            Event::Denied { id, number, after_ms } => self.denied(id, number, after_ms, now),
+            Event::Unanswered { id, number } => self.unanswered(id, number, now),
+            Event::Short { pool, lasts } => {
+                self.shorts.hear(&pool, lasts, now);
+                Vec::new()
+            }
             Event::Drain { until } => self.drain(until),
         }
     }
--- a/components/routing/tests/direct/fleet.rs
+++ b/components/routing/tests/direct/fleet.rs
@@ -65,6 +65,12 @@
     Event::Hosts(domains.iter().enumerate().map(engine).collect())
 }
 
+/// So many plain upstreams that list slots.
+pub fn plain(count: usize) -> Event {
+    let one = |it: usize| Host { slots: 6, ..host(&format!("plain-{it}"), "plain") };
+    Event::Hosts((0..count).map(one).collect())
+}
+
 /// These failure domains are to take nothing.
 pub fn evacuated(domains: &[&str]) -> Event {
     Event::Evacuated(domains.iter().map(|it| Arc::from(*it)).collect())
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod health;
 mod loads;
+mod places;
 mod quarantine;
 mod refusals;
 mod silence;
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -393,6 +393,9 @@
                     record.held = Some((attempt, false));
                     record.sent_chunks = 0;
                 }
+                Effect::Claim { .. } | Effect::Release { .. } | Effect::RunsShort { .. } => {
+                    panic!("sidecars have the last word: no place is asked for")
+                }
                 Effect::Bind { .. } => record.binding = true,
                 Effect::Head(_) => {
                     assert!(!std::mem::replace(&mut record.head, true), "a second head");
