--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod hints;
 mod path;
+mod places;
 mod rest;
 mod restarts;
 mod router;
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -37,6 +37,9 @@
     NotRun,
     /// The same, and nothing more is wanted of that router for a while.
     Rest(Duration),
+    /// A whole answer after some milliseconds that tells no load, or 503 (not run) while so many
+    /// requests are worked on.
+    Room(usize, u64),
     /// 421: another upstream has this address.
     Misdirected,
     /// The connection ends without an answer.
@@ -58,6 +61,9 @@
     /// What to do next; the last one stays.
     acts: Vec<Act>,
     requests: Vec<Request>,
+    /// Requests that are worked on, where there is room for a few only, and those that found none.
+    working: usize,
+    found_no_room: usize,
     /// Connections that ended while the stand-in was writing.
     left: usize,
     /// Connections with a lower number say nothing any more.
@@ -158,6 +164,11 @@
         self.state.lock().expect("no stand-in panics").requests.clone()
     }
 
+    /// How many requests found no room.
+    pub fn found_no_room(&self) -> usize {
+        self.state.lock().expect("no stand-in panics").found_no_room
+    }
+
     /// How many callers left while their answer was being written.
     pub fn left(&self) -> usize {
         self.state.lock().expect("no stand-in panics").left
@@ -260,6 +271,10 @@
                 self.state.lock().expect("no stand-in panics").word.ask(request, *rest);
                 self.say(writer, request, &not_run(&id).replacen("\r\n", &line, 1))
             }
+            Act::Room(room, ms) => {
+                let text = self.work(*room, *ms, &id);
+                self.say(writer, request, &text)
+            }
             Act::Misdirected => {
                 send(writer, "HTTP/1.1 421 .\r\ninstance: other\r\ncontent-length: 0\r\n\r\n")
             }
@@ -287,6 +302,20 @@
         }
     }
 
+    /// Works on a request if there is room; returns the answer.
+    fn work(&self, room: usize, ms: u64, id: &str) -> String {
+        let mut state = self.state.lock().expect("no stand-in panics");
+        if state.working >= room {
+            state.found_no_room += 1;
+            return not_run(id);
+        }
+        state.working += 1;
+        drop(state);
+        std::thread::sleep(Duration::from_millis(ms));
+        self.state.lock().expect("no stand-in panics").working -= 1;
+        whole(200, id, "whole").replacen("server-load: 1,0,8\r\n", "", 1)
+    }
+
     /// Sends the head of an answer, with the word that it leaves if it does.
     fn say(&self, writer: &mut TcpStream, request: &Request, text: &str) -> bool {
         let line = self.state.lock().expect("no stand-in panics").word.leaving(request);
