--- a/components/places/src/ledger.rs
+++ b/components/places/src/ledger.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// The upstreams, how many permits each may have out, and how many it has.
+    pub fn places(&self, now: Millis) -> impl Iterator<Item = (&Arc<str>, usize, usize)> {
+        let permits = move |it: &Place| it.limit.permits(self.objective, now);
+        self.places.iter().map(move |(name, it)| (name, permits(it), it.out))
+    }
+
     /// The permits that are out: the routers, their numbers and the upstreams.
     pub fn grants(&self) -> impl Iterator<Item = (&Arc<str>, u64, &Arc<str>)> {
         self.grants.iter().map(|((router, number), it)| (router, *number, &it.upstream))
