--- a/components/places/src/ledger.rs
+++ b/components/places/src/ledger.rs
@@ -8,6 +8,7 @@
 
 use crate::bookings::Bookings;
 use crate::limit::Limit;
+use crate::look::{Line, Look};
 use crate::settings::{Settings, Wait};
 use crate::turns::{Queue, Waiter};
 
@@ -53,34 +54,6 @@
     out: usize,
 }
 
-/// A decision for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Line {
-    /// The router that asked.
-    pub router: Arc<str>,
-    /// Its number for the request.
-    pub number: u64,
-    /// The workspace.
-    pub workspace: Arc<str>,
-    /// What was decided.
-    pub turn: Turn,
-    /// How long it waited here.
-    pub waited: Millis,
-}
-
-/// A pool at a glance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Look {
-    /// How many permits may be out.
-    pub limit: usize,
-    /// How many are.
-    pub out: usize,
-    /// How many requests wait.
-    pub waiting: usize,
-    /// How many requests the pool answers in 1,000 s.
-    pub rate: u32,
-}
-
 /// The owner's state of one pool.
 #[derive(Clone, Debug)]
 pub struct Ledger {
--- a/components/places/src/lib.rs
+++ b/components/places/src/lib.rs
@@ -12,14 +12,16 @@
 mod desk;
 mod ledger;
 mod limit;
+mod look;
 mod owner;
 mod settings;
 mod turns;
 
 pub use bookings::Bookings;
 pub use desk::{Answer, Desk};
-pub use ledger::{Ledger, Line, Look};
+pub use ledger::Ledger;
 pub use limit::Limit;
+pub use look::{Line, Look};
 pub use owner::owner;
 pub use settings::{Settings, Wait};
 pub use turns::{Queue, Waiter};
