Callers that come before the time they were told go last

Change: a caller before its time goes after new ones and gets only places that are free at once. The property test's contents have the workspace in them now, as hashes of work have: two workspaces had shared one, and the second took the first's booking.

--- a/components/places/src/bookings.rs
+++ b/components/places/src/bookings.rs
@@ -19,6 +19,18 @@
 /// The most bookings that are kept.
 const MOST: usize = 4_096;
 
+/// How a caller stands to the time that it was told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It comes at its time.
+    Kept,
+    /// It was told none.
+    #[default]
+    New,
+    /// It comes before its time.
+    Early,
+}
+
 /// The times that callers were told.
 #[derive(Clone, Debug, Default)]
 pub struct Bookings {
@@ -46,14 +58,14 @@
         now.until(self.latest)
     }
 
-    /// Whether a caller comes at its time; then its booking is used up.
-    pub fn keeps(&mut self, content: u64, now: Millis) -> bool {
-        let Some(time) = self.times.get(&content).copied() else { return false };
-        let due = time <= now + EARLY;
-        if due {
-            self.times.remove(&content);
+    /// How a caller stands that comes now; the booking of one that keeps its time is used up.
+    pub fn standing(&mut self, content: u64, now: Millis) -> Standing {
+        let Some(time) = self.times.get(&content).copied() else { return Standing::New };
+        if time > now + EARLY {
+            return Standing::Early;
         }
-        due && time + KEPT > now
+        self.times.remove(&content);
+        if time + KEPT > now { Standing::Kept } else { Standing::New }
     }
 
     /// How many are kept.
--- a/components/places/src/ledger.rs
+++ b/components/places/src/ledger.rs
@@ -174,7 +174,7 @@
         self.fresh.push(id.clone());
         let came = Millis(now.0.saturating_sub(u64::from(claim.age_ms)));
         self.queue.push(Waiter {
-            returns: self.bookings.keeps(claim.content, now),
+            standing: self.bookings.standing(claim.content, now),
             id,
             workspace: claim.workspace.clone(),
             content: claim.content,
--- a/components/places/src/lib.rs
+++ b/components/places/src/lib.rs
@@ -17,7 +17,7 @@
 mod settings;
 mod turns;
 
-pub use bookings::Bookings;
+pub use bookings::{Bookings, Standing};
 pub use desk::{Answer, Desk};
 pub use ledger::Ledger;
 pub use limit::Limit;
--- a/components/places/src/turns.rs
+++ b/components/places/src/turns.rs
@@ -12,6 +12,8 @@
 
 use clock::Millis;
 
+use crate::bookings::Standing;
+
 /// Of so many places one goes by shares alone, whatever the urgency.
 const FLOOR: u32 = 8;
 
@@ -26,7 +28,8 @@
 /// expected is met on the mean only.
 const SURE: f64 = 0.7;
 
-/// The same for a workspace that is above its share, which leaves room for those that are not.
+/// The same for a workspace that is above its share, and for who comes before its time: they leave
+/// room for the others.
 const SURE_ABOVE: f64 = 0.1;
 
 /// How many times the mean of all that have been served lately a workspace must have got to be
@@ -52,8 +55,8 @@
     pub urgency: i32,
     /// Whether it may be repeated.
     pub repeatable: bool,
-    /// Whether it comes at a time that it was told.
-    pub returns: bool,
+    /// How it stands to the time that it was told.
+    pub standing: Standing,
     /// Since when it waits.
     pub came: Millis,
     /// Until when it may wait.
@@ -94,8 +97,10 @@
         let order = |it: &Waiter| {
             let urgency = if by_share { 0 } else { it.urgency };
             // A caller that keeps its time is a turn ahead of new ones.
-            let tag = (self.tag(&it.workspace) + 1).saturating_sub(u64::from(it.returns));
-            (urgency, tag, !it.returns, it.repeatable)
+            let ahead = u64::from(it.standing == Standing::Kept);
+            let tag = (self.tag(&it.workspace) + 1).saturating_sub(ahead);
+            // One that comes before its time gains nothing.
+            (urgency, it.standing == Standing::Early, tag, it.standing, it.repeatable)
         };
         let key = |it: &Waiter| {
             let order = (!it.is_settled(now)).then(|| order(it));
@@ -175,7 +180,8 @@
             let waiter = left.remove(next);
             let before = u32::try_from(self.waiting.len() + 1).unwrap_or(u32::MAX);
             let wait = f64::from(before) / rate_per_ms.max(0.000_1);
-            let sure = if above.contains(&waiter.workspace) { SURE_ABOVE } else { SURE };
+            let gives_way = waiter.standing == Standing::Early || above.contains(&waiter.workspace);
+            let sure = if gives_way { SURE_ABOVE } else { SURE };
             if self.waiting.len() < MOST && is_in_time(&waiter, wait / sure, now) {
                 turns.serve(&waiter.workspace);
                 self.waiting.push(waiter);
--- a/components/places/tests/ledger.rs
+++ b/components/places/tests/ledger.rs
@@ -74,7 +74,8 @@
                 let claim = Claim {
                     number,
                     workspace: format!("w-{workspace}").into(),
-                    content: number / 2,
+                    // The hash of a work has its workspace in it.
+                    content: number / 2 * 8 + u64::from(*workspace),
                     urgency: *urgency,
                     objective_ms: OBJECTIVE,
                     ..Claim::default()
--- a/components/routing/tests/direct/places.rs
+++ b/components/routing/tests/direct/places.rs
@@ -111,17 +111,17 @@
 
 #[test]
 fn a_permit_is_given_back_however_its_request_ends() {
-    let ends: [(fn(u64) -> Event, Finish); 4] = [
-        (|id| Event::Lost { id, attempt: 1, sent: true }, Finish::Failed),
-        (|id| Event::Reply { id, attempt: 1, reply: refused() }, Finish::Full),
-        (|id| Event::Quit { id }, Finish::Unused),
-        (|id| Event::Expire { id }, Finish::Unused),
+    let ends = [
+        (Event::Lost { id: 1, attempt: 1, sent: true }, Finish::Failed),
+        (Event::Reply { id: 1, attempt: 1, reply: refused() }, Finish::Full),
+        (Event::Quit { id: 1 }, Finish::Unused),
+        (Event::Expire { id: 1 }, Finish::Unused),
     ];
     for (event, end) in ends {
         let mut state = short(1);
         let number = claim(&mut state, 1, "unsafe");
         state.apply(granted(1, number, "plain-0"), NOW);
-        assert_eq!(released(&state.apply(event(1), NOW)), Some((number, end)));
+        assert_eq!(released(&state.apply(event, NOW)), Some((number, end)));
     }
 }
 
