--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -42,6 +42,8 @@
     pub pace: bool,
     /// Routers deal out the room of upstreams among them while much of a pool takes nothing.
     pub dealt_room: bool,
+    /// Where a pool is short of places, routers ask its owner for one before they send.
+    pub places: bool,
 }
 
 impl Default for Mechanisms {
@@ -64,6 +66,7 @@
             shared_looks: true,
             pace: true,
             dealt_room: true,
+            places: true,
         }
     }
 }
--- a/components/routing/src/requests/ending.rs
+++ b/components/routing/src/requests/ending.rs
@@ -47,7 +47,7 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::Cancelled,
+            Phase::Binding | Phase::Waiting | Phase::Claiming => Kind::Cancelled,
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -62,7 +62,7 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Waiting => Kind::ExpiredWaiting,
+            Phase::Binding | Phase::Waiting | Phase::Claiming => Kind::ExpiredWaiting,
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -114,6 +114,7 @@
         now: Millis,
     ) -> Vec<Effect> {
         self.release(id);
+        self.give_back(id, error);
         let Some(mut request) = self.requests.remove(&id) else {
             return Vec::new();
         };
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -16,6 +16,8 @@
     Binding,
     /// Not sent yet: its upstream is reading what it shares with another.
     Waiting,
+    /// Not sent yet: its pool is short, and the pool's owner is asked for a place.
+    Claiming,
     /// Sent; the sidecar has not said anything.
     Sent,
     /// The sidecar has taken it.
@@ -24,6 +26,20 @@
     Answering { chunks: u64, bytes: u64 },
 }
 
+/// How a request stands with the owner of its pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// It has asked for none.
+    #[default]
+    None,
+    /// It has asked, under this number.
+    Asked(u64),
+    /// It holds the permit of this number.
+    Held(u64),
+    /// It goes without a permit, by this router's own part.
+    Own,
+}
+
 /// The state of a request between its arrival and its final answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -68,6 +84,10 @@
     pub tries: Vec<Try>,
     /// How its workspace stood to its share when it was turned away.
     pub standing: Option<Standing>,
+    /// Its place in a pool that is short.
+    pub place: Place,
+    /// Upstreams where it was granted a place that it can't use.
+    pub unusable: Vec<Arc<str>>,
 }
 
 impl Request {
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod innocent;
 mod loads;
 mod pace;
+mod places;
 mod quarantine;
 mod refusals;
 mod rooms;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::demands::Demands;
+use crate::places::{Claims, Short, Verdicts};
 
 /// One frame of a stream.
 ///
@@ -71,6 +72,12 @@
     Cleared(Vec<u64>),
     /// Between routers: what is asked of a pool that is short.
     Demands(Demands),
+    /// To the owner of a pool that is short: requests that ask for places.
+    Claims(Claims),
+    /// From the owner of a pool that is short: what it decided.
+    Verdicts(Verdicts),
+    /// Between routers: a pool is short of places.
+    Short(Short),
 }
 
 /// A question of a router what the platform's store holds.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod demands;
 mod frame;
 mod pack;
+mod places;
 
 pub use codec::{Error, MAX_FRAME, Reader, encode};
 pub use demands::Demands;
@@ -16,3 +17,4 @@
     Welcome,
 };
 pub use pack::{pack, unpack};
+pub use places::{Claim, Claims, Finish, Held, Release, Short, Turn, Verdict, Verdicts};
