Tell each hearer all that its revision says it knows, and let no long history hold a look up

- A read in several parts holds what is newer than its revision. fleet::Mirror noted it as of that revision and, as the next look brought the same, left it so: a router that had come to that revision elsewhere was never told, though its revision and its proof went on.
The same for what changed and changed back between two looks.
Now a batch says the latest revision that a part may be of, and such parts are told once more when that is reached; changes always count as learnt anew.
A history of 512 KB or more is no longer read (its head tells its length) but asked for less at once, and looks that ask for less watch the configuration, and read it whole only where its history is long.

Tests, seen failing on the code before: mirror::what_was_read_after_..., what_was_removed_..., what_changed_and_changed_back_..., configuration::a_long_history_of_configurations_holds_..., looks_that_ask_for_less_bring_the_configuration_only_.... configuration::looks_that_ask_for_less_read_... counted reads by key only; it now counts the configuration's changes as well, and the stand-in notes watches beside watches too.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -111,6 +111,9 @@
     pub facts: Vec<Fact>,
     /// The revision that the facts are of.
     pub revision: Revision,
+    /// The latest revision, in the same era, that any of them may be of: parts that are read one
+    /// after the other are of different ones. Lower than `revision` where none is later.
+    pub latest: u64,
     /// How long the answers were, in bytes.
     pub bytes: usize,
 }
@@ -121,6 +124,9 @@
     /// The changes since the revision that was asked for are no longer kept.
     #[snafu(display("the history is gone"))]
     HistoryGone,
+    /// The changes since the revision that was asked for are longer than a look may take.
+    #[snafu(display("the history is long"))]
+    LongHistory,
     /// The service can't be reached, refused or broke off.
     #[snafu(display("{reason}"))]
     Unavailable {
@@ -149,11 +155,11 @@
     fn read(&self) -> Reading<'_>;
 
     /// What has changed after `revision`, as soon as there is something, or
-    /// nothing after `wait`. The history of an earlier era is gone.
+    /// nothing after `wait`. The history of an earlier era is gone; one that is long is not read.
     fn watch(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
-    /// The same, without changes to the configuration that others have followed, and without
-    /// routers whose announcements have ended.
+    /// The same however long it is, without changes to the configuration that others have
+    /// followed where these are many, and without routers whose announcements have ended.
     fn watch_less(&self, revision: Revision, wait: Millis) -> Reading<'_>;
 
     /// The routers that announce themselves. Where it may be `old`, it may lack those of the
--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -31,9 +31,21 @@
     fact: Fact,
     /// The revision up to which this router had come when it learnt it.
     revision: u64,
+    /// The latest revision that it may be of: it may have been read after others of its batch.
+    latest: u64,
     at: Millis,
 }
 
+impl Entry {
+    /// Counts as learnt anew once this router has come as far as the entry may: who came to the
+    /// revision of its batch elsewhere may lack it.
+    fn settle(&mut self, revision: u64) {
+        if self.revision < self.latest && self.latest <= revision {
+            self.revision = revision;
+        }
+    }
+}
+
 /// The latest fact of each kind that a router has learnt, with the removals since.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -60,12 +72,14 @@
         }
         self.position = Some(batch.revision);
         let revision = batch.revision.number;
+        self.entries.values_mut().for_each(|it| it.settle(revision));
+        self.removed.values_mut().for_each(|it| it.settle(revision));
+        let learnt = |fact| Entry { fact, revision, latest: batch.latest, at: now };
         let mut kept = Vec::new();
-        let mut restored = whole;
+        let restored = whole || batch.facts.contains(&Fact::AllRestored);
         for fact in &batch.facts {
-            restored |= matches!(fact, Fact::AllRestored);
             if let Some(key) = key(fact) {
-                self.put(key.clone(), Entry { fact: told(fact, returns), revision, at: now });
+                self.put(key.clone(), learnt(told(fact, returns)), !restored);
                 kept.push(key);
             }
         }
@@ -76,35 +90,26 @@
         };
         let gone = self.entries.keys().filter(|it| is_gone(it) && kept.binary_search(it).is_err());
         for key in gone.cloned().collect::<Vec<_>>() {
-            self.remove(key, returns, revision, now);
+            if let Some(fact) = removal(&key) {
+                self.put(key, learnt(told(&fact, returns)), true);
+            }
         }
     }
 
-    fn put(&mut self, key: Key, entry: Entry) {
+    /// Takes a fact. One that is only listed, not changed, is no news where it is known.
+    fn put(&mut self, key: Key, entry: Entry, changed: bool) {
         if is_removal(&entry.fact) {
             self.entries.remove(&key);
             self.remember_removal(key, entry);
             return;
         }
         self.removed.remove(&key);
-        if self.entries.get(&key).is_none_or(|it| it.fact != entry.fact) {
+        // What changed and changed back is news to who knows of the first change only.
+        if changed || self.entries.get(&key).is_none_or(|it| it.fact != entry.fact) {
             self.entries.insert(key, entry);
         }
     }
 
-    /// What a whole list lacks was removed.
-    fn remove(&mut self, key: Key, returns: bool, revision: u64, now: Millis) {
-        let fact = match &key {
-            Key::Upstream(entry) => Fact::Gone(entry.clone()),
-            Key::Evacuated(domain) => Fact::Restored(domain.clone()),
-            Key::Router(name) => Fact::RouterGone(name.clone()),
-            Key::Crashes(name) => Fact::CrashesGone(name.clone()),
-            // Nobody takes these back.
-            Key::Configuration | Key::Remembered | Key::RememberedParts => return,
-        };
-        self.put(key, Entry { fact: told(&fact, returns), revision, at: now });
-    }
-
     fn remember_removal(&mut self, key: Key, entry: Entry) {
         self.removed.insert(key, entry);
         if self.removed.len() <= MOST_REMOVED {
@@ -154,6 +159,18 @@
     matches!(key, Key::Remembered | Key::RememberedParts)
 }
 
+/// What says that a whole list lacks what is kept under `key`.
+fn removal(key: &Key) -> Option<Fact> {
+    match key {
+        Key::Upstream(entry) => Some(Fact::Gone(entry.clone())),
+        Key::Evacuated(domain) => Some(Fact::Restored(domain.clone())),
+        Key::Router(name) => Some(Fact::RouterGone(name.clone())),
+        Key::Crashes(name) => Some(Fact::CrashesGone(name.clone())),
+        // Nobody takes these back.
+        Key::Configuration | Key::Remembered | Key::RememberedParts => None,
+    }
+}
+
 fn is_removal(fact: &Fact) -> bool {
     matches!(
         fact,
--- a/components/fleet/tests/mirror.rs
+++ b/components/fleet/tests/mirror.rs
@@ -125,7 +125,7 @@
             };
             let whole = whole || *seen == 0;
             *seen = number;
-            let batch = Batch { facts, revision: revision(number), bytes: 0 };
+            let batch = Batch { facts, revision: revision(number), ..Batch::default() };
             mirror.take(&batch, whole, false, false, Millis(number));
         };
         for step in steps {
@@ -163,7 +163,7 @@
     let mut mirror = Mirror::default();
     let take = |mirror: &mut Mirror, era, number, facts| {
         let revision = Revision { era: Era(era), number };
-        mirror.take(&Batch { facts, revision, bytes: 0 }, true, false, false, Millis(1));
+        mirror.take(&Batch { facts, revision, ..Batch::default() }, true, false, false, Millis(1));
     };
     take(&mut mirror, 1, 50, vec![upstream(1, 1), upstream(2, 1)]);
     take(&mut mirror, 2, 40, vec![upstream(1, 1)]);
@@ -175,7 +175,7 @@
 #[test]
 fn what_is_missing_after_an_outage_is_told_as_missing() {
     let mut mirror = Mirror::default();
-    let batch = |number, facts| Batch { facts, revision: revision(number), bytes: 0 };
+    let batch = |number, facts| Batch { facts, revision: revision(number), ..Batch::default() };
     mirror.take(&batch(1, vec![upstream(1, 1), upstream(2, 1)]), true, false, false, Millis(1));
     mirror.take(&batch(2, vec![Fact::Gone("i-1".into())]), false, true, false, Millis(2));
     mirror.take(&batch(3, vec![Fact::Gone("i-2".into())]), false, false, false, Millis(3));
@@ -188,8 +188,76 @@
     let mut mirror = Mirror::default();
     let Fact::Upstream { host, sequence, .. } = upstream(1, 1) else { unreachable!() };
     let cold = |left| Fact::Upstream { host: host.clone(), sequence, cold: Millis(left) };
-    let batch = Batch { facts: vec![cold(900)], revision: revision(1), bytes: 0 };
+    let batch = Batch { facts: vec![cold(900)], revision: revision(1), ..Batch::default() };
     mirror.take(&batch, true, false, false, Millis(1_000));
     assert_eq!(mirror.all(Millis(1_400)), [Fact::AllRestored, cold(500)]);
     assert_eq!(mirror.all(Millis(9_000)), [Fact::AllRestored, cold(0)]);
 }
+
+/// A mirror that has learnt `changes`, each of one revision.
+fn learnt(changes: &[(u64, Fact)]) -> Mirror {
+    let mut mirror = Mirror::default();
+    for (number, fact) in changes {
+        let facts = vec![fact.clone()];
+        let batch = Batch { facts, revision: revision(*number), ..Batch::default() };
+        mirror.take(&batch, *number == 1, false, false, Millis(*number));
+    }
+    mirror
+}
+
+#[test]
+fn what_was_read_after_the_revision_of_a_read_is_told_to_those_that_have_come_to_that_revision() {
+    // Its first part is of revision 5, its last of 7, in which the upstream changed.
+    let read = |mirror: &mut Mirror, number, latest| {
+        let facts = vec![Fact::AllRestored, upstream(1, 3)];
+        let batch = Batch { facts, revision: revision(number), latest, ..Batch::default() };
+        mirror.take(&batch, true, false, false, Millis(number));
+    };
+    let position = revision(6);
+    let mut watches = learnt(&[(1, upstream(1, 1))]);
+    read(&mut watches, 5, 7);
+    let event = Batch { facts: vec![upstream(1, 3)], revision: revision(9), ..Batch::default() };
+    watches.take(&event, false, false, false, Millis(9));
+    assert_eq!(watches.since(position, Millis(9)), Some(vec![upstream(1, 3)]));
+
+    // The history may be gone again by the next look.
+    let mut reads = learnt(&[(1, upstream(1, 1))]);
+    read(&mut reads, 5, 7);
+    read(&mut reads, 8, 8);
+    assert_eq!(reads.since(position, Millis(9)), Some(vec![upstream(1, 3)]));
+    // It is told once: what was known then is no news later.
+    read(&mut reads, 10, 10);
+    assert_eq!(reads.since(revision(8), Millis(9)), Some(vec![]));
+}
+
+#[test]
+fn what_was_removed_after_the_revision_of_a_read_is_told_to_those_that_have_come_to_that_revision()
+{
+    let mut mirror = learnt(&[(1, upstream(1, 1)), (2, upstream(2, 1))]);
+    for (number, latest) in [(5, 7), (8, 8)] {
+        let facts = vec![Fact::AllRestored, upstream(1, 1)];
+        let batch = Batch { facts, revision: revision(number), latest, ..Batch::default() };
+        mirror.take(&batch, true, false, false, Millis(number));
+    }
+    assert_eq!(mirror.since(revision(6), Millis(9)), Some(vec![Fact::Gone("i-2".into())]));
+}
+
+#[test]
+fn what_changed_and_changed_back_is_told_to_those_that_know_it_otherwise() {
+    let domain: Arc<str> = "zone-b".into();
+    let evacuated = Fact::Evacuated(domain);
+    // Who has come to 7 elsewhere knows that it was restored then; this one was told of 9 only.
+    let mirror = learnt(&[(1, upstream(1, 1)), (5, evacuated.clone()), (9, evacuated.clone())]);
+    assert_eq!(mirror.since(revision(7), Millis(9)), Some(vec![evacuated]));
+}
+
+#[test]
+fn what_is_listed_again_as_it_was_is_no_news() {
+    let domain: Arc<str> = "zone-b".into();
+    let evacuated = Fact::Evacuated(domain);
+    let mut mirror = learnt(&[(1, upstream(1, 1)), (5, evacuated.clone())]);
+    let facts = vec![Fact::AllRestored, evacuated];
+    let batch = Batch { facts, revision: revision(9), ..Batch::default() };
+    mirror.take(&batch, false, false, false, Millis(9));
+    assert_eq!(mirror.since(revision(7), Millis(9)), Some(vec![]));
+}
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use clock::{Millis, Sleep};
-use edge::{Batch, Era, Fault, Revision};
+use edge::{Batch, Era, Fault, Revision, Store};
 use fleet::Source;
 use routing::{Event, Listing, RETURN};
 use spdlog::{info, warn};
@@ -168,27 +168,34 @@
         let revision = self.revision.filter(|_| !self.reads_anew);
         let whole = revision.is_none();
         let batch = match revision {
-            Some(revision) if self.extent.is_narrow() => store.watch_less(revision, WAIT).await?,
-            Some(revision) => store.watch(revision, WAIT).await?,
+            Some(revision) => self.changes(&*store, revision).await?,
             None => store.read().await?,
         };
-        // What the store holds is read once; only a history can be avoided. A fleet whose
-        // store held 524 KB asked for less without end, and each look brought the
-        // configuration anew: 8 of the 10 Mbit/s of its thinnest hosts.
-        let history = if whole { 0 } else { batch.bytes };
         if self.lost.take().is_some() {
             info!("the store answers again", kv: { revision = batch.revision.number });
             self.listing.came_back(self.core.clock.now());
         }
         self.reads_anew = false;
         self.absorb(batch, whole);
-        self.reads_anew = self.extent.take(history, self.core.clock.now());
+        self.reads_anew = self.extent.ends(self.core.clock.now());
         if self.ends_doubt() {
             self.revision = None;
         }
         Ok(())
     }
 
+    /// What has changed since `revision`. A history that is long is not read, and holds nothing
+    /// up: it is asked for less at once.
+    async fn changes(&mut self, store: &dyn Store, revision: Revision) -> Result<Batch, Fault> {
+        if !self.extent.is_narrow() {
+            match store.watch(revision, WAIT).await {
+                Err(Fault::LongHistory) => self.extent.narrow(self.core.clock.now()),
+                other => return other,
+            }
+        }
+        store.watch_less(revision, WAIT).await
+    }
+
     /// Takes what the store or another router told.
     fn absorb(&mut self, batch: Batch, whole: bool) {
         let era = std::mem::replace(&mut self.era, batch.revision.era);
--- a/components/router/src/feed/others.rs
+++ b/components/router/src/feed/others.rs
@@ -69,7 +69,7 @@
         if !self.may_take(revision, news.whole) {
             return self.core.fleet().sources().stale(&peer.name, now);
         }
-        self.absorb(Batch { facts, revision, bytes }, news.whole);
+        self.absorb(Batch { facts, revision, bytes, ..Batch::default() }, news.whole);
         // The question came there after it was asked, and the answer began `held_ms` later.
         let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
         if let Some(at) = proof.filter(|_| self.proves()) {
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -171,10 +171,44 @@
     router.shorten_looks();
     let before = router.store.beside_watches().len();
     let looks = router.store.targets().len();
-    let is_key = |it: &&String| it.starts_with("/v1/kv-key?privateKey=op/config");
-    router.until("looked", || router.store.targets()[looks..].iter().filter(is_key).count() > 3);
+    // Its changes, or all of it.
+    let is_read = |it: &&String| it.contains("=op/config");
+    router.until("looked", || router.store.targets()[looks..].iter().filter(is_read).count() > 3);
     // One that is read while changes are waited for may be older than the revision of these.
     let beside = router.store.beside_watches();
-    let read: Vec<_> = beside[before..].iter().filter(is_key).collect();
+    let read: Vec<_> = beside[before..].iter().filter(is_read).collect();
     assert!(read.is_empty(), "{read:?}");
 }
+
+#[test]
+fn a_long_history_of_configurations_holds_nothing_up() {
+    let [gone, stays] = crate::router::pair();
+    let router = Router::start(&configuration(1), &[&gone, &stays]);
+    // Nobody could read it to its end.
+    router.store.set_most(400_000);
+    let mut long = router.shorten_looks();
+    long["version"] = 20.into();
+    long["routes"].as_array_mut().expect("routes").remove(0);
+    router.store.put("op/config", &long);
+    router.store.remove(&gone.key());
+    router.until("in force", || router.ask("GET /safe/x", &[], "").unwrap().status == 404);
+    router.until("gone", || router.log().iter().any(|it| it["kv"]["upstreams"] == 1));
+    let failed = |it: &&serde_json::Value| it["payload"] == "the store does not answer";
+    // Once, as the store turned it away.
+    assert_eq!(router.log().iter().filter(failed).count(), 1, "{:?}", router.log());
+}
+
+#[test]
+fn looks_that_ask_for_less_bring_the_configuration_only_where_it_has_changed() {
+    let upstream = plain();
+    let router = Router::start(&configuration(1), &[&upstream]);
+    router.shorten_looks();
+    let looks = router.store.targets().len();
+    let asked = |of: &str| {
+        let targets = router.store.targets();
+        targets[looks..].iter().filter(|it| it.starts_with(of)).count()
+    };
+    router.until("looked", || asked("/v1/kv-watch?pathPrefix=servers/") > 3);
+    // The first of them, as the history is long, brings it whole.
+    assert!(asked("/v1/kv-key?privateKey=op/config") <= 1);
+}
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -47,6 +47,8 @@
     pace: usize,
     /// How many items a page holds; all, if zero.
     page: usize,
+    /// How many bytes of an answer go out at most; all, if zero.
+    most: usize,
 }
 
 /// The service; it serves until the test ends.
@@ -110,6 +112,11 @@
         self.lock().pace = bytes;
     }
 
+    /// Has answers break off without an end after `bytes`, as on a link that takes no more in time.
+    pub fn set_most(&self, bytes: usize) {
+        self.lock().most = bytes;
+    }
+
     /// Has a page hold `items` items.
     pub fn set_page(&self, items: usize) {
         self.lock().page = items;
@@ -225,14 +232,13 @@
             if number < self.lock().silenced {
                 continue;
             }
-            if request.target.starts_with("/v1/kv-watch?") {
-                let mut state = self.lock();
-                state.waiting += 1;
-            }
             let mut state = self.lock();
-            if state.waiting > 0 && !request.target.starts_with("/v1/kv-watch?") {
+            if state.waiting > 0 {
                 state.beside_watches.push(request.target.clone());
             }
+            if request.target.starts_with("/v1/kv-watch?") {
+                state.waiting += 1;
+            }
             drop(state);
             let Some((status, body)) = self.answer(&request) else { return };
             if request.target.starts_with("/v1/kv-watch?") {
@@ -253,6 +259,11 @@
     /// Sends an answer, at the pace that is set.
     fn send(&self, writer: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
         let pace = self.lock().pace;
+        let most = self.lock().most;
+        if most > 0 && answer.len() > most {
+            writer.write_all(&answer[..most])?;
+            std::thread::sleep(Duration::from_secs(30));
+        }
         if pace == 0 {
             return writer.write_all(answer);
         }
