Let old news of the store be left in time, and let go of what is missing when it is due

Trace: front-xela-c-1, cut off until 13.0 s, missed one look at 12.844 s, looked at 13.380 s and found an upstream missing that had left at 13.006 s. That counted as after an outage, so it gave it until 15.380 s, and told its hearers "missing", who gave it 2 s from then (15.42 s) and let go only with the next news, at 16.20 s; c-3 sent there at 16.17 s.

Change: a question waits no longer than until an entry is due, and each step lets go of what is due. Where the proof from before the failed looks still counts, what is missing gets 1.3 to 2 s. The wait for news, and the age at which a router is left, are made of the platform's bound less what an answered watch may lack, in place of 1,200 and 1,800 ms (fleet::Freshness; the chain is in docs/design/whole-fleet.md): a router that fell silent was left 3.0 s after the news and more.

Tests: freshness::* (three seen failing with the old constants; no_question_waits_... and what_is_missing_after_... came with their code). Not covered by a test of whole routers: that those that hear let go in time, as the tests' bounds of 400 ms leave no wait to be cut.

Where the bound is 2,000 ms the chain of worst waits does not fit; nothing changed there but shorter questions.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,11 +9,13 @@
 //! Nobody has to be right: a router that is cut off, suspended or behind makes others look by
 //! themselves sooner, and whoever hears nothing looks at the store.
 
+mod freshness;
 mod mirror;
 mod roster;
 mod sources;
 mod spread;
 
+pub use freshness::{Freshness, SILENCE};
 pub use mirror::{Mirror, Position};
 pub use roster::Roster;
 pub use sources::{Source, Sources};
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -14,7 +14,7 @@
 
 use clock::{Millis, Sleep};
 use edge::{Batch, Era, Fault, Revision, Store};
-use fleet::Source;
+use fleet::{Freshness, Source};
 use routing::{Event, Listing, RETURN};
 use spdlog::{info, warn};
 
@@ -46,8 +46,10 @@
 
 /// Follows the store until the process stops.
 pub(crate) async fn follow(core: Rc<Core>, look: Millis, memory: Memory) {
+    let lasts = core.settings.direct.as_ref().map_or(look, |it| Millis(it.news_ms));
     let mut feed = Feed {
         core,
+        freshness: Freshness::new(lasts),
         listing: Listing::default(),
         routers: BTreeSet::new(),
         source: None,
@@ -81,6 +83,7 @@
 
 struct Feed {
     core: Rc<Core>,
+    freshness: Freshness,
     listing: Listing,
     /// The routers that there are, as they were told to the reducer last.
     routers: BTreeSet<Arc<str>>,
@@ -118,6 +121,7 @@
     /// Looks once where it is best now; returns how long to wait until the next time.
     async fn step(&mut self, look: Millis) -> Millis {
         let now = self.core.clock.now();
+        self.expire(now);
         self.meet_routers();
         let shares = self.core.settings.routing.mechanisms.shared_looks;
         if shares && !self.core.stop.is_asked() && self.core.fleet().decide(now) {
@@ -141,7 +145,7 @@
     async fn look_and_prove(&mut self, look: Millis, started: Millis) -> Millis {
         match self.look().await {
             Ok(()) => {
-                self.hears_from(None, Millis::ZERO);
+                self.hears_from(None, Some(Millis::ZERO));
                 if self.core.fleet().store_answered(self.core.clock.now()) {
                     self.tell_follows();
                 }
@@ -173,7 +177,8 @@
         };
         if self.lost.take().is_some() {
             info!("the store answers again", kv: { revision = batch.revision.number });
-            self.listing.came_back(self.core.clock.now());
+            let returned = self.returned();
+            self.listing.came_back(returned);
         }
         self.reads_anew = false;
         self.absorb(batch, whole);
--- a/components/router/src/feed/facts.rs
+++ b/components/router/src/feed/facts.rs
@@ -118,7 +118,7 @@
             Fact::UnreadableUpstream { entry, reason } => {
                 self.leave_unreadable(&entry, &reason, summary);
             }
-            Fact::Missing(entry) => self.listing.miss(&entry, self.core.clock.now()),
+            Fact::Missing(entry) => self.listing.miss(&entry, self.returned()),
             Fact::Router(announcement) => {
                 summary.routers.insert(announcement.router.name.clone());
                 self.core.fleet().roster().put(announcement);
@@ -171,6 +171,21 @@
         }
     }
 
+    /// Lets go of upstreams whose time to come back is over.
+    pub(super) fn expire(&mut self, now: Millis) {
+        if let Some(revision) = self.revision
+            && self.listing.expire(now)
+        {
+            self.publish(revision.number);
+        }
+    }
+
+    /// Since when upstreams have had time to come back whose entries are missing now.
+    pub(super) fn returned(&self) -> Millis {
+        let proof = self.core.proof_ms().map(Millis);
+        self.freshness.returned(proof, self.core.clock.now())
+    }
+
     /// Hands the upstreams to the reducer.
     fn publish(&self, revision: u64) {
         let hosts = self.listing.hosts();
--- a/components/router/src/feed/others.rs
+++ b/components/router/src/feed/others.rs
@@ -7,20 +7,13 @@
 use routing::Event;
 use spdlog::{debug, info};
 
-use super::{Feed, PAUSE};
+use super::Feed;
 use crate::hearing::{self, Answer};
 use crate::telling;
 
-/// How long an answer of another router may wait for news: it has some with each of its looks.
-const NEWS_WAIT: Millis = Millis(1_200);
-
 /// The least time between two questions to another router.
 const QUESTION_PAUSE: Millis = Millis(100);
 
-/// How old a proof that another router tells may be until others are asked. A look and its pause
-/// take about 1,100 ms, and a hop may add as much where one answer is missed.
-const OLD_PROOF: Millis = Millis(1_800);
-
 /// By how much times that were cut to whole milliseconds may add up.
 const ROUNDING: Millis = Millis(3);
 
@@ -29,9 +22,10 @@
     pub(super) async fn ask(&mut self, peer: &Peer, asked: Millis) -> Millis {
         let fleet = self.core.fleet();
         let proof_ms = self.core.proof_ms();
-        // A router that follows the store asks it again soon, and one whose proof is old others.
-        let is_old = proof_ms.is_none_or(|it| it >= OLD_PROOF.0);
-        let wait = if fleet.follows() || is_old { PAUSE } else { NEWS_WAIT };
+        // A router that follows the store asks it again soon.
+        let proof = proof_ms.map(Millis).filter(|_| !fleet.follows());
+        let left = self.listing.next_expiry().map(|at| asked.until(at));
+        let wait = self.freshness.wait(proof, left);
         let look = wire::Look {
             routers: fleet.named(asked),
             after: self.revision.map(hearing::told),
@@ -79,12 +73,12 @@
                 self.reads_anew = false;
             }
         }
-        let age = self.core.proof_ms().map_or(OLD_PROOF, Millis);
+        let age = self.core.proof_ms().map(Millis);
         let mut sources = self.core.fleet().sources();
-        if age < OLD_PROOF {
-            sources.served(&peer.name);
-        } else {
+        if self.freshness.is_old(age) {
             sources.stale(&peer.name, now);
+        } else {
+            sources.served(&peer.name);
         }
         drop(sources);
         self.hears_from(Some(peer), age);
@@ -102,13 +96,14 @@
     }
 
     /// Notes from whom this router hears; `None` is the store.
-    pub(super) fn hears_from(&mut self, source: Option<&Peer>, proof: Millis) {
+    pub(super) fn hears_from(&mut self, source: Option<&Peer>, proof: Option<Millis>) {
         let name = source.map(|it| it.name.clone());
         if self.source == name {
             return;
         }
         let from = name.as_deref().unwrap_or("the store");
-        info!("hears of the store from another source", kv: { from, proof_ms = proof.0 });
+        let proof_ms = proof.map_or(u64::MAX, |it| it.0);
+        info!("hears of the store from another source", kv: { from, proof_ms });
         self.core.fleet().set_source(source);
         self.source = name;
     }
--- a/components/router/src/hearing.rs
+++ b/components/router/src/hearing.rs
@@ -14,10 +14,6 @@
 /// How long a connection to another router may take to stand.
 const CONNECT: Duration = Duration::from_millis(400);
 
-/// How much longer than its wait an answer may take to begin: a router that says nothing is left
-/// while the proof that it told last still counts.
-const SLACK: Millis = Millis(400);
-
 /// How long each further part of an answer may take to come.
 const PART: Millis = Millis(1_000);
 
@@ -94,7 +90,7 @@
 }
 
 async fn ask_on(connection: &Connection, look: Look) -> Result<Answer, Error> {
-    let wait = Millis(look.wait_ms) + SLACK;
+    let wait = Millis(look.wait_ms) + fleet::SILENCE;
     let begun = async {
         let mut call = connection.call(&Frame::Look(look)).await?;
         let head = call.next().await?;
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -73,6 +73,8 @@
     /// How long to wait between two looks at the platform's store, in
     /// milliseconds.
     pub look_ms: u64,
+    /// How old the proof may get of what a router hears from others, in milliseconds.
+    pub news_ms: u64,
     /// How much the host has to spare for other routers; only the order among hosts counts.
     pub strength: u32,
     /// Whether the whole fleet starts for the first time.
