Bring routers that hear from another failure domain home, each in its turn

A router that a full follower elsewhere had referred to others stayed there: referrals came before the followers of its own domain. Routers that hear from this one are asked last, so that none hear from each other.

Tests, seen failing first: sources::routers_that_hear_from_far_go_home_..., and routers_that_hear_from_this_one_are_asked_last.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! themselves sooner, and whoever hears nothing looks at the store.
 
 mod freshness;
+mod home;
 mod mirror;
 mod roster;
 mod sources;
--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -1,6 +1,6 @@
 //! From whom a router learns what the store holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use clock::Millis;
@@ -8,6 +8,7 @@
 use placement::{key, score};
 
 use crate::Roster;
+use crate::home::Home;
 
 /// How many routers of a fleet follow the store at least, so that the loss of one is made good
 /// by another: one of each failure domain, and two where there is only one domain.
@@ -99,6 +100,9 @@
     surplus: Option<Millis>,
     /// Until when this router follows in any case.
     stays_until: Millis,
+    /// The routers that hear from this one, also by way of others.
+    hearers: BTreeSet<Arc<str>>,
+    home: Home,
 }
 
 impl Sources {
@@ -117,9 +121,16 @@
             short: None,
             surplus: None,
             stays_until: Millis::ZERO,
+            hearers: BTreeSet::new(),
+            home: Home::default(),
         }
     }
 
+    /// Takes the names of the routers that hear from this one.
+    pub fn hear(&mut self, hearers: BTreeSet<Arc<str>>) {
+        self.hearers = hearers;
+    }
+
     /// Whether this router follows the store by itself.
     pub fn follows(&self) -> bool {
         self.follows
@@ -226,6 +237,7 @@
             return Source::Store;
         }
         self.forget(now);
+        self.home.notice(&self.own, roster, now);
         match self.candidates(roster, now).into_iter().next() {
             Some(peer) => Source::Router(peer),
             None => Source::Pause(IDLE),
@@ -240,8 +252,9 @@
     }
 
     /// The routers that may be asked, which name their domains, as earlier versions do not: those
-    /// to which this one was referred, those of its domain, all others; each group by rank, which
-    /// differs from router to router. Those whose proofs were old come last.
+    /// of its domain, all others; each group first as far as this one was referred to it, then by
+    /// rank, which differs from router to router. Those whose proofs were old come later, and last
+    /// those that hear from this one.
     fn candidates(&self, roster: &Roster, now: Millis) -> Vec<Peer> {
         let rests = |it: &Peer| self.failed.get(&it.name).is_some_and(|at| at.until(now) < FAILED);
         let may_be_asked = |it: &&Peer| {
@@ -252,17 +265,16 @@
                 && !self.unable.contains_key(&it.name)
         };
         let draw = key(DRAW, &self.own.name);
+        let drawn = |it: &Peer| score(draw, &it.name, 1.0);
         let mut followers: Vec<_> = roster.followers().filter(may_be_asked).cloned().collect();
-        followers.sort_by(|one, other| {
-            let is_far = |it: &Peer| it.domain != self.own.domain;
-            let drawn = |it: &Peer| score(draw, &it.name, 1.0);
-            is_far(one).cmp(&is_far(other)).then(drawn(other).total_cmp(&drawn(one)))
-        });
-        let referred = self.referred.iter().filter(may_be_asked).cloned();
-        let mut candidates: Vec<_> = referred.chain(followers).collect();
+        followers.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
+        let mut candidates: Vec<_> = self.referred.iter().filter(may_be_asked).cloned().collect();
+        candidates.extend(followers);
+        candidates.sort_by_key(|it| self.home.distance(&self.own, it, roster, now));
         // Where all followers are lost, those follow next whom nobody has announced yet.
         candidates.extend(self.successors(roster).into_iter().filter(|it| may_be_asked(&it)));
-        candidates.sort_by_key(|it| self.stale.get(&it.name).copied());
+        let last = |it: &Peer| (self.hearers.contains(&it.name), self.stale.get(&it.name).copied());
+        candidates.sort_by_key(last);
         candidates
     }
 
@@ -291,6 +303,7 @@
     /// A router told something that is new enough.
     pub fn served(&mut self, name: &str) {
         self.alone = None;
+        self.home.hears(name);
         self.failed.remove(name);
         self.stale.remove(name);
     }
@@ -300,6 +313,7 @@
     pub fn store_answered(&mut self, now: Millis) -> bool {
         self.store_at = Millis::ZERO;
         self.alone = None;
+        self.home.looks();
         let begins = !self.follows;
         if begins {
             self.follow();
@@ -320,6 +334,7 @@
     /// A router did not answer.
     pub fn failed(&mut self, name: &Arc<str>, now: Millis) {
         self.failed.insert(name.clone(), now);
+        self.home.leaves(name);
         self.referred.retain(|it| it.name != *name);
     }
 
@@ -327,6 +342,7 @@
     pub fn stale(&mut self, name: &Arc<str>, now: Millis) {
         self.failed.remove(name);
         self.stale.insert(name.clone(), now);
+        self.home.leaves(name);
         self.referred.retain(|it| it.name != *name);
     }
 
@@ -334,6 +350,7 @@
     /// started, and soon can.
     pub fn refer(&mut self, name: &Arc<str>, mut others: Vec<Peer>, now: Millis) {
         self.failed.remove(name);
+        self.home.leaves(name);
         if others.is_empty() {
             self.unable.insert(name.clone(), now + STARTS);
             return;
--- a/components/fleet/tests/sources.rs
+++ b/components/fleet/tests/sources.rs
@@ -311,3 +311,64 @@
         }
     }
 }
+
+/// A router of a domain without followers that hears from one far away, and its roster.
+fn away(number: usize) -> (Sources, Roster) {
+    let mut sources = Sources::new(peer(number, 1), Millis::ZERO);
+    let mut roster = Roster::default();
+    let (far, relay) = (peer(0, 0), peer(1, 0));
+    roster.put(announces(&far));
+    sources.refer(&far.name, vec![relay.clone()], Millis::ZERO);
+    assert_eq!(sources.next(&mut roster, Millis::ZERO), Source::Router(relay.clone()));
+    sources.served(&relay.name);
+    (sources, roster)
+}
+
+fn announces(router: &Peer) -> Announcement {
+    Announcement { router: router.clone(), hearers: Vec::new(), most: 0 }
+}
+
+#[test]
+fn routers_that_hear_from_far_go_home_once_one_follows_there_but_not_all_at_once() {
+    let home = peer(100, 1);
+    let mut homecomers = vec![0; 100];
+    for number in 0..60 {
+        let (mut sources, mut roster) = away(number);
+        roster.put(announces(&home));
+        let asks_home = |step: &usize| {
+            let now = Millis(100 * *step as u64);
+            let next = sources.next(&mut roster, now);
+            if let Source::Router(it) = &next {
+                sources.served(&it.name);
+            }
+            next == Source::Router(home.clone())
+        };
+        let came = (1..homecomers.len()).find(asks_home).expect("it goes home");
+        homecomers[came] += 1;
+    }
+    let most = homecomers.windows(10).map(|it| it.iter().sum::<usize>()).max();
+    assert!(most.is_some_and(|it| it <= 30), "{homecomers:?}");
+}
+
+#[test]
+fn a_router_that_has_nobody_else_asks_the_follower_of_its_domain_at_once() {
+    let home = peer(100, 1);
+    let (mut sources, mut roster) = away(1);
+    roster.put(announces(&home));
+    sources.failed(&peer(0, 0).name, Millis(100));
+    sources.failed(&peer(1, 0).name, Millis(100));
+    assert_eq!(sources.next(&mut roster, Millis(200)), Source::Router(home));
+}
+
+#[test]
+fn routers_that_hear_from_this_one_are_asked_last() {
+    let mut sources = Sources::new(peer(1, 0), Millis::ZERO);
+    let mut roster = Roster::default();
+    let (hears, other) = (peer(2, 0), peer(3, 1));
+    roster.put(announces(&hears));
+    roster.put(announces(&other));
+    sources.hear([hears.name.clone()].into());
+    assert_eq!(sources.next(&mut roster, Millis(100)), Source::Router(other.clone()));
+    sources.failed(&other.name, Millis(200));
+    assert_eq!(sources.next(&mut roster, Millis(300)), Source::Router(hears));
+}
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -99,6 +99,8 @@
 
     /// Where to look next.
     pub(crate) fn next(&self, now: Millis) -> Source {
+        let hearers = self.hearers(now).into_iter().map(|it| it.name).collect();
+        self.sources.borrow_mut().hear(hearers);
         self.sources.borrow_mut().next(&mut self.roster.borrow_mut(), now)
     }
 
