--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 
 use clock::{Millis, Sleep};
-use edge::{Batch, Era, Fault, Revision};
-use fleet::Source;
+use edge::{Batch, Era, Fault, Revision, Store};
+use fleet::{Freshness, Source};
 use routing::{Event, Listing, RETURN};
 use spdlog::{info, warn};
 
@@ -37,6 +37,10 @@
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
 
+/// How much the store holds, in bytes, from which on looks ask for less after an outage: a few
+/// configurations would take seconds to come.
+const MUCH: usize = 256 * 1024;
+
 /// The shortest suspension of the host of which the log tells; the two clocks that are compared
 /// are read one after the other.
 const NOTICED: Millis = Millis(250);
@@ -46,8 +50,10 @@
 
 /// Follows the store until the process stops.
 pub(crate) async fn follow(core: Rc<Core>, look: Millis, memory: Memory) {
+    let lasts = core.settings.direct.as_ref().map_or(look, |it| Millis(it.news_ms));
     let mut feed = Feed {
         core,
+        freshness: Freshness::new(lasts),
         listing: Listing::default(),
         routers: BTreeSet::new(),
         source: None,
@@ -81,6 +87,7 @@
 
 struct Feed {
     core: Rc<Core>,
+    freshness: Freshness,
     listing: Listing,
     /// The routers that there are, as they were told to the reducer last.
     routers: BTreeSet<Arc<str>>,
@@ -118,6 +125,7 @@
     /// Looks once where it is best now; returns how long to wait until the next time.
     async fn step(&mut self, look: Millis) -> Millis {
         let now = self.core.clock.now();
+        self.expire(now);
         self.meet_routers();
         let shares = self.core.settings.routing.mechanisms.shared_looks;
         if shares && !self.core.stop.is_asked() && self.core.fleet().decide(now) {
@@ -141,7 +149,7 @@
     async fn look_and_prove(&mut self, look: Millis, started: Millis) -> Millis {
         match self.look().await {
             Ok(()) => {
-                self.hears_from(None, Millis::ZERO);
+                self.hears_from(None, Some(Millis::ZERO));
                 if self.core.fleet().store_answered(self.core.clock.now()) {
                     self.tell_follows();
                 }
@@ -168,27 +176,40 @@
         let revision = self.revision.filter(|_| !self.reads_anew);
         let whole = revision.is_none();
         let batch = match revision {
-            Some(revision) if self.extent.is_narrow() => store.watch_less(revision, WAIT).await?,
-            Some(revision) => store.watch(revision, WAIT).await?,
+            Some(revision) => self.changes(&*store, revision).await?,
             None => store.read().await?,
         };
-        // What the store holds is read once; only a history can be avoided. A fleet whose
-        // store held 524 KB asked for less without end, and each look brought the
-        // configuration anew: 8 of the 10 Mbit/s of its thinnest hosts.
-        let history = if whole { 0 } else { batch.bytes };
-        if self.lost.take().is_some() {
+        let returns = self.lost.take().is_some();
+        if returns {
             info!("the store answers again", kv: { revision = batch.revision.number });
-            self.listing.came_back(self.core.clock.now());
+            let returned = self.returned();
+            self.listing.came_back(returned);
         }
         self.reads_anew = false;
+        // What was not written in the outage comes now, all of it at once.
+        if returns && whole && batch.bytes >= MUCH {
+            self.extent.narrow(self.core.clock.now());
+        }
         self.absorb(batch, whole);
-        self.reads_anew = self.extent.take(history, self.core.clock.now());
+        self.reads_anew = self.extent.ends(self.core.clock.now());
         if self.ends_doubt() {
             self.revision = None;
         }
         Ok(())
     }
 
+    /// What has changed since `revision`. A history that is long is not read, and holds nothing
+    /// up: it is asked for less at once.
+    async fn changes(&mut self, store: &dyn Store, revision: Revision) -> Result<Batch, Fault> {
+        if !self.extent.is_narrow() {
+            match store.watch(revision, WAIT).await {
+                Err(Fault::LongHistory) => self.extent.narrow(self.core.clock.now()),
+                other => return other,
+            }
+        }
+        store.watch_less(revision, WAIT).await
+    }
+
     /// Takes what the store or another router told.
     fn absorb(&mut self, batch: Batch, whole: bool) {
         let era = std::mem::replace(&mut self.era, batch.revision.era);
