Name each router that hears from one once, also in circles

Cause: routers whose source knows nothing new ask each other in circles while the store is away. A question named the router that asks and all that hear from it, also by way of others, without leaving out doubles: in a circle the names doubled with each round. The lists were 1 to 40 MB within seconds; each step of the feed copied them several times and each question sent them. Change: fleet::Hearers names each router once and not itself, takes 1,024 by way of one at most, and takes of a question that names itself only the router that asks: what came round once is not passed on again, so that routers that have ended are forgotten.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -2,18 +2,20 @@
 //!
 //! A few routers of each failure domain look at the store by themselves; the others hear from
 //! them what has changed and how old the proof is that nothing newer is there. [`Sources`]
-//! decides whom a router asks, [`Roster`] keeps who is there, and [`Mirror`] keeps what the
+//! decides whom a router asks, [`Roster`] keeps who is there, [`Hearers`] who hears from this router, and [`Mirror`] keeps what the
 //! store holds for those that ask; [`Spread`] sends hints the same way. All are plain state
 //! without input and output.
 //!
 //! Nobody has to be right: a router that is cut off, suspended or behind makes others look by
 //! themselves sooner, and whoever hears nothing looks at the store.
 
+mod hearers;
 mod mirror;
 mod roster;
 mod sources;
 mod spread;
 
+pub use hearers::Hearers;
 pub use mirror::{Mirror, Position};
 pub use roster::Roster;
 pub use sources::{Source, Sources};
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -7,27 +7,12 @@
 use bytes::Bytes;
 use clock::Millis;
 use edge::{Announcement, Batch, Fact, Peer, Revision};
-use fleet::{Mirror, Neighbours, Roster, Source, Sources};
+use fleet::{Hearers, Mirror, Neighbours, Roster, Source, Sources};
 use tokio::sync::watch;
 
-/// How long a router counts as hearing from this one after it asked last: it asks again within
-/// its wait for news.
-const HEARS: Millis = Millis(3_000);
-
-/// The most routers that hear from one: a change of 100 KB reaches them within a second over
-/// 20 Mbit/s. Further ones hear from these.
-const MOST_HEARERS: usize = 24;
-
 /// How long a packed answer may be given again: what it says is left of times is older by that.
 const PACKED_LASTS: Millis = Millis(500);
 
-/// A router that asks this one, and those that ask it.
-#[derive(Debug)]
-struct Hearer {
-    routers: Vec<Peer>,
-    asked: Millis,
-}
-
 /// An answer that several routers get.
 #[derive(Debug)]
 struct Packed {
@@ -44,7 +29,7 @@
     mirror: RefCell<Mirror>,
     roster: RefCell<Roster>,
     sources: RefCell<Sources>,
-    hearers: RefCell<BTreeMap<Arc<str>, Hearer>>,
+    hearers: RefCell<Hearers>,
     source: RefCell<Option<Peer>>,
     packed: RefCell<Option<Packed>>,
     /// The most routers that were counted.
@@ -60,10 +45,10 @@
     pub(crate) fn new(own: Peer, now: Millis) -> Self {
         Self {
             sources: RefCell::new(Sources::new(own.clone(), now)),
+            hearers: RefCell::new(Hearers::new(own.name.clone())),
             own,
             mirror: RefCell::default(),
             roster: RefCell::default(),
-            hearers: RefCell::default(),
             source: RefCell::default(),
             packed: RefCell::default(),
             most: Cell::new(0),
@@ -158,8 +143,8 @@
     /// The routers that hear from this one, also by way of others.
     fn hearers(&self, now: Millis) -> Vec<Peer> {
         let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        hearers.values().flat_map(|it| it.routers.iter().cloned()).collect()
+        hearers.forget(now);
+        hearers.all()
     }
 
     /// This router and those that hear from it, as it tells when it asks.
@@ -171,14 +156,7 @@
 
     /// Notes that a router asks, with those that hear from it. Returns whether it is answered.
     pub(crate) fn meet(&self, routers: Vec<Peer>, now: Millis) -> bool {
-        let Some(asks) = routers.first().map(|it| it.name.clone()) else { return false };
-        let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        let may = hearers.contains_key(&asks) || hearers.len() < MOST_HEARERS;
-        if may {
-            hearers.insert(asks, Hearer { routers, asked: now });
-        }
-        may
+        self.hearers.borrow_mut().meet(routers, now)
     }
 
     /// From whom this router hears; `None` while it looks at the store.
@@ -190,8 +168,8 @@
     pub(crate) fn neighbours(&self, now: Millis) -> Neighbours {
         let source = self.source.borrow().clone();
         let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        let hearers = hearers.values().filter_map(|it| it.routers.first().cloned()).collect();
+        hearers.forget(now);
+        let hearers = hearers.direct().cloned().collect();
         let roster = self.roster.borrow();
         let is_other = |it: &&Peer| it.name != self.own.name;
         let followers = if self.follows() && source.is_none() {
@@ -204,8 +182,7 @@
 
     /// The routers that ask this one, to which others are referred.
     pub(crate) fn relays(&self) -> Vec<Peer> {
-        let hearers = self.hearers.borrow();
-        hearers.values().filter_map(|it| it.routers.first().cloned()).collect()
+        self.hearers.borrow().direct().cloned().collect()
     }
 
     /// Keeps what was learnt for others; see [`Mirror::take`].
