Ask those anew that referred a router, where its references tell nothing

Cause: a router that a full follower refers to others asked that follower again only after 5 s, also where all it was referred to said nothing or had just started themselves. Change: fleet::Referrals counts references that tell nothing; after two of them those that referred the router may be asked anew, the first time at once, later 300 ms later each time until somebody tells it something. fleet::Hearers remembers whom it referred, answers one that comes back once (24 within three seconds at most, beside the 24 that hear from it), and refers further ones to it as well. References that failed lately are asked last.

--- a/components/fleet/src/hearers.rs
+++ b/components/fleet/src/hearers.rs
@@ -14,6 +14,9 @@
 /// 20 Mbit/s. Further ones hear from these.
 const MOST_HEARERS: usize = 24;
 
+/// How long a router is remembered that was referred to others.
+const REFERRED: Millis = Millis(5_000);
+
 /// The most routers that are taken by way of one that asks.
 const MOST_NAMED: usize = 1_024;
 
@@ -29,33 +32,53 @@
 pub struct Hearers {
     own: Arc<str>,
     asking: BTreeMap<Arc<str>, Hearer>,
+    /// When routers were referred to others.
+    referred: BTreeMap<Arc<str>, Millis>,
+    /// Routers that came back since those to which they were referred told them nothing, and when
+    /// they were answered.
+    guests: BTreeMap<Arc<str>, (Peer, Millis)>,
 }
 
 impl Hearers {
     /// Nobody has asked the router `own` yet.
     pub fn new(own: Arc<str>) -> Self {
-        Self { own, asking: BTreeMap::new() }
+        Self { own, asking: BTreeMap::new(), referred: BTreeMap::new(), guests: BTreeMap::new() }
     }
 
     /// Notes that the first of `routers` asks, with those that hear from it. Returns whether it is
-    /// answered.
+    /// answered: one that was referred to others and comes back is, once.
     pub fn meet(&mut self, mut routers: Vec<Peer>, now: Millis) -> bool {
-        let Some(asks) = routers.first().map(|it| it.name.clone()) else { return false };
+        let Some(asks) = routers.first().cloned() else { return false };
         self.forget(now);
-        let may = self.asking.contains_key(&asks) || self.asking.len() < MOST_HEARERS;
-        if may {
-            // Routers may hear from each other in a circle. What has come round is not taken
-            // again: nobody would ever forget it.
-            let came_round = routers.iter().any(|it| it.name == self.own);
-            routers.truncate(if came_round { 1 } else { MOST_NAMED });
-            self.asking.insert(asks, Hearer { routers, asked: now });
+        if !self.asking.contains_key(&asks.name) && self.asking.len() >= MOST_HEARERS {
+            return self.meet_again(asks, now);
         }
-        may
+        // Routers may hear from each other in a circle. What has come round is not taken again:
+        // nobody would ever forget it.
+        let came_round = routers.iter().any(|it| it.name == self.own);
+        routers.truncate(if came_round { 1 } else { MOST_NAMED });
+        self.asking.insert(asks.name, Hearer { routers, asked: now });
+        true
+    }
+
+    /// Notes that a router asks that is to hear from others. Returns whether it is answered.
+    fn meet_again(&mut self, asks: Peer, now: Millis) -> bool {
+        let came_back = self.referred.remove(&asks.name).is_some();
+        if came_back && self.guests.len() < MOST_HEARERS {
+            self.guests.insert(asks.name.clone(), (asks, now));
+            return true;
+        }
+        if self.referred.len() < MOST_NAMED {
+            self.referred.insert(asks.name, now);
+        }
+        false
     }
 
     /// Forgets those that no longer ask.
     pub fn forget(&mut self, now: Millis) {
         self.asking.retain(|_, it| it.asked.until(now) < HEARS);
+        self.referred.retain(|_, at| at.until(now) < REFERRED);
+        self.guests.retain(|_, (_, at)| at.until(now) < HEARS);
     }
 
     /// Those that ask this router itself.
@@ -63,6 +86,11 @@
         self.asking.values().filter_map(|it| it.routers.first())
     }
 
+    /// Those to which others may be referred.
+    pub fn relays(&self) -> impl Iterator<Item = &Peer> {
+        self.direct().chain(self.guests.values().map(|(it, _)| it))
+    }
+
     /// All that hear from this router, each once.
     pub fn all(&self) -> Vec<Peer> {
         let mut met = BTreeSet::from([&self.own]);
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod hearers;
 mod mirror;
+mod referrals;
 mod roster;
 mod sources;
 mod spread;
--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -8,6 +8,7 @@
 use placement::{key, score};
 
 use crate::Roster;
+use crate::referrals::Referrals;
 
 /// How many routers of a fleet follow the store at least, so that the loss of one is made good
 /// by another: one of each failure domain, and two where there is only one domain.
@@ -39,9 +40,6 @@
 /// How long a router is not asked again that has just started and knows nothing.
 const STARTS: Millis = Millis(100);
 
-/// How long a router is not asked again that has enough others to answer.
-const FULL: Millis = Millis(5_000);
-
 /// How long routers are asked last whose proof was old, the one first that was asked longest ago.
 const STALE: Millis = Millis(10_000);
 
@@ -87,8 +85,8 @@
     unable: BTreeMap<Arc<str>, Millis>,
     /// When the proof of routers was last found to be old.
     stale: BTreeMap<Arc<str>, Millis>,
-    /// The routers that one names that has too many to answer.
-    referred: Vec<Peer>,
+    /// The routers that those name that have enough others to answer.
+    referrals: Referrals,
     /// When the store may be asked again after it failed.
     store_at: Millis,
     /// Since when nobody has told anything new; `None` if somebody just has.
@@ -111,7 +109,7 @@
             failed: BTreeMap::new(),
             unable: BTreeMap::new(),
             stale: BTreeMap::new(),
-            referred: Vec::new(),
+            referrals: Referrals::default(),
             store_at: Millis::ZERO,
             alone: None,
             short: None,
@@ -236,6 +234,7 @@
     fn forget(&mut self, now: Millis) {
         self.failed.retain(|_, at| at.until(now) < LOST);
         self.unable.retain(|_, until| *until > now);
+        self.referrals.forget(now);
         self.stale.retain(|_, at| at.until(now) < STALE);
     }
 
@@ -250,6 +249,7 @@
                 && !it.domain.is_empty()
                 && !rests(it)
                 && !self.unable.contains_key(&it.name)
+                && !self.referrals.is_full(&it.name)
         };
         let draw = key(DRAW, &self.own.name);
         let mut followers: Vec<_> = roster.followers().filter(may_be_asked).cloned().collect();
@@ -258,7 +258,7 @@
             let drawn = |it: &Peer| score(draw, &it.name, 1.0);
             is_far(one).cmp(&is_far(other)).then(drawn(other).total_cmp(&drawn(one)))
         });
-        let referred = self.referred.iter().filter(may_be_asked).cloned();
+        let referred = self.referrals.named().filter(may_be_asked).cloned();
         let mut candidates: Vec<_> = referred.chain(followers).collect();
         // Where all followers are lost, those follow next whom nobody has announced yet.
         candidates.extend(self.successors(roster).into_iter().filter(|it| may_be_asked(&it)));
@@ -291,6 +291,7 @@
     /// A router told something that is new enough.
     pub fn served(&mut self, name: &str) {
         self.alone = None;
+        self.referrals.served();
         self.failed.remove(name);
         self.stale.remove(name);
     }
@@ -320,14 +321,14 @@
     /// A router did not answer.
     pub fn failed(&mut self, name: &Arc<str>, now: Millis) {
         self.failed.insert(name.clone(), now);
-        self.referred.retain(|it| it.name != *name);
+        self.referrals.leave(name, now);
     }
 
     /// A router answered, but what it knows is old.
     pub fn stale(&mut self, name: &Arc<str>, now: Millis) {
         self.failed.remove(name);
         self.stale.insert(name.clone(), now);
-        self.referred.retain(|it| it.name != *name);
+        self.referrals.leave(name, now);
     }
 
     /// A router can't tell, and names `others` that may be asked. Where it names none it has just
@@ -336,13 +337,15 @@
         self.failed.remove(name);
         if others.is_empty() {
             self.unable.insert(name.clone(), now + STARTS);
-            return;
+            return self.referrals.leave(name, now);
         }
-        self.unable.insert(name.clone(), now + FULL);
         let draw = key(DRAW, &self.own.name);
-        let drawn = |it: &Peer| score(draw, &it.name, 1.0);
-        others.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
-        self.referred = others;
+        others.sort_by(|one, other| {
+            let is_failed = |it: &Peer| self.failed.contains_key(&it.name);
+            let drawn = |it: &Peer| score(draw, &it.name, 1.0);
+            is_failed(one).cmp(&is_failed(other)).then(drawn(other).total_cmp(&drawn(one)))
+        });
+        self.referrals.take(name, others, now);
     }
 }
 
--- a/components/fleet/tests/hearers.rs
+++ b/components/fleet/tests/hearers.rs
@@ -95,3 +95,21 @@
     assert!(hearers.meet((0..100_000).map(distinct).collect(), Millis(1)));
     assert!(hearers.all().len() <= 2_000, "{} routers", hearers.all().len());
 }
+
+#[test]
+fn a_router_that_comes_back_from_a_referral_is_answered_once_and_others_are_referred_to_it() {
+    let mut hearers = Hearers::new("front".into());
+    for number in 0..24 {
+        assert!(hearers.meet(vec![peer(number)], Millis(1)));
+    }
+    assert!(!hearers.meet(vec![peer(30)], Millis(1)));
+    assert!(hearers.meet(vec![peer(30)], Millis(900)));
+    assert!(hearers.relays().any(|it| *it == peer(30)));
+    assert!(!hearers.meet(vec![peer(30)], Millis(1_000)));
+    let mut answered = 0;
+    for number in 40..140 {
+        hearers.meet(vec![peer(number)], Millis(1_000));
+        answered += usize::from(hearers.meet(vec![peer(number)], Millis(1_100)));
+    }
+    assert!(answered <= 24, "{answered} at a time");
+}
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -180,9 +180,9 @@
         Neighbours { source, hearers, followers }
     }
 
-    /// The routers that ask this one, to which others are referred.
+    /// The routers to which others are referred.
     pub(crate) fn relays(&self) -> Vec<Peer> {
-        self.hearers.borrow().direct().cloned().collect()
+        self.hearers.borrow().relays().cloned().collect()
     }
 
     /// Keeps what was learnt for others; see [`Mirror::take`].
