Make each answer once for all that ask, and compile no configuration twice

Cause, by reading the code: what is told was cloned out of the mirror for each question before the one packed answer that was kept was looked at, and that one was replaced by each question that knew another revision. A router that starts packed everything again that had just come packed. A router that starts keeps what it was told as it came. A configuration that is not later than the one in force is not compiled. That nothing is compiled twice has no test of its own.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nobody has to be right: a router that is cut off, suspended or behind makes others look by
 //! themselves sooner, and whoever hears nothing looks at the store.
 
+mod answers;
 mod hearers;
 mod mirror;
 mod referrals;
@@ -16,6 +17,7 @@
 mod sources;
 mod spread;
 
+pub use answers::Answers;
 pub use hearers::Hearers;
 pub use mirror::{Mirror, Position};
 pub use roster::Roster;
--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -117,11 +117,16 @@
         }
     }
 
+    /// Whether it is known what has changed after `position`.
+    pub fn reaches(&self, position: Revision) -> bool {
+        let Some(known) = self.position else { return false };
+        known.era == position.era && (self.forgotten..=known.number).contains(&position.number)
+    }
+
     /// What has changed after `position`, as of `now`; `None` where that is not known, so that
     /// everything is to be told.
     pub fn since(&self, position: Revision, now: Millis) -> Option<Vec<Fact>> {
-        let known = self.position.filter(|it| it.era == position.era)?;
-        if position.number < self.forgotten || position.number > known.number {
+        if !self.reaches(position) {
             return None;
         }
         let is_new = |it: &&Entry| it.revision > position.number;
--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -340,11 +340,9 @@
             return self.referrals.leave(name, now);
         }
         let draw = key(DRAW, &self.own.name);
-        others.sort_by(|one, other| {
-            let is_failed = |it: &Peer| self.failed.contains_key(&it.name);
-            let drawn = |it: &Peer| score(draw, &it.name, 1.0);
-            is_failed(one).cmp(&is_failed(other)).then(drawn(other).total_cmp(&drawn(one)))
-        });
+        let drawn = |it: &Peer| score(draw, &it.name, 1.0);
+        others.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
+        others.sort_by_key(|it| self.failed.contains_key(&it.name));
         self.referrals.take(name, others, now);
     }
 }
--- a/components/router/src/feed/facts.rs
+++ b/components/router/src/feed/facts.rs
@@ -240,6 +240,10 @@
     /// Compiles a configuration and hands it to the reducer.
     fn configure(&self, document: Document, revision: u64) {
         let generation = document.generation;
+        // An earlier one is never put in force; the one in force comes with each whole list.
+        if self.core.plan().is_some_and(|it| it.generation() >= generation) {
+            return;
+        }
         match Plan::compile(document) {
             Ok(plan) => {
                 info!("configuration taken", kv: { generation, revision });
--- a/components/router/src/feed/others.rs
+++ b/components/router/src/feed/others.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 
+use bytes::Bytes;
 use clock::Millis;
 use edge::{Batch, Fact, Peer, Revision};
 use routing::Event;
@@ -41,7 +42,7 @@
         let answer = self.core.hearing.ask(peer, look).await;
         let now = self.core.clock.now();
         match answer {
-            Ok(Answer::News(news, facts, bytes)) => self.hear(peer, news, facts, bytes, asked),
+            Ok(Answer::News(news, facts, packed)) => self.hear(peer, news, facts, packed, asked),
             Ok(Answer::Refer(others)) => {
                 debug!("referred to others", kv: { peer = &*peer.name, others = others.len() });
                 self.core.fleet().sources().refer(&peer.name, others, now);
@@ -61,7 +62,7 @@
         peer: &Peer,
         news: wire::News,
         facts: Vec<Fact>,
-        bytes: usize,
+        packed: Bytes,
         asked: Millis,
     ) {
         let now = self.core.clock.now();
@@ -69,7 +70,11 @@
         if !self.may_take(revision, news.whole) {
             return self.core.fleet().sources().stale(&peer.name, now);
         }
-        self.absorb(Batch { facts, revision, bytes }, news.whole);
+        let starts = self.revision.is_none();
+        self.absorb(Batch { facts, revision, bytes: packed.len() }, news.whole);
+        if starts {
+            self.core.fleet().keep_packed(packed, now);
+        }
         // The question came there after it was asked, and the answer began `held_ms` later.
         let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
         if let Some(at) = proof.filter(|_| self.proves()) {
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -7,21 +7,9 @@
 use bytes::Bytes;
 use clock::Millis;
 use edge::{Announcement, Batch, Fact, Peer, Revision};
-use fleet::{Hearers, Mirror, Neighbours, Roster, Source, Sources};
+use fleet::{Answers, Hearers, Mirror, Neighbours, Roster, Source, Sources};
 use tokio::sync::watch;
 
-/// How long a packed answer may be given again: what it says is left of times is older by that.
-const PACKED_LASTS: Millis = Millis(500);
-
-/// An answer that several routers get.
-#[derive(Debug)]
-struct Packed {
-    after: Option<Revision>,
-    revision: Revision,
-    at: Millis,
-    facts: Bytes,
-}
-
 /// The other routers as this one sees them.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -31,7 +19,7 @@
     sources: RefCell<Sources>,
     hearers: RefCell<Hearers>,
     source: RefCell<Option<Peer>>,
-    packed: RefCell<Option<Packed>>,
+    answers: RefCell<Answers>,
     /// The most routers that were counted.
     most: Cell<usize>,
     /// Counts what was learnt, so that those who wait for news wake.
@@ -50,7 +38,7 @@
             mirror: RefCell::default(),
             roster: RefCell::default(),
             source: RefCell::default(),
-            packed: RefCell::default(),
+            answers: RefCell::default(),
             most: Cell::new(0),
             learnt: watch::Sender::default(),
             follows: watch::Sender::default(),
@@ -194,6 +182,9 @@
         doubted: bool,
         now: Millis,
     ) {
+        if whole || !batch.facts.is_empty() {
+            self.answers.borrow_mut().clear();
+        }
         self.mirror.borrow_mut().take(batch, whole, returns, doubted, now);
     }
 
@@ -217,15 +208,15 @@
         self.mirror.borrow().has_news(revision)
     }
 
-    /// What has changed after `after`, or everything; returns whether it is everything.
-    pub(crate) fn facts(&self, after: Option<Revision>, now: Millis) -> (Vec<Fact>, bool) {
+    /// What has changed after `after`, or everything where that is `None`.
+    fn facts(&self, after: Option<Revision>, now: Millis) -> Vec<Fact> {
         let mirror = self.mirror.borrow();
         if let Some(changes) = after.and_then(|it| mirror.since(it, now)) {
-            return (changes, false);
+            return changes;
         }
         let mut facts = mirror.all(now);
         facts.extend(self.own_announcement(&facts, now));
-        (facts, true)
+        facts
     }
 
     /// That this router follows the store, where `facts` do not say so: it may not have read its
@@ -236,7 +227,8 @@
         lacks.then(|| Fact::Router(self.announcement(now)))
     }
 
-    /// The same, packed. Routers of a fleet ask for the same at about the same time.
+    /// What has changed after `after`, or everything, packed; returns whether it is everything.
+    /// Routers of a fleet ask for the same at about the same time.
     ///
     /// # Errors
     ///
@@ -247,20 +239,21 @@
         now: Millis,
     ) -> Result<(Bytes, bool), wire::Error> {
         let revision = self.position().unwrap_or_default();
-        let (facts, whole) = self.facts(after, now);
-        if facts.is_empty() {
-            return Ok((Bytes::new(), whole));
+        let after = after.filter(|it| self.mirror.borrow().reaches(*it));
+        let whole = after.is_none();
+        let mut answers = self.answers.borrow_mut();
+        if let Some(answer) = answers.get(after, revision, now) {
+            return Ok((answer, whole));
         }
-        let after = after.filter(|_| !whole);
-        let is_same = |it: &&Packed| {
-            it.after == after && it.revision == revision && it.at.until(now) < PACKED_LASTS
-        };
-        if let Some(packed) = self.packed.borrow().as_ref().filter(is_same) {
-            return Ok((packed.facts.clone(), whole));
-        }
-        let bytes = wire::pack(&facts)?;
-        let facts = bytes.clone();
-        self.packed.replace(Some(Packed { after, revision, at: now, facts }));
-        Ok((bytes, whole))
+        let facts = self.facts(after, now);
+        let answer = if facts.is_empty() { Bytes::new() } else { wire::pack(&facts)? };
+        answers.keep(after, revision, answer.clone(), now);
+        Ok((answer, whole))
+    }
+
+    /// Keeps everything as another router packed it, for others that ask for that.
+    pub(crate) fn keep_packed(&self, facts: Bytes, now: Millis) {
+        let Some(revision) = self.position().filter(|_| !self.follows()) else { return };
+        self.answers.borrow_mut().keep(None, revision, facts, now);
     }
 }
--- a/components/router/src/hearing.rs
+++ b/components/router/src/hearing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use clock::Millis;
 use edge::{Fact, Peer, Revision};
 use link::{Call, Connection};
@@ -44,8 +44,8 @@
 /// What another router answered.
 #[derive(Debug)]
 pub(crate) enum Answer {
-    /// What it knows.
-    News(News, Vec<Fact>, usize),
+    /// What it knows, and the same as it came.
+    News(News, Vec<Fact>, Bytes),
     /// Others that may be asked; none where it knows nothing itself.
     Refer(Vec<Peer>),
 }
@@ -110,7 +110,7 @@
             } else {
                 wire::unpack(&bytes).context(FactsSnafu)?
             };
-            Ok(Answer::News(news, facts, bytes.len()))
+            Ok(Answer::News(news, facts, bytes.freeze()))
         }
         _ => StrangeSnafu.fail(),
     }
