Count what is held for other routers, and end finished connections at once

Change: /metrics tells of silverstack_held: facts and removals of the mirror, bytes of kept answers, routers named as hearing from this one, and connections of other routers. A connection of another router that has ended is taken from its set at once, not at the next one that comes. Test: tests/platform/fleet.rs, six real routers whose store is away for six seconds.

--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -142,6 +142,11 @@
             || self.entries.iter().any(|(key, it)| is_new(it) && !is_for_starts(key))
     }
 
+    /// How many facts and removals are kept.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.entries.len(), self.removed.len())
+    }
+
     /// All that is known, as of `now`.
     pub fn all(&self, now: Millis) -> Vec<Fact> {
         let entries = self.entries.values().map(|it| aged(it, now));
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -22,6 +22,8 @@
     answers: RefCell<Answers>,
     /// The most routers that were counted.
     most: Cell<usize>,
+    /// How many connections of other routers stand.
+    connections: Cell<usize>,
     /// Counts what was learnt, so that those who wait for news wake.
     learnt: watch::Sender<u64>,
     /// Whether this router follows the store by itself, and announces that.
@@ -40,6 +42,7 @@
             source: RefCell::default(),
             answers: RefCell::default(),
             most: Cell::new(0),
+            connections: Cell::new(0),
             learnt: watch::Sender::default(),
             follows: watch::Sender::default(),
         }
@@ -251,6 +254,21 @@
         Ok((answer, whole))
     }
 
+    /// Counts what is held for other routers.
+    pub(crate) fn tell_held(&self, metrics: &telemetry::Metrics) {
+        let (facts, removals) = self.mirror.borrow().kept();
+        metrics.held("facts", facts);
+        metrics.held("removals", removals);
+        metrics.held("answer_bytes", self.answers.borrow().bytes());
+        metrics.held("hearers", self.hearers.borrow().all().len());
+        metrics.held("router_connections", self.connections.get());
+    }
+
+    /// Notes how many connections of other routers stand.
+    pub(crate) fn set_connections(&self, count: usize) {
+        self.connections.set(count);
+    }
+
     /// Keeps everything as another router packed it, for others that ask for that.
     pub(crate) fn keep_packed(&self, facts: Bytes, now: Millis) {
         let Some(revision) = self.position().filter(|_| !self.follows()) else { return };
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -287,6 +287,7 @@
 }
 
 pub(crate) async fn metrics(core: Shared) -> HttpResponse {
+    core.fleet().tell_held(&core.metrics);
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(core.metrics.render())
 }
 
--- a/components/router/src/telling.rs
+++ b/components/router/src/telling.rs
@@ -35,7 +35,12 @@
     };
     let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
+        core.fleet().set_connections(connections.len());
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        match accepted {
             Ok((socket, _)) => {
                 connections.spawn_local(converse(core.clone(), socket));
             }
@@ -44,7 +49,6 @@
                 tokio::time::sleep(NEWER.duration()).await;
             }
         }
-        while connections.try_join_next().is_some() {}
     }
 }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,7 +1,7 @@
 //! What a process counts.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_prometheus_text_exporter::PrometheusExporter;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
@@ -20,6 +20,7 @@
     attempts: Counter<u64>,
     control: Counter<u64>,
     beliefs: Counter<u64>,
+    held: Gauge<u64>,
     first_token: Histogram<f64>,
     queue: Histogram<f64>,
 }
@@ -41,6 +42,10 @@
             attempts: count("silverstack_attempts", "Attempts sent to sidecars"),
             control: count("silverstack_control_bytes", "Bytes of control traffic, by kind"),
             beliefs: count("silverstack_beliefs", "Changes of what is believed, by kind"),
+            held: meter
+                .u64_gauge("silverstack_held")
+                .with_description("What is held, by kind")
+                .build(),
             first_token: time("silverstack_first_token", "From arrival to the answer's head"),
             queue: time("silverstack_queue", "From arrival at the sidecar to the upstream"),
             exporter,
@@ -72,6 +77,11 @@
         self.beliefs.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Tells how much is held of a kind: `answer_bytes`, `hearers` and so on.
+    pub fn held(&self, kind: &'static str, count: usize) {
+        self.held.record(count as u64, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the time to an answer's head, in milliseconds.
     pub fn first_token(&self, ms: u64) {
         self.first_token.record(seconds(ms), &[]);
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -258,3 +258,26 @@
 fn domain(upstream: &Upstream) -> String {
     upstream.entry("ready", 1)["zone"].as_str().expect("a zone").to_owned()
 }
+
+/// How much of a kind a router holds, as its metrics say.
+fn held(router: &Router, kind: &str) -> usize {
+    let line = format!("silverstack_held{{kind=\"{kind}\"}} ");
+    let page = router.page("/metrics");
+    let value = page.lines().find_map(|it| it.strip_prefix(line.as_str())).map(str::trim);
+    value.and_then(|it| it.parse().ok()).unwrap_or_else(|| panic!("no {kind} in {page}"))
+}
+
+#[test]
+fn what_routers_hold_for_others_stays_small_while_the_store_is_away() {
+    let (routers, _upstream) = fleet();
+    routers[0].store.set_mode(Mode::Busy);
+    for _ in 0..24 {
+        sleep(Duration::from_millis(250));
+        for router in &routers {
+            let hearers = held(router, "hearers");
+            assert!(hearers < ROUTERS, "{hearers} hearers of {ROUTERS} routers");
+            let connections = held(router, "router_connections");
+            assert!(connections <= 4 * ROUTERS, "{connections} connections");
+        }
+    }
+}
