--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -122,11 +122,16 @@
         }
     }
 
+    /// Whether it is known what has changed after `position`.
+    pub fn reaches(&self, position: Revision) -> bool {
+        let Some(known) = self.position else { return false };
+        known.era == position.era && (self.forgotten..=known.number).contains(&position.number)
+    }
+
     /// What has changed after `position`, as of `now`; `None` where that is not known, so that
     /// everything is to be told.
     pub fn since(&self, position: Revision, now: Millis) -> Option<Vec<Fact>> {
-        let known = self.position.filter(|it| it.era == position.era)?;
-        if position.number < self.forgotten || position.number > known.number {
+        if !self.reaches(position) {
             return None;
         }
         let is_new = |it: &&Entry| it.revision > position.number;
@@ -142,6 +147,11 @@
             || self.entries.iter().any(|(key, it)| is_new(it) && !is_for_starts(key))
     }
 
+    /// How many facts and removals are kept.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.entries.len(), self.removed.len())
+    }
+
     /// All that is known, as of `now`.
     pub fn all(&self, now: Millis) -> Vec<Fact> {
         let entries = self.entries.values().map(|it| aged(it, now));
--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -9,6 +9,7 @@
 
 use crate::Roster;
 use crate::home::Home;
+use crate::referrals::Referrals;
 
 /// How many routers of a fleet follow the store at least, so that the loss of one is made good
 /// by another: one of each failure domain, and two where there is only one domain.
@@ -40,9 +41,6 @@
 /// How long a router is not asked again that has just started and knows nothing.
 const STARTS: Millis = Millis(100);
 
-/// How long a router is not asked again that has enough others to answer.
-const FULL: Millis = Millis(5_000);
-
 /// How long routers are asked last whose proof was old, the one first that was asked longest ago.
 const STALE: Millis = Millis(10_000);
 
@@ -88,8 +86,8 @@
     unable: BTreeMap<Arc<str>, Millis>,
     /// When the proof of routers was last found to be old.
     stale: BTreeMap<Arc<str>, Millis>,
-    /// The routers that one names that has too many to answer.
-    referred: Vec<Peer>,
+    /// The routers that those name that have enough others to answer.
+    referrals: Referrals,
     /// When the store may be asked again after it failed.
     store_at: Millis,
     /// Since when nobody has told anything new; `None` if somebody just has.
@@ -115,7 +113,7 @@
             failed: BTreeMap::new(),
             unable: BTreeMap::new(),
             stale: BTreeMap::new(),
-            referred: Vec::new(),
+            referrals: Referrals::default(),
             store_at: Millis::ZERO,
             alone: None,
             short: None,
@@ -248,6 +246,7 @@
     fn forget(&mut self, now: Millis) {
         self.failed.retain(|_, at| at.until(now) < LOST);
         self.unable.retain(|_, until| *until > now);
+        self.referrals.forget(now);
         self.stale.retain(|_, at| at.until(now) < STALE);
     }
 
@@ -263,12 +262,13 @@
                 && !it.domain.is_empty()
                 && !rests(it)
                 && !self.unable.contains_key(&it.name)
+                && !self.referrals.is_full(&it.name)
         };
         let draw = key(DRAW, &self.own.name);
         let drawn = |it: &Peer| score(draw, &it.name, 1.0);
         let mut followers: Vec<_> = roster.followers().filter(may_be_asked).cloned().collect();
         followers.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
-        let mut candidates: Vec<_> = self.referred.iter().filter(may_be_asked).cloned().collect();
+        let mut candidates: Vec<_> = self.referrals.named().filter(may_be_asked).cloned().collect();
         candidates.extend(followers);
         candidates.sort_by_key(|it| self.home.distance(&self.own, it, roster, now));
         // Where all followers are lost, those follow next whom nobody has announced yet.
@@ -304,6 +304,7 @@
     pub fn served(&mut self, name: &str) {
         self.alone = None;
         self.home.hears(name);
+        self.referrals.served();
         self.failed.remove(name);
         self.stale.remove(name);
     }
@@ -335,7 +336,7 @@
     pub fn failed(&mut self, name: &Arc<str>, now: Millis) {
         self.failed.insert(name.clone(), now);
         self.home.leaves(name);
-        self.referred.retain(|it| it.name != *name);
+        self.referrals.leave(name, now);
     }
 
     /// A router answered, but what it knows is old.
@@ -343,7 +344,7 @@
         self.failed.remove(name);
         self.stale.insert(name.clone(), now);
         self.home.leaves(name);
-        self.referred.retain(|it| it.name != *name);
+        self.referrals.leave(name, now);
     }
 
     /// A router can't tell, and names `others` that may be asked. Where it names none it has just
@@ -353,13 +354,13 @@
         self.home.leaves(name);
         if others.is_empty() {
             self.unable.insert(name.clone(), now + STARTS);
-            return;
+            return self.referrals.leave(name, now);
         }
-        self.unable.insert(name.clone(), now + FULL);
         let draw = key(DRAW, &self.own.name);
         let drawn = |it: &Peer| score(draw, &it.name, 1.0);
         others.sort_by(|one, other| drawn(other).total_cmp(&drawn(one)));
-        self.referred = others;
+        others.sort_by_key(|it| self.failed.contains_key(&it.name));
+        self.referrals.take(name, others, now);
     }
 }
 
--- a/components/router/src/feed/others.rs
+++ b/components/router/src/feed/others.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 
+use bytes::Bytes;
 use clock::Millis;
 use edge::{Batch, Fact, Peer, Revision};
 use routing::Event;
@@ -35,7 +36,7 @@
         let answer = self.core.hearing.ask(peer, look).await;
         let now = self.core.clock.now();
         match answer {
-            Ok(Answer::News(news, facts, bytes)) => self.hear(peer, news, facts, bytes, asked),
+            Ok(Answer::News(news, facts, packed)) => self.hear(peer, news, facts, packed, asked),
             Ok(Answer::Refer(others)) => {
                 debug!("referred to others", kv: { peer = &*peer.name, others = others.len() });
                 self.core.fleet().sources().refer(&peer.name, others, now);
@@ -55,7 +56,7 @@
         peer: &Peer,
         news: wire::News,
         facts: Vec<Fact>,
-        bytes: usize,
+        packed: Bytes,
         asked: Millis,
     ) {
         let now = self.core.clock.now();
@@ -63,7 +64,12 @@
         if !self.may_take(revision, news.whole) {
             return self.core.fleet().sources().stale(&peer.name, now);
         }
+        let starts = self.revision.is_none();
+        let bytes = packed.len();
         self.absorb(Batch { facts, revision, bytes, ..Batch::default() }, news.whole);
+        if starts {
+            self.core.fleet().keep_packed(packed, now);
+        }
         // The question came there after it was asked, and the answer began `held_ms` later.
         let proof = news.proof_ms.map(|it| asked + Millis(news.held_ms) - Millis(it) - ROUNDING);
         if let Some(at) = proof.filter(|_| self.proves()) {
--- a/components/router/src/fleet.rs
+++ b/components/router/src/fleet.rs
@@ -7,36 +7,9 @@
 use bytes::Bytes;
 use clock::Millis;
 use edge::{Announcement, Batch, Fact, Peer, Revision};
-use fleet::{Mirror, Neighbours, Roster, Source, Sources};
+use fleet::{Answers, Hearers, Mirror, Neighbours, Roster, Source, Sources};
 use tokio::sync::watch;
 
-/// How long a router counts as hearing from this one after it asked last: it asks again within
-/// its wait for news.
-const HEARS: Millis = Millis(3_000);
-
-/// The most routers that hear from one: a change of 100 KB reaches them within a second over
-/// 20 Mbit/s. Further ones hear from these.
-const MOST_HEARERS: usize = 24;
-
-/// How long a packed answer may be given again: what it says is left of times is older by that.
-const PACKED_LASTS: Millis = Millis(500);
-
-/// A router that asks this one, and those that ask it.
-#[derive(Debug)]
-struct Hearer {
-    routers: Vec<Peer>,
-    asked: Millis,
-}
-
-/// An answer that several routers get.
-#[derive(Debug)]
-struct Packed {
-    after: Option<Revision>,
-    revision: Revision,
-    at: Millis,
-    facts: Bytes,
-}
-
 /// The other routers as this one sees them.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -44,11 +17,13 @@
     mirror: RefCell<Mirror>,
     roster: RefCell<Roster>,
     sources: RefCell<Sources>,
-    hearers: RefCell<BTreeMap<Arc<str>, Hearer>>,
+    hearers: RefCell<Hearers>,
     source: RefCell<Option<Peer>>,
-    packed: RefCell<Option<Packed>>,
+    answers: RefCell<Answers>,
     /// The most routers that were counted.
     most: Cell<usize>,
+    /// How many connections of other routers stand.
+    connections: Cell<usize>,
     /// Counts what was learnt, so that those who wait for news wake.
     learnt: watch::Sender<u64>,
     /// Whether this router follows the store by itself, and announces that.
@@ -60,13 +35,14 @@
     pub(crate) fn new(own: Peer, now: Millis) -> Self {
         Self {
             sources: RefCell::new(Sources::new(own.clone(), now)),
+            hearers: RefCell::new(Hearers::new(own.name.clone())),
             own,
             mirror: RefCell::default(),
             roster: RefCell::default(),
-            hearers: RefCell::default(),
             source: RefCell::default(),
-            packed: RefCell::default(),
+            answers: RefCell::default(),
             most: Cell::new(0),
+            connections: Cell::new(0),
             learnt: watch::Sender::default(),
             follows: watch::Sender::default(),
         }
@@ -160,8 +136,8 @@
     /// The routers that hear from this one, also by way of others.
     fn hearers(&self, now: Millis) -> Vec<Peer> {
         let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        hearers.values().flat_map(|it| it.routers.iter().cloned()).collect()
+        hearers.forget(now);
+        hearers.all()
     }
 
     /// This router and those that hear from it, as it tells when it asks.
@@ -173,14 +149,7 @@
 
     /// Notes that a router asks, with those that hear from it. Returns whether it is answered.
     pub(crate) fn meet(&self, routers: Vec<Peer>, now: Millis) -> bool {
-        let Some(asks) = routers.first().map(|it| it.name.clone()) else { return false };
-        let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        let may = hearers.contains_key(&asks) || hearers.len() < MOST_HEARERS;
-        if may {
-            hearers.insert(asks, Hearer { routers, asked: now });
-        }
-        may
+        self.hearers.borrow_mut().meet(routers, now)
     }
 
     /// From whom this router hears; `None` while it looks at the store.
@@ -192,8 +161,8 @@
     pub(crate) fn neighbours(&self, now: Millis) -> Neighbours {
         let source = self.source.borrow().clone();
         let mut hearers = self.hearers.borrow_mut();
-        hearers.retain(|_, it| it.asked.until(now) < HEARS);
-        let hearers = hearers.values().filter_map(|it| it.routers.first().cloned()).collect();
+        hearers.forget(now);
+        let hearers = hearers.direct().cloned().collect();
         let roster = self.roster.borrow();
         let is_other = |it: &&Peer| it.name != self.own.name;
         let followers = if self.follows() && source.is_none() {
@@ -204,10 +173,9 @@
         Neighbours { source, hearers, followers }
     }
 
-    /// The routers that ask this one, to which others are referred.
+    /// The routers to which others are referred.
     pub(crate) fn relays(&self) -> Vec<Peer> {
-        let hearers = self.hearers.borrow();
-        hearers.values().filter_map(|it| it.routers.first().cloned()).collect()
+        self.hearers.borrow().relays().cloned().collect()
     }
 
     /// Keeps what was learnt for others; see [`Mirror::take`].
@@ -219,6 +187,9 @@
         doubted: bool,
         now: Millis,
     ) {
+        if whole || !batch.facts.is_empty() {
+            self.answers.borrow_mut().clear();
+        }
         self.mirror.borrow_mut().take(batch, whole, returns, doubted, now);
     }
 
@@ -242,15 +213,15 @@
         self.mirror.borrow().has_news(revision)
     }
 
-    /// What has changed after `after`, or everything; returns whether it is everything.
-    pub(crate) fn facts(&self, after: Option<Revision>, now: Millis) -> (Vec<Fact>, bool) {
+    /// What has changed after `after`, or everything where that is `None`.
+    fn facts(&self, after: Option<Revision>, now: Millis) -> Vec<Fact> {
         let mirror = self.mirror.borrow();
         if let Some(changes) = after.and_then(|it| mirror.since(it, now)) {
-            return (changes, false);
+            return changes;
         }
         let mut facts = mirror.all(now);
         facts.extend(self.own_announcement(&facts, now));
-        (facts, true)
+        facts
     }
 
     /// That this router follows the store, where `facts` do not say so: it may not have read its
@@ -261,7 +232,8 @@
         lacks.then(|| Fact::Router(self.announcement(now)))
     }
 
-    /// The same, packed. Routers of a fleet ask for the same at about the same time.
+    /// What has changed after `after`, or everything, packed; returns whether it is everything.
+    /// Routers of a fleet ask for the same at about the same time.
     ///
     /// # Errors
     ///
@@ -272,20 +244,36 @@
         now: Millis,
     ) -> Result<(Bytes, bool), wire::Error> {
         let revision = self.position().unwrap_or_default();
-        let (facts, whole) = self.facts(after, now);
-        if facts.is_empty() {
-            return Ok((Bytes::new(), whole));
+        let after = after.filter(|it| self.mirror.borrow().reaches(*it));
+        let whole = after.is_none();
+        let mut answers = self.answers.borrow_mut();
+        if let Some(answer) = answers.get(after, revision, now) {
+            return Ok((answer, whole));
         }
-        let after = after.filter(|_| !whole);
-        let is_same = |it: &&Packed| {
-            it.after == after && it.revision == revision && it.at.until(now) < PACKED_LASTS
-        };
-        if let Some(packed) = self.packed.borrow().as_ref().filter(is_same) {
-            return Ok((packed.facts.clone(), whole));
-        }
-        let bytes = wire::pack(&facts)?;
-        let facts = bytes.clone();
-        self.packed.replace(Some(Packed { after, revision, at: now, facts }));
-        Ok((bytes, whole))
+        let facts = self.facts(after, now);
+        let answer = if facts.is_empty() { Bytes::new() } else { wire::pack(&facts)? };
+        answers.keep(after, revision, answer.clone(), now);
+        Ok((answer, whole))
+    }
+
+    /// Counts what is held for other routers.
+    pub(crate) fn tell_held(&self, metrics: &telemetry::Metrics) {
+        let (facts, removals) = self.mirror.borrow().kept();
+        metrics.held("facts", facts);
+        metrics.held("removals", removals);
+        metrics.held("answer_bytes", self.answers.borrow().bytes());
+        metrics.held("hearers", self.hearers.borrow().all().len());
+        metrics.held("router_connections", self.connections.get());
+    }
+
+    /// Notes how many connections of other routers stand.
+    pub(crate) fn set_connections(&self, count: usize) {
+        self.connections.set(count);
+    }
+
+    /// Keeps everything as another router packed it, for others that ask for that.
+    pub(crate) fn keep_packed(&self, facts: Bytes, now: Millis) {
+        let Some(revision) = self.position().filter(|_| !self.follows()) else { return };
+        self.answers.borrow_mut().keep(None, revision, facts, now);
     }
 }
