--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -26,7 +26,6 @@
 use clock::Millis;
 use wire::Delay;
 
-use self::shares::part;
 use crate::Effect;
 use crate::beliefs::outlook::Outlook;
 use crate::requests::request::Request;
@@ -100,14 +99,15 @@
         let wait = self.forecast_for(id, best, now).wait_ms;
         self.watch_room(&pool, wait / full, now);
         let standing = self.standing(id, now);
-        let limit = full * part(standing);
-        if wait <= limit {
+        let limit = full * self.shares.part(&pool, standing, now);
+        let late = wait > limit;
+        if !late && !self.gives_way(id, standing, now) {
             return None;
         }
-        self.note_refused(id, standing, now);
+        self.note_refused(id, standing, late, now);
         let times = standing.map_or(1.0, |it| it.rank.times());
         let flow = self.flows.get_mut(&pool)?;
-        Some(flow.book(wait - limit, times, now))
+        Some(flow.book((wait - limit).max(0.0), times, now))
     }
 
     /// The longest wait at which a request of `priority` is sent, in milliseconds.
--- a/components/routing/src/admission/shares.rs
+++ b/components/routing/src/admission/shares.rs
@@ -6,6 +6,7 @@
 
 use clock::Millis;
 use placement::digest;
+use rand::Rng;
 use shares::{Pool, Rank, Standing};
 use wire::Demands;
 
@@ -43,6 +44,18 @@
         self.pools.entry(name.clone()).or_default()
     }
 
+    /// The part of the limit on waits that a workspace has: all of it unless others lack room
+    /// that are not over their shares.
+    pub(super) fn part(&self, pool: &str, standing: Option<Standing>, now: Millis) -> f64 {
+        if !self.pools.get(pool).is_some_and(|it| it.is_lacking(now)) {
+            return 1.0;
+        }
+        match standing.map(|it| it.rank) {
+            Some(Rank::Over(times)) => (1.0 / times).clamp(LEAST, 1.0),
+            Some(Rank::Below | Rank::At) | None => 1.0,
+        }
+    }
+
     /// How a workspace stands; none unless the pool is short.
     fn standing(
         &mut self,
@@ -79,14 +92,29 @@
         pool.serve(hash(&request.ask.workspace), request.priority, now);
     }
 
-    /// Notes that a request is turned away, and how its workspace stands.
-    pub(crate) fn note_refused(&mut self, id: u64, standing: Option<Standing>, now: Millis) {
+    /// Notes that a request is turned away, how its workspace stands, and whether it would be
+    /// late; if not, it gives way.
+    pub(crate) fn note_refused(
+        &mut self,
+        id: u64,
+        standing: Option<Standing>,
+        late: bool,
+        now: Millis,
+    ) {
         if !self.shares_out() {
             return;
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.standing = standing;
-        self.shares.pool(&request.pool).refuse(request.ask.content, now);
+        let pool = self.shares.pool(&request.pool);
+        if late && standing.is_some_and(|it| it.rank.times() <= 1.0) {
+            pool.lack(now);
+        }
+        if late {
+            pool.refuse(request.ask.content, now);
+        } else {
+            pool.give_way(request.ask.content, now);
+        }
     }
 
     /// Takes the part of the limit that the least wait in a pool is.
@@ -106,6 +134,18 @@
         self.shares.standing(&request.pool, workspace, request.priority, now)
     }
 
+    /// Whether a request that has been sent nowhere gives way though its wait is short: where an
+    /// upstream's queue is empty or too long, waits alone tell workspaces apart little.
+    pub(crate) fn gives_way(&mut self, id: u64, standing: Option<Standing>, now: Millis) -> bool {
+        let Some(request) = self.requests.get(&id).filter(|it| it.tries.is_empty()) else {
+            return false;
+        };
+        let lacking = self.shares.pools.get(&request.pool).is_some_and(|it| it.is_lacking(now));
+        let times = self.settings.gives_back;
+        let part = standing.filter(|_| lacking).map_or(1.0, |it| it.part(times));
+        part < 1.0 && !self.random.random_bool(part)
+    }
+
     /// The part of the limit on waits that a workspace has.
     pub(crate) fn share_part(
         &mut self,
@@ -117,7 +157,8 @@
         if !self.shares_out() {
             return 1.0;
         }
-        part(self.shares.standing(pool, workspace, priority, now))
+        let standing = self.shares.standing(pool, workspace, priority, now);
+        self.shares.part(pool, standing, now)
     }
 
     /// Takes what another router tells of a pool that is short.
@@ -165,14 +206,6 @@
 /// A workspace by name, and how it stands.
 pub type Largest = (Arc<str>, Standing);
 
-/// The part of the limit on waits that a workspace has.
-pub(super) fn part(standing: Option<Standing>) -> f64 {
-    match standing.map(|it| it.rank) {
-        Some(Rank::Over(times)) => (1.0 / times).clamp(LEAST, 1.0),
-        Some(Rank::Below | Rank::At) | None => 1.0,
-    }
-}
-
 fn hash(workspace: &str) -> u64 {
     digest(&[workspace.as_bytes()])
 }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -54,6 +54,9 @@
     pub cold_extra: f64,
     /// What workspaces count where a pool is short; 1 for those that are not named.
     pub weights: BTreeMap<Arc<str>, f64>,
+    /// How many times what it was sent beyond its share a workspace gives back while others
+    /// lack room; at zero only what would wait for long is refused first.
+    pub gives_back: f64,
     /// The region of each failure domain, where intents name regions.
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// How long a sidecar's word on its load counts, in milliseconds.
@@ -113,6 +116,7 @@
             cold_multiple: 1.0,
             cold_extra: 0.0,
             weights: BTreeMap::new(),
+            gives_back: 0.0,
             regions: BTreeMap::new(),
             fresh_ms: 300,
             max_attempts: 4,
--- a/components/routing/tests/direct/shares.rs
+++ b/components/routing/tests/direct/shares.rs
@@ -180,6 +180,47 @@
     assert!(sent(&state.apply(asked(2, "a"), NOW)).is_some());
 }
 
+/// Another router tells that the hot workspace was served much, and that others were not;
+/// `lacks` says whether they still lack room.
+fn served_beyond_its_share(mechanisms: Mechanisms, gives_back: f64, lacks: bool) -> State {
+    let mut state = fleet(mechanisms);
+    let settings = Settings { mechanisms, gives_back, ..settings() };
+    state.apply(Event::Settings(Box::new(settings)), NOW);
+    let line = |workspace: &str, asked, served| {
+        let workspace = placement::digest(&[workspace.as_bytes()]);
+        shares::Line { workspace, priority: 5, asked, served }
+    };
+    let lines = vec![line("hot", 2_000, 1_000), line("a", 500, 200), line("b", 500, 200)];
+    let word = shares::Word { at: NOW, short: true, lacks, lines, ..Default::default() };
+    let demands = Demands { router: "front-2".into(), pool: "engine".into(), word };
+    state.apply(Event::Demands(demands), NOW);
+    state
+}
+
+/// How many of a hundred requests of a workspace are sent where nothing waits.
+fn sent_of_a_hundred(state: &mut State, workspace: &str) -> usize {
+    let one = |id: &u64| {
+        let went = sent(&state.apply(asked(*id, workspace), NOW)).is_some();
+        state.apply(Event::Quit { id: *id }, NOW);
+        went
+    };
+    (1..=100).filter(one).count()
+}
+
+#[test]
+fn a_workspace_that_was_served_beyond_its_share_gives_way_until_the_others_are_served() {
+    let mut state = served_beyond_its_share(on(), 1.5, true);
+    let hot = sent_of_a_hundred(&mut state, "hot");
+    assert!((10..50).contains(&hot), "{hot}");
+    assert_eq!(sent_of_a_hundred(&mut state, "a"), 100);
+    let mut state = served_beyond_its_share(on(), 1.5, false);
+    assert_eq!(sent_of_a_hundred(&mut state, "hot"), 100);
+    let mut state = served_beyond_its_share(on(), 0.0, true);
+    assert_eq!(sent_of_a_hundred(&mut state, "hot"), 100);
+    let mut state = served_beyond_its_share(Mechanisms { shares: false, ..on() }, 1.5, true);
+    assert_eq!(sent_of_a_hundred(&mut state, "hot"), 100);
+}
+
 #[test]
 fn shares_can_be_switched_off() {
     let mut state = surge(Mechanisms { shares: false, ..on() });
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -155,6 +155,9 @@
             let holds = weight.is_finite() && *weight > 0.0;
             crate::check::rule(holds, "routing.weights", weight, "a number above 0")?;
         }
+        let gives_back = self.routing.gives_back;
+        let holds = (0.0..=10.0).contains(&gives_back);
+        crate::check::rule(holds, "routing.gives_back", gives_back, "a number of 0 to 10")?;
         positive("routing.quarantine_ends", self.routing.quarantine_ends as u64)?;
         positive("routing.max_attempts", u64::from(self.routing.max_attempts))
     }
--- a/components/shares/src/pool.rs
+++ b/components/shares/src/pool.rs
@@ -13,6 +13,9 @@
 /// For how long a pool is taken to be short after a sign of it.
 const SHORT_LASTS: Millis = Millis(2_000);
 
+/// For how long others are taken to lack room after one of them was refused: two tellings.
+const LACKS_LASTS: Millis = Millis(800);
+
 /// For how long a router's word counts after which nothing more came: a few tellings.
 const WORD_LASTS: Millis = Millis(2_000);
 
@@ -32,6 +35,9 @@
     /// Until when the pool is short by what this router has seen, and by what others told.
     short: Millis,
     told_short: Millis,
+    /// The same for workspaces that lack room though they are not over their shares.
+    lacks: Millis,
+    told_lacks: Millis,
 }
 
 impl Pool {
@@ -52,11 +58,27 @@
         self.run_short(now);
     }
 
+    /// Takes that work was refused for the sake of others, which is no sign that the pool is
+    /// short: it would keep itself short.
+    pub fn give_way(&mut self, content: u64, now: Millis) {
+        self.own.refuse(content, now);
+    }
+
     /// Takes a sign that the pool is short.
     pub fn run_short(&mut self, now: Millis) {
         self.short = now + SHORT_LASTS;
     }
 
+    /// Takes that a workspace was refused that is not over its share.
+    pub fn lack(&mut self, now: Millis) {
+        self.lacks = now + LACKS_LASTS;
+    }
+
+    /// Whether workspaces lack room that are not over their shares, at this router or at others.
+    pub fn is_lacking(&self, now: Millis) -> bool {
+        now < self.lacks.max(self.told_lacks)
+    }
+
     /// Whether the pool is short, by this router's own signs or by those of others.
     pub fn is_short(&self, now: Millis) -> bool {
         now < self.short.max(self.told_short)
@@ -74,6 +96,9 @@
         if word.short {
             self.told_short = now + SHORT_LASTS;
         }
+        if word.lacks {
+            self.told_lacks = now + LACKS_LASTS;
+        }
         word.lines.truncate(MOST_LINES);
         self.words.insert(router.clone(), (now, word));
     }
@@ -87,7 +112,8 @@
             return None;
         }
         let (lines, rest) = self.own.tell(now);
-        Some(Word { at: now, short: now < self.short, lines, rest })
+        let (short, lacks) = (now < self.short, now < self.lacks);
+        Some(Word { at: now, short, lacks, lines, rest })
     }
 
     /// How a workspace stands for requests of `priority`; `weight` is what each workspace
--- a/components/shares/src/standing.rs
+++ b/components/shares/src/standing.rs
@@ -3,6 +3,9 @@
 use clock::Millis;
 use serde::Serialize;
 
+/// The part of its requests that a workspace may send however far it is over its share.
+const LEAST: f64 = 0.4;
+
 /// A workspace in a pool, for requests of one priority.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Standing {
@@ -53,6 +56,16 @@
 }
 
 impl Standing {
+    /// The part of its requests that it may send, where waits allow it: less than 1 only while
+    /// it has been served beyond its share, that is while others lack some of theirs. It gives
+    /// that back `times` times, so that the others have theirs within a burst and not after it.
+    pub fn part(&self, times: f64) -> f64 {
+        if !matches!(self.rank, Rank::Over(_)) || self.served <= self.share {
+            return 1.0;
+        }
+        (1.0 - times * (1.0 - self.share / self.served)).max(LEAST)
+    }
+
     /// The age of what others told as a time.
     pub(crate) fn aged(mut self, age: Option<Millis>) -> Self {
         self.age_ms = age.map(|it| it.0);
--- a/components/shares/src/word.rs
+++ b/components/shares/src/word.rs
@@ -14,6 +14,8 @@
     pub at: Millis,
     /// Whether the pool is short by what this router has seen itself.
     pub short: bool,
+    /// Whether this router has refused workspaces lately that are not over their shares.
+    pub lacks: bool,
     /// The workspaces with the largest demand.
     pub lines: Vec<Line>,
     /// All others.
--- a/components/shares/tests/pool.rs
+++ b/components/shares/tests/pool.rs
@@ -36,7 +36,7 @@
 fn word(at: u64, workspace: u64, asked: u32, served: u32) -> Word {
     let (asked, served) = (10 * asked, 10 * served);
     let line = Line { workspace, priority: URGENT, asked, served };
-    Word { at: Millis(at), short: true, lines: vec![line], rest: Rest::default() }
+    Word { at: Millis(at), short: true, lacks: true, lines: vec![line], rest: Rest::default() }
 }
 
 fn other() -> Arc<str> {
@@ -163,6 +163,15 @@
     assert_eq!(pool.tell(NOW + Millis(2_500)), None);
 }
 
+#[test]
+fn work_that_gives_way_is_no_sign_that_a_pool_is_short() {
+    let mut pool = Pool::default();
+    pool.give_way(1, NOW);
+    assert!(!pool.is_short(NOW));
+    pool.ask(HOT, URGENT, 1, NOW);
+    assert!(standing(&mut pool, HOT, URGENT).demand < 1.0);
+}
+
 #[test]
 fn routers_do_not_keep_each_other_short() {
     let mut pool = Pool::default();
@@ -213,3 +222,39 @@
     let mut pool = pool.clone();
     assert_eq!(pool.standing(HOT, URGENT, |_| 1.0, NOW + Millis(200)).rank.name(), "over");
 }
+
+#[test]
+fn a_workspace_gives_back_what_others_lack_of_their_shares() {
+    let mut pool = Pool::default();
+    ask(&mut pool, HOT, URGENT, 80, 60);
+    for workspace in 2..12 {
+        ask(&mut pool, workspace, URGENT, 10, 9);
+    }
+    // 150 are served; the others want 100 of them, so that its share is 50 of the 60 it had.
+    let hot = standing(&mut pool, HOT, URGENT);
+    assert!((hot.part(1.5) - 0.75).abs() < 1e-9, "{hot:?}");
+    assert!((standing(&mut pool, CALM, URGENT).part(1.5) - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_workspace_gives_nothing_back_where_the_others_are_served() {
+    let mut pool = Pool::default();
+    ask(&mut pool, HOT, URGENT, 80, 40);
+    for workspace in 2..12 {
+        ask(&mut pool, workspace, URGENT, 10, 10);
+    }
+    let hot = standing(&mut pool, HOT, URGENT);
+    assert!(matches!(hot.rank, Rank::Over(_)), "{hot:?}");
+    assert!((hot.part(1.5) - 1.0).abs() < 1e-9, "{hot:?}");
+}
+
+#[test]
+fn others_lack_room_for_a_while_after_one_was_refused_here_or_elsewhere() {
+    let mut pool = Pool::default();
+    pool.hear(&other(), word(1, HOT, 30, 10), NOW);
+    assert!(pool.is_lacking(NOW + Millis(700)));
+    assert!(!pool.is_lacking(NOW + Millis(900)));
+    assert!(pool.tell(NOW).is_some_and(|it| !it.lacks), "what others told is not handed on");
+    pool.lack(NOW);
+    assert!(pool.tell(NOW).is_some_and(|it| it.lacks));
+}
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -42,7 +42,7 @@
     let line = |(workspace, priority, asked, served)| Line { workspace, priority, asked, served };
     let lines = lines.into_iter().map(line).collect();
     let rest = Rest { workspaces: 3, asked: 70, served: 20 };
-    let word = Word { at: Millis(at), short: true, lines, rest };
+    let word = Word { at: Millis(at), short: true, lacks: false, lines, rest };
     Demands { router: "front-1".into(), pool: "engine".into(), word }
 }
 
