--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Switches for mechanisms, each on unless it is switched off: for operators who suspect
+/// Switches for mechanisms, each but `shares` on unless it is switched off: for operators who suspect
 /// one, and for measuring what each is worth. Promises to callers rest on none of them.
 #[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,7 +55,7 @@
             silence: true,
             retries: true,
             admission: true,
-            shares: true,
+            shares: false,
             late_takes: true,
             shared_looks: true,
         }
--- a/components/routing/tests/direct/shares.rs
+++ b/components/routing/tests/direct/shares.rs
@@ -76,7 +76,7 @@
 }
 
 fn on() -> Mechanisms {
-    Mechanisms::default()
+    Mechanisms { shares: true, ..Mechanisms::default() }
 }
 
 #[test]
@@ -236,7 +236,8 @@
 fn a_workspace_that_counts_more_may_ask_for_more() {
     let weights = [("hot".into(), 100.0)].into();
     let mut state = surge(on());
-    state.apply(Event::Settings(Box::new(Settings { weights, ..settings() })), NOW);
+    let settings = Settings { mechanisms: on(), weights, ..settings() };
+    state.apply(Event::Settings(Box::new(settings)), NOW);
     wait_at_all(&mut state, BUSY);
     assert!(sent(&state.apply(asked(1, "hot"), LATER)).is_some());
 }
