--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -37,9 +37,9 @@
 /// changed meanwhile: every configuration of that time, whole.
 const OUTAGE: Millis = Millis(2_000);
 
-/// How much the store holds, in bytes, from which on looks ask for less after an outage: a few
-/// configurations would take seconds to come.
-const MUCH: usize = 256 * 1024;
+/// How much the store holds, in bytes, from which on looks ask for less after an outage: four
+/// configurations of that length are a long history, and a dozen may have waited.
+const MUCH: usize = 128 * 1024;
 
 /// The shortest suspension of the host of which the log tells; the two clocks that are compared
 /// are read one after the other.
