Give an upstream its slots back after refusals

Cause: as a pool becomes short, the queue of an upstream is full of what was sent before. Change: refusals lower the limit to half of the listed slots at most; below the slots it grows with each answer; six refusals without an answer are a failure.

--- a/components/places/src/limit.rs
+++ b/components/places/src/limit.rs
@@ -20,6 +20,13 @@
 /// What is left of it for each answer while work queues.
 const WHILE_QUEUEING: f64 = 0.98;
 
+/// How much the limit grows while as many are answered as it allows: below the slots, and above.
+const RECOVERS: f64 = 0.5;
+const GROWS: f64 = 0.25;
+
+/// After how many refusals without an answer an upstream is taken to take nothing.
+const MOST_REFUSALS: u32 = 6;
+
 /// The part of an objective that may be waited at an upstream, if all that is under way came
 /// there at once.
 const WAITS: f64 = 0.4;
@@ -46,6 +53,8 @@
     /// When the limit was lowered for a refusal last.
     lowered: Millis,
     failures: u32,
+    /// Refusals since the last answer.
+    refusals: u32,
     shut_until: Millis,
 }
 
@@ -64,6 +73,7 @@
             out: None,
             lowered: Millis::ZERO,
             failures: 0,
+            refusals: 0,
             shut_until: Millis::ZERO,
         }
     }
@@ -72,6 +82,7 @@
     /// for so long; `full` says whether all places were in use.
     pub fn answered(&mut self, took: Millis, out: Millis, full: bool) {
         self.failures = 0;
+        self.refusals = 0;
         self.shut_until = Millis::ZERO;
         self.took = Some(mean(self.took, ms(took)));
         self.out = Some(mean(self.out, ms(out.max(took))));
@@ -81,8 +92,10 @@
             // Listed slots are borne; what is above them may queue.
             let floor = if self.listed { self.slots.min(self.bears) } else { 1.0 };
             self.bears = (self.bears * WHILE_QUEUEING).max(floor);
+        } else if self.bears < self.slots {
+            self.bears += RECOVERS / self.bears;
         } else if full {
-            self.bears += 1.0 / self.bears / 4.0;
+            self.bears += GROWS / self.bears;
         }
         let most = if self.listed { self.slots } else { f64::MAX };
         self.bears = self.bears.min(most);
@@ -92,7 +105,8 @@
     /// once for all that were sent before the first was heard of. One that has no room for a
     /// single request takes nothing.
     pub fn refused(&mut self, in_flight: usize, now: Millis) {
-        if in_flight <= 1 || self.bears <= 1.0 {
+        self.refusals = self.refusals.saturating_add(1);
+        if in_flight <= 1 || self.refusals > MOST_REFUSALS {
             return self.failed(now);
         }
         let round = Millis(whole(self.out.unwrap_or(100.0)));
@@ -101,7 +115,9 @@
         }
         self.lowered = now;
         let seen = f64::from(u32::try_from(in_flight).unwrap_or(u32::MAX));
-        self.bears = (self.bears.min(seen) * AFTER_REFUSAL).max(1.0);
+        // What was sent before the pool was known to be short is there too.
+        let least = if self.listed { self.slots / 2.0 } else { 1.0 };
+        self.bears = (self.bears.min(seen) * AFTER_REFUSAL).max(least);
     }
 
     /// The upstream failed or could not be reached.
