Have announcements lapse in the model of who looks at the store

Cause: the property test of who comes to know the newest failed once, on a new random case: good followers stood down for two that the store had turned away for over 20 s. In the model their announcements never lapsed; a router announces itself under a lease of 20 s, which it can't renew then (router/src/announcement.rs). Change: the model's announcements lapse as the leases do; the case is a test of its own, seen failing before.

--- a/components/fleet/tests/sources.rs
+++ b/components/fleet/tests/sources.rs
@@ -10,6 +10,9 @@
 /// How long a step of the tests takes.
 const STEP: Millis = Millis(100);
 
+/// How long an announcement lasts that its router can't renew, as the store does not answer it.
+const LEASE: Millis = Millis(20_000);
+
 /// How many routers of a domain follow the store where it is the only one; one where there are
 /// more.
 const FOLLOWING: usize = 2;
@@ -32,6 +35,8 @@
     lives: bool,
     /// Whether the store answers it.
     reaches: bool,
+    /// When the store last did.
+    reached: Millis,
     /// When it last knew what the store holds.
     proof: Option<Millis>,
     /// From whom it heard last.
@@ -61,6 +66,7 @@
             roster: Roster::default(),
             lives: true,
             reaches: true,
+            reached: Millis::ZERO,
             proof: None,
             source: None,
             seen: None,
@@ -78,7 +84,9 @@
 
     /// What the followers announce: themselves, and all that have heard from them.
     fn announcements(&self) -> Vec<Announcement> {
-        let followers = self.routers.iter().filter(|it| it.lives && it.sources.follows());
+        let is_announced =
+            |it: &&Router| it.sources.follows() && it.reached.until(self.now) < LEASE;
+        let followers = self.routers.iter().filter(|it| it.lives).filter(is_announced);
         let announce = |it: &Router| {
             let hears =
                 |other: &&Router| other.lives && other.source.as_ref() == Some(&it.own.name);
@@ -91,6 +99,9 @@
     /// Lets a step of time pass, in which each router looks once.
     fn step(&mut self) {
         self.now = self.now + STEP;
+        for router in self.routers.iter_mut().filter(|it| it.reaches) {
+            router.reached = self.now;
+        }
         self.announced.push(self.announcements());
         let latest = self.announced.len() - 1;
         let known: Vec<_> = self
@@ -312,6 +323,29 @@
     }
 }
 
+#[test]
+fn whoever_lives_comes_to_know_the_newest_where_followers_are_cut_off_from_the_store() {
+    use Fault::{CutFromStore, Kill};
+    let kills = [(Kill(7), 1), (Kill(9), 1), (Kill(5), 2), (Kill(1), 37)];
+    let cuts = [(CutFromStore(8), 30), (CutFromStore(16), 26), (CutFromStore(0), 28)];
+    let mut fleet = Fleet::new(2, 12);
+    fleet.run(Millis(8_000));
+    for (fault, steps) in kills.into_iter().chain(cuts) {
+        match fault {
+            Kill(it) => fleet.routers[it].lives = false,
+            CutFromStore(it) => fleet.routers[it].reaches = false,
+            Fault::Mend => {}
+        }
+        for _ in 0..steps {
+            fleet.step();
+        }
+    }
+    let lives = fleet.routers.iter().filter(|it| it.lives).count();
+    fleet.run(Millis(4_000 + 1_000 * lives as u64));
+    let oldest = fleet.oldest();
+    assert!(oldest.is_some_and(|it| it <= Millis(2_500)), "{oldest:?}");
+}
+
 /// A router of a domain without followers that hears from one far away, and its roster.
 fn away(number: usize) -> (Sources, Roster) {
     let mut sources = Sources::new(peer(number, 1), Millis::ZERO);
