--- a/components/edge/src/dialect.rs
+++ b/components/edge/src/dialect.rs
@@ -31,6 +31,9 @@
     pub prefixes: Vec<Prefix>,
     /// The last event of the answer that the caller has already received.
     pub last_event: Option<u64>,
+    /// The id of the request whose answer the caller wants to be continued: the one that brought
+    /// the first event.
+    pub continues: Option<Arc<str>>,
 }
 
 /// A segment of a prompt; together with those before it, a prefix of the prompt.
--- a/components/experiment/src/document.rs
+++ b/components/experiment/src/document.rs
@@ -53,6 +53,7 @@
             leaving: false,
             slots: 0,
             born: 0,
+            version: "".into(),
         })
         .collect()
 }
--- a/components/experiment/src/overload/fleet/callers.rs
+++ b/components/experiment/src/overload/fleet/callers.rs
@@ -68,6 +68,7 @@
             idempotency_key: None,
             weight: 1,
             deadline: Some(self.now.until(deadline)),
+            continuation: None,
         };
         self.apply(router, id, Event::Arrival(arrival));
     }
--- a/components/experiment/src/overload/fleet/names.rs
+++ b/components/experiment/src/overload/fleet/names.rs
@@ -31,6 +31,7 @@
         leaving: false,
         slots,
         born: 0,
+        version: "".into(),
     }
 }
 
--- a/components/experiment/src/simulation.rs
+++ b/components/experiment/src/simulation.rs
@@ -279,6 +279,7 @@
             prefixes: Vec::new(),
             weight: self.rng.random_range(load.min_weight..=load.max_weight),
             deadline: None,
+            continuation: None,
         };
         self.outcome.asked += 1;
         let router = self.rng.random_range(0..self.routers.len());
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -217,6 +217,7 @@
         prefixes: Vec::new(),
         weight: 1_000,
         deadline: None,
+        continuation: None,
     }
 }
 
--- a/components/fleet/tests/mirror.rs
+++ b/components/fleet/tests/mirror.rs
@@ -25,6 +25,7 @@
         leaving: sequence.is_multiple_of(3),
         slots: 4,
         born: 0,
+        version: "".into(),
     };
     Fact::Upstream { host, sequence, cold: Millis::ZERO }
 }
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -105,6 +105,7 @@
         leaving: entry.leaving,
         slots: 0,
         born: 0,
+        version: "".into(),
     }
 }
 
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -329,6 +329,12 @@
         let outcome: &'static str = decision.outcome.into();
         self.metrics.record_request(outcome, error);
         self.metrics.record_attempts(decision.tries.len());
+        for is_same in decision.continuations() {
+            self.metrics.record_continuation("router", if is_same { "same" } else { "other" });
+        }
+        if decision.continuation.is_some() && !decision.tries.is_empty() {
+            self.metrics.record_continuation("caller", "unknown");
+        }
         if let Some(standing) = decision.standing {
             self.metrics.record_share_refusal(&decision.pool, standing.rank.name());
         }
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -157,6 +157,7 @@
         prefixes: Vec::new(),
         weight: prompt.weight,
         deadline: deadline(&request),
+        continuation: None,
     };
     relay(&core, arrival, template).await
 }
@@ -187,6 +188,7 @@
         prefixes: Vec::new(),
         weight: PLAIN_WEIGHT,
         deadline: deadline(&request),
+        continuation: None,
     };
     relay(&core, arrival, template).await
 }
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -10,7 +10,7 @@
 use ntex::io::IoRef;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
-use routing::Arrival;
+use routing::{Arrival, Continuation};
 
 use crate::core::Core;
 use crate::relay::{Relay, Step};
@@ -98,9 +98,17 @@
         idempotency_key: None,
         weight: REQUEST_WEIGHT,
         deadline: metadata.remaining,
+        continuation: continuation(metadata).filter(|_| target.events),
     }
 }
 
+/// The stream that the caller continues, if the request says so.
+fn continuation(metadata: &Metadata) -> Option<Continuation> {
+    let Metadata { continues, last_event, .. } = metadata;
+    let continues_one = continues.is_some() || last_event.is_some();
+    continues_one.then(|| Continuation { stream: continues.clone(), last_event: *last_event })
+}
+
 /// The id that groups requests with a common prompt: the last prefix that is not unique to this
 /// request.
 fn chat_id(prompt: &[Prefix]) -> Option<Arc<str>> {
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -1,7 +1,7 @@
 //! Log lines on requests and upstreams.
 
 use clock::Millis;
-use routing::{Crash, Decision, Standing, Try};
+use routing::{Continuation, Crash, Decision, Part, Standing, Try};
 use spdlog::info;
 
 /// Logs the decision on a completed request.
@@ -15,6 +15,7 @@
         workspace = &*decision.workspace,
         kind = &*decision.kind,
         content = format!("{:016x}", decision.content),
+        continues = format_continuation(decision),
         generation = decision.generation,
         proof_ms = or_none(decision.proof_ms),
         upstream,
@@ -114,7 +115,18 @@
     decision.standing.map_or_else(String::new, format)
 }
 
-/// One word per attempt: upstream, time since arrival, estimated load, queued requests and their
+/// The request that began the stream which the caller continues, and the caller's last event;
+/// empty for other requests.
+fn format_continuation(decision: &Decision) -> String {
+    let format = |continuation: &Continuation| {
+        let stream = continuation.stream.as_deref().unwrap_or("unnamed");
+        format!("{stream},after={}", or_none(continuation.last_event))
+    };
+    decision.continuation.as_ref().map_or_else(String::new, format)
+}
+
+/// One word per attempt: upstream, time since arrival, `rest` if it continues an answer, the
+/// upstream's version, estimated load, queued requests and their
 /// wait, tokens to read and to copy, the upstream to copy from, and the error.
 fn format_tries(decision: &Decision) -> String {
     let format = |attempt: &Try| {
@@ -122,9 +134,10 @@
         let warm = attempt.warm.as_deref().unwrap_or("-");
         let (copied, read) = (attempt.copied, attempt.read);
         let after = decision.came.until(attempt.sent).0;
+        let part = if attempt.part == Part::Rest { "rest," } else { "" };
         format!(
-            "{}@{after}ms,load={},queued={},wait={},read={read},copied={copied},copy={warm},{error}",
-            attempt.upstream, attempt.load, attempt.queued, attempt.wait_ms
+            "{}@{after}ms,{part}version={},load={},queued={},wait={},read={read},copied={copied},copy={warm},{error}",
+            attempt.upstream, attempt.version, attempt.load, attempt.queued, attempt.wait_ms
         )
     };
     decision.tries.iter().map(format).collect::<Vec<_>>().join(" ")
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -224,6 +224,17 @@
     pub weight: u64,
     /// Time limit set by the caller, if any; it can only shorten the intent's.
     pub deadline: Option<Millis>,
+    /// Set if the caller has the beginning of the answer and wants the rest.
+    pub continuation: Option<Continuation>,
+}
+
+/// A stream that broke off, and that its caller continues with a new request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Continuation {
+    /// Public id of the request that brought the first event, if the caller names it.
+    pub stream: Option<Arc<str>>,
+    /// Number of the last event that the caller has, if it names it.
+    pub last_event: Option<u64>,
 }
 
 /// The start of a prompt that several requests may share.
@@ -348,6 +359,9 @@
     /// starts of one entry.
     #[serde(default)]
     pub born: u64,
+    /// Version of its software; empty if unknown.
+    #[serde(default)]
+    pub version: Arc<str>,
 }
 
 impl Host {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -16,13 +16,13 @@
 mod upstreams;
 
 pub use effect::{Attempt, Effect};
-pub use event::{Arrival, Event, Host, IdempotencyKey, Owner, Prefix, Reply};
+pub use event::{Arrival, Continuation, Event, Host, IdempotencyKey, Owner, Prefix, Reply};
 pub use mechanisms::Mechanisms;
 pub use path::Path;
 pub use placement::Bound;
 pub use recovery::budget::Budget;
 pub use recovery::quarantine::{Crash, Liveness};
-pub use requests::decision::{Decision, Exclusion, Try};
+pub use requests::decision::{Decision, Exclusion, Part, Try};
 pub use settings::{Policy, Settings};
 pub use shares::{Rank, Standing};
 pub use state::State;
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use shares::Standing;
 
-use crate::Prefix;
+use crate::{Continuation, Prefix};
 
 /// How a request was routed, or why it did not run.
 #[derive(Clone, Debug, Serialize)]
@@ -24,6 +24,8 @@
     pub model: Option<Arc<str>>,
     /// The intent that applied, if any.
     pub intent: Option<Arc<str>>,
+    /// The stream that the caller continues, if any.
+    pub continuation: Option<Continuation>,
     /// Generation of the configuration.
     pub generation: u64,
     /// Age of the configuration's confirmation, in milliseconds; none if it was never confirmed.
@@ -56,6 +58,17 @@
     pub detail: Arc<str>,
 }
 
+impl Decision {
+    /// The attempts that continued an answer, each with whether its upstream ran the version that
+    /// began the answer.
+    pub fn continuations(&self) -> impl Iterator<Item = bool> {
+        let first = self.tries.iter().rfind(|attempt| attempt.part == Part::Whole);
+        let began = first.map(|attempt| &attempt.version);
+        let continued = self.tries.iter().filter(|attempt| attempt.part == Part::Rest);
+        continued.map(move |attempt| Some(&attempt.version) == began)
+    }
+}
+
 /// An upstream that was excluded from the selection.
 #[derive(Clone, Debug, Serialize)]
 pub struct Exclusion {
@@ -65,11 +78,25 @@
     pub why: &'static str,
 }
 
+/// Which part of an answer an attempt asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Part {
+    /// All of it, or for a caller that continues a stream all that the caller lacks.
+    Whole,
+    /// What earlier attempts have not delivered.
+    Rest,
+}
+
 /// One attempt.
 #[derive(Clone, Debug, Serialize)]
 pub struct Try {
     /// Name of the upstream.
     pub upstream: Arc<str>,
+    /// Version of its software when the attempt was sent.
+    pub version: Arc<str>,
+    /// Which part of the answer it asks for.
+    pub part: Part,
     /// When the attempt was sent.
     pub sent: Millis,
     /// When a frame was last received, or the attempt was sent.
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::state::State;
 use crate::upstreams::estimate::{Estimate, millis_to_f64};
 use crate::upstreams::upstream::{BACKING_OFF, COLD, EVACUATED, OVER_BOUND};
-use crate::{Attempt, Effect, Try};
+use crate::{Attempt, Effect, Part, Try};
 
 /// Upper bound of the random addition to a retry delay after a backoff.
 const RETRY_SPREAD: Millis = Millis(500);
@@ -131,6 +131,7 @@
         if !request.is_answering() {
             request.phase = Phase::Sent;
         }
+        let version = upstream.host.version.clone();
         let load = upstream.estimated_load(&Estimate { now, ..request.estimate });
         upstream.add_request(request.arrival.weight);
         upstream.cold_start.record_sent(now);
@@ -139,6 +140,8 @@
         let prefill = Prefill::new(&self.prefix_index, &self.upstreams, request, name, mechanisms);
         request.tries.push(Try {
             upstream: name.clone(),
+            version,
+            part: if request.is_answering() { Part::Rest } else { Part::Whole },
             sent: now,
             last_received: now,
             load,
--- a/components/routing/src/requests/ownership.rs
+++ b/components/routing/src/requests/ownership.rs
@@ -73,6 +73,7 @@
             prefixes: Vec::new(),
             weight: 1,
             deadline: None,
+            continuation: None,
         };
         let estimate = self.estimate(target.intent, now);
         let selection =
--- a/components/routing/tests/direct/fixture.rs
+++ b/components/routing/tests/direct/fixture.rs
@@ -69,6 +69,16 @@
     Event::Hosts(domains.iter().enumerate().map(engine).collect())
 }
 
+/// Lists one engine for each of these software versions, in order.
+pub fn engines_of(versions: &[&str]) -> Event {
+    let engine = |(number, version): (usize, &&str)| Host {
+        version: (*version).into(),
+        slots: 8,
+        ..host(&format!("engine-{number}"), "engine")
+    };
+    Event::Hosts(versions.iter().enumerate().map(engine).collect())
+}
+
 /// Lists plain services with six slots each.
 pub fn services(count: usize) -> Event {
     let service = |number: usize| Host { slots: 6, ..host(&format!("plain-{number}"), "plain") };
@@ -96,6 +106,7 @@
         leaving: false,
         slots: 0,
         born: 0,
+        version: "".into(),
     }
 }
 
@@ -129,6 +140,7 @@
         idempotency_key: None,
         weight: 1,
         deadline: None,
+        continuation: None,
     })
 }
 
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -18,3 +18,4 @@
 mod refusals;
 mod shares;
 mod silence;
+mod versions;
--- a/components/routing/tests/direct/permits.rs
+++ b/components/routing/tests/direct/permits.rs
@@ -86,6 +86,7 @@
         leaving: false,
         slots: 0,
         born: 0,
+        version: "".into(),
     }]);
     let load_report = Event::Load { upstream: "plain-0".into(), requests: 1, waiting: 0 };
     let cases = [
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -22,6 +22,7 @@
         leaving: false,
         slots: 0,
         born: 0,
+        version: "".into(),
     }
 }
 
@@ -59,6 +60,7 @@
         prefixes: Vec::new(),
         weight: 1,
         deadline: None,
+        continuation: None,
     })
 }
 
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -14,6 +14,7 @@
         leaving,
         slots: 0,
         born: 0,
+        version: "".into(),
     }
 }
 
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -174,6 +174,7 @@
         leaving,
         slots: 0,
         born: 0,
+        version: "".into(),
     }
 }
 
@@ -299,6 +300,7 @@
             prefixes: Vec::new(),
             weight: 100,
             deadline: None,
+            continuation: None,
         };
         self.requests.insert(id, Record { once, ..Record::default() });
         self.apply_event(id, |_| Event::Arrival(arrival.clone()));
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -19,6 +19,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     share_refusals: Counter<u64>,
+    continuations: Counter<u64>,
     control_bytes: Counter<u64>,
     changes: Counter<u64>,
     state_sizes: Gauge<u64>,
@@ -46,6 +47,10 @@
                 "silverstack_share_refusals",
                 "Refusals in a pool that is short, by the workspace's standing",
             ),
+            continuations: counter(
+                "silverstack_continuations",
+                "Attempts to continue a stream, by who asked and the upstream's version",
+            ),
             control_bytes: counter(
                 "silverstack_control_bytes",
                 "Bytes of control traffic, by kind",
@@ -82,6 +87,12 @@
         self.share_refusals.add(1, &[pool, KeyValue::new("standing", standing)]);
     }
 
+    /// Counts an attempt to continue a stream. `by` is `router` or `caller`; `version` tells whether
+    /// the upstream runs the version that began the stream: `same`, `other` or `unknown`.
+    pub fn record_continuation(&self, by: &'static str, version: &'static str) {
+        self.continuations.add(1, &[KeyValue::new("by", by), KeyValue::new("version", version)]);
+    }
+
     /// Counts bytes of control traffic by kind, such as `hosts` or `report`.
     pub fn record_control(&self, kind: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("kind", kind)]);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,3 +18,4 @@
 mod standin;
 mod stop;
 mod streams;
+mod versions;
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -145,9 +145,7 @@
             .spawn()
             .expect("the binary starts");
         let router = Self { store, host: host.to_owned(), child, settings, log: log_path(host) };
-        router.wait_until("listening", || {
-            std::net::TcpStream::connect((host, OPERATOR_PORT)).is_ok()
-        });
+        router.wait_until("listening", || router.is_listening());
         router
     }
 
@@ -171,6 +169,11 @@
         self.caller().request(line, &headers(further), body)
     }
 
+    /// Whether the operator endpoint accepts connections.
+    pub fn is_listening(&self) -> bool {
+        std::net::TcpStream::connect((&*self.host, OPERATOR_PORT)).is_ok()
+    }
+
     /// Whether the readiness endpoint answers 200.
     pub fn is_ready(&self) -> bool {
         let mut operator = Caller::connect(&format!("{}:{OPERATOR_PORT}", self.host));
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -83,6 +83,8 @@
 pub struct Upstream {
     pub name: String,
     pub service: String,
+    /// The version of its software.
+    pub version: &'static str,
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
 }
@@ -90,6 +92,11 @@
 impl Upstream {
     /// Starts an upstream on `host` that gives complete answers.
     pub fn start(host: &str, name: &str, service: &str) -> Self {
+        Self::start_version(host, name, service, "v1")
+    }
+
+    /// Like [`Upstream::start`], with a version of the software.
+    pub fn start_version(host: &str, name: &str, service: &str, version: &'static str) -> Self {
         let listener = TcpListener::bind((host, 0)).expect("the stand-in can listen");
         let address = listener.local_addr().expect("the stand-in has an address");
         let stored_listener = listener.try_clone().expect("a listener");
@@ -98,6 +105,7 @@
         let upstream = Self {
             name: name.to_owned(),
             service: service.to_owned(),
+            version,
             address,
             state: Arc::new(Mutex::new(state)),
         };
@@ -184,7 +192,7 @@
             "service": self.service,
             "address": self.address.to_string(),
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
