Continue a stream only at the software version that began it

Cause: the version of an upstream was read and dropped. A retry inside an answer ranked all upstreams of the pool, and a stream that a caller takes up was ranked like a new one, at every router. The same held for the split of an intent: the new request was drawn into a branch by its new id. Class: state that a request depends on (which upstream began it) is known to one router only, and a later step decides without it.

Mend: the first event binds a request to the pool and version of its upstream; the ranking, leftover candidates and every check of an upstream without ranking honour that. For callers the record of a stream is kept by the router that began it and by three others, in rendezvous order of the stream's hash; a router without it asks them. Only where no other version can have begun the stream is it concluded without a record, for which the recent versions are saved in the store. What stays unknown is refused at once.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -9,7 +9,7 @@
 use routing::{Crash, Host};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use wire::Peer;
+use wire::{Build, Peer};
 
 /// An entry of the store, or a change to one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -50,6 +50,8 @@
     RouterRemoved(Arc<str>),
     /// The upstreams that a router has saved for routers that start later.
     SavedHosts(Vec<Host>),
+    /// The builds that may have begun a stream, as a router has saved them.
+    SavedBuilds(Vec<Build>),
     /// The encoded warm prefixes that a router has saved for routers that start later.
     SavedPrefixes(Bytes),
     /// The crashes that a router has reported.
@@ -181,8 +183,13 @@
         lease: Lease,
     ) -> LocalBoxFuture<'_, Result<(), Error>>;
 
-    /// Saves upstreams for routers that start later.
-    fn save_hosts(&self, hosts: Vec<Host>) -> LocalBoxFuture<'_, Result<(), Error>>;
+    /// Saves upstreams for routers that start later, and the builds that may have begun a stream,
+    /// if given, for all routers.
+    fn save_hosts(
+        &self,
+        hosts: Vec<Host>,
+        builds: Option<Vec<Build>>,
+    ) -> LocalBoxFuture<'_, Result<(), Error>>;
 
     /// Saves encoded warm prefixes for routers that start later.
     fn save_prefixes(&self, prefixes: Bytes) -> LocalBoxFuture<'_, Result<(), Error>>;
--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -139,6 +139,8 @@
     Silent: 502 Unknown false false "the upstream said nothing for too long";
     /// The answer is too large to be stored.
     AnswerTooLarge: 502 Ran false false "the answer is larger than may be kept";
+    /// The caller continues a stream, and it is unknown which software version began it.
+    StreamLost: 503 NotRun false false "the stream can't be continued: its beginning is not known";
 }
 
 /// The JSON body of an error answer.
--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -21,6 +21,7 @@
     Router(Arc<str>),
     Crashes(Arc<str>),
     SavedHosts,
+    SavedBuilds,
     SavedPrefixes,
 }
 
@@ -190,7 +191,7 @@
         Key::Router(name) => Some(Fact::RouterRemoved(name.clone())),
         Key::Crashes(name) => Some(Fact::CrashesRemoved(name.clone())),
         // These are replaced, but never removed.
-        Key::Configuration | Key::SavedHosts | Key::SavedPrefixes => None,
+        Key::Configuration | Key::SavedHosts | Key::SavedBuilds | Key::SavedPrefixes => None,
     }
 }
 
@@ -220,6 +221,7 @@
             Some(Key::Crashes(router.clone()))
         }
         Fact::SavedHosts(_) => Some(Key::SavedHosts),
+        Fact::SavedBuilds(_) => Some(Key::SavedBuilds),
         Fact::SavedPrefixes(_) => Some(Key::SavedPrefixes),
         Fact::AllRestored | Fact::Unreadable { .. } => None,
     }
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
 use wire::{
-    Delay, Demands, Frame, Hello, Loads, Observations, Outcome, UpstreamCrash, WarmPrefixes,
+    Build, Delay, Demands, Frame, Hello, Loads, Observations, Outcome, UpstreamCrash, WarmPrefixes,
 };
 
 use crate::clients::Clients;
@@ -26,7 +26,8 @@
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::query_client::QueryClient;
-use crate::{report, saturation};
+use crate::streams::Streams;
+use crate::{report, saturation, streams};
 
 /// The service name in metrics and traces.
 const SERVICE: &str = "silverstack-router";
@@ -57,6 +58,8 @@
     pub crashes: Crashes,
     /// Permits of saturated pools.
     pub permits: Permits,
+    /// Lookups of streams at other routers.
+    pub streams: Streams,
     /// Notified when the platform's store was restored from an older copy.
     pub store_restored: Notify,
     pub metrics: Metrics,
@@ -104,6 +107,7 @@
             directory_updates,
             crashes: Crashes::default(),
             permits: Permits::default(),
+            streams: Streams::default(),
             store_restored: Notify::new(),
             metrics: Metrics::new(SERVICE),
             tracer: tracer(&settings),
@@ -182,6 +186,10 @@
                 self.permits.release(self, pool, *number, *end, *elapsed);
                 false
             }
+            Effect::PublishBeginning(beginning) => {
+                streams::publish(self, beginning);
+                false
+            }
             Effect::ReportSaturation { pool } => {
                 self.permits.report_saturation(self, pool);
                 false
@@ -211,6 +219,17 @@
         self.state.borrow().available_slots(pool, self.clock.now())
     }
 
+    /// The build that began a stream, if this router keeps its record.
+    pub(crate) fn find_stream(&self, stream: u64) -> Option<Build> {
+        self.state.borrow().find_stream(stream, self.clock.now())
+    }
+
+    /// The builds that may have begun a stream which is still continued; `None` if this router may
+    /// not know all of them.
+    pub(crate) fn recent_builds(&self) -> Option<Vec<Build>> {
+        self.state.borrow().recent_builds(self.clock.now())
+    }
+
     /// Time since the configuration in force was last confirmed to be the newest.
     pub(crate) fn confirmation_age_ms(&self) -> Option<u64> {
         self.state.borrow().confirmation_age_ms(self.clock.now())
@@ -332,8 +351,9 @@
         for is_same in decision.continuations() {
             self.metrics.record_continuation("router", if is_same { "same" } else { "other" });
         }
-        if decision.continuation.is_some() && !decision.tries.is_empty() {
-            self.metrics.record_continuation("caller", "unknown");
+        if decision.continuation.is_some() {
+            let version = if decision.binding.is_some() { "same" } else { "unknown" };
+            self.metrics.record_continuation("caller", version);
         }
         if let Some(standing) = decision.standing {
             self.metrics.record_share_refusal(&decision.pool, standing.rank.name());
--- a/components/router/src/feed/facts.rs
+++ b/components/router/src/feed/facts.rs
@@ -9,6 +9,7 @@
 use intents::{Document, Plan};
 use routing::{Event, Host};
 use spdlog::{info, warn};
+use wire::Build;
 
 use super::Feed;
 use crate::persistence;
@@ -30,6 +31,8 @@
     newest: Option<Box<Document>>,
     /// Upstreams saved by the router that writes for the fleet.
     saved_upstreams: Vec<Host>,
+    /// Builds saved by the same router; `None` if there are none saved.
+    saved_builds: Option<Vec<Build>>,
     /// Warm prefixes saved by the same router.
     saved_prefixes: Bytes,
 }
@@ -57,6 +60,7 @@
         }
         let is_first = !std::mem::replace(&mut self.has_read, true);
         let mechanisms = self.core.settings.routing.mechanisms;
+        self.load_builds(deferred.saved_builds, is_first);
         if is_first && mechanisms.upstreams {
             deferred.changed |= self.load_upstreams(deferred.saved_upstreams, now);
         }
@@ -88,6 +92,15 @@
         missing
     }
 
+    /// Passes saved builds to the routing state. At the first start of the fleet there are none.
+    fn load_builds(&self, saved: Option<Vec<Build>>, is_first: bool) {
+        let direct = self.core.settings.direct.as_ref();
+        let is_first_start = is_first && direct.is_some_and(|direct| direct.first_start);
+        let Some(builds) = saved.or_else(|| is_first_start.then(Vec::new)) else { return };
+        info!("builds received", kv: { builds = builds.len() });
+        self.core.apply(Event::Builds(builds));
+    }
+
     /// Loads saved warm prefixes at startup.
     fn load_prefixes(&self, saved: &[u8]) {
         let warm = persistence::decode(saved);
@@ -143,6 +156,7 @@
                 }
             }
             Fact::SavedHosts(hosts) => deferred.saved_upstreams = hosts,
+            Fact::SavedBuilds(builds) => deferred.saved_builds = Some(builds),
             Fact::SavedPrefixes(prefixes) => deferred.saved_prefixes = prefixes,
             Fact::Crashes { router, crashes } => {
                 if router == self.core.settings.name {
@@ -189,8 +203,10 @@
     /// Passes the upstreams to the routing state.
     fn publish_upstreams(&self, revision: u64) {
         let hosts = self.listing.hosts();
+        let versions: BTreeSet<_> = hosts.iter().map(|host| &host.version).collect();
         info!("upstreams changed", kv: {
             upstreams = hosts.len(),
+            versions = versions.len(),
             leaving = hosts.iter().filter(|host| host.leaving).count(),
             revision,
         });
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -1,6 +1,6 @@
 //! Exchange of hints between the routers of a fleet: warm prefixes, loads and outcomes.
 //!
-//! Claims, verdicts and reports of crashes arrive at the same socket.
+//! Claims, verdicts, reports of crashes and records of streams arrive at the same socket.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +12,7 @@
 
 use crate::core::Core;
 use crate::peers::{Peers, Tally};
+use crate::streams;
 
 /// The longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1_024;
@@ -199,6 +200,9 @@
         Frame::Claims(claims) => core.permits.receive_claims(core, &claims, from),
         Frame::Verdicts(verdicts) => core.permits.receive_verdicts(core, &verdicts),
         Frame::Saturated(report) => core.permits.receive_saturation(core, &report),
+        Frame::Begun(beginning) => streams::receive_beginning(core, beginning),
+        Frame::Find(stream) => streams::answer(core, stream, from),
+        Frame::Found(lookup) => core.streams.receive(&lookup, from),
         _ => debug!("unexpected datagram", kv: { from = from.to_string() }),
     }
 }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -31,6 +31,7 @@
 mod report;
 mod saturation;
 mod server;
+mod streams;
 mod target;
 mod template;
 mod watch_scope;
--- a/components/router/src/persistence.rs
+++ b/components/router/src/persistence.rs
@@ -77,11 +77,18 @@
 /// Saves the upstreams on each change until shutdown.
 pub(crate) async fn save_upstreams(core: Rc<Core>, pending: Pending) {
     let mut hosts = pending.hosts;
+    let store = &core.edges().store;
+    let mut written = None;
     while hosts.changed().await.is_ok() {
         let known = hosts.borrow_and_update().clone();
         let upstreams = known.len();
-        match core.edges().store.save_hosts(known).await {
-            Ok(()) => info!("upstreams remembered", kv: { upstreams }),
+        let builds = core.recent_builds().map(|builds| (builds, store.era()));
+        let changed = builds.clone().filter(|_| builds != written);
+        match store.save_hosts(known, changed.map(|(builds, _)| builds)).await {
+            Ok(()) => {
+                info!("upstreams remembered", kv: { upstreams });
+                written = builds;
+            }
             // The next change causes another write.
             Err(error) => warn!("upstreams not remembered", kv: { reason = error.to_string() }),
         }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::core::Core;
 use crate::direct::{self, Progress};
 use crate::key;
+use crate::streams;
 use crate::template::Template;
 
 /// An attempt in progress.
@@ -172,6 +173,7 @@
             Effect::BindKey { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
             Effect::Claim { pool, claim } => self.claim(&pool, claim).await,
+            Effect::FindStream { stream } => self.find_stream(stream).await,
             Effect::UpdateDirectory { .. } => self.core.queue_update(effect),
             Effect::CloseIdle { address } => self.core.client().close_idle(&address),
             Effect::Postpone(backoff) => {
@@ -190,6 +192,7 @@
             | Effect::Quarantine { .. }
             | Effect::Release { .. }
             | Effect::ReportSaturation { .. }
+            | Effect::PublishBeginning(_)
             | Effect::Drained => {}
         }
         None
@@ -225,6 +228,13 @@
         self.apply(event);
     }
 
+    /// Looks up which build began the stream that the caller continues.
+    async fn find_stream(&mut self, stream: u64) {
+        let core = self.core.clone();
+        let lookup = streams::find(&core, stream).await;
+        self.apply(Event::Found { id: self.id, lookup });
+    }
+
     /// Ends the current attempt.
     fn end_call(&mut self) {
         if let Some(Call::Direct(call)) = self.call.take() {
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -1,7 +1,7 @@
 //! Log lines on requests and upstreams.
 
 use clock::Millis;
-use routing::{Continuation, Crash, Decision, Part, Standing, Try};
+use routing::{Binding, Continuation, Crash, Decision, Part, Standing, Try};
 use spdlog::info;
 
 /// Logs the decision on a completed request.
@@ -16,6 +16,7 @@
         kind = &*decision.kind,
         content = format!("{:016x}", decision.content),
         continues = format_continuation(decision),
+        began = format_binding(decision),
         generation = decision.generation,
         proof_ms = or_none(decision.proof_ms),
         upstream,
@@ -125,6 +126,15 @@
     decision.continuation.as_ref().map_or_else(String::new, format)
 }
 
+/// The version that began the answer and how it was found; empty if it is not known or needed.
+fn format_binding(decision: &Decision) -> String {
+    let format = |binding: &Binding| {
+        let source: &'static str = binding.source.into();
+        format!("{},{source}", binding.build.version)
+    };
+    decision.binding.as_ref().map_or_else(String::new, format)
+}
+
 /// One word per attempt: upstream, time since arrival, `rest` if it continues an answer, the
 /// upstream's version, estimated load, queued requests and their
 /// wait, tokens to read and to copy, the upstream to copy from, and the error.
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use errors::{Answer, Kind};
-use wire::{Claim, DirectoryUpdate, Finish, Head, WarmPrefixes};
+use wire::{Beginning, Claim, DirectoryUpdate, Finish, Head, WarmPrefixes};
 
 use crate::{Crash, Decision, Owner};
 
@@ -132,6 +132,13 @@
         /// Name of the pool.
         pool: Arc<str>,
     },
+    /// Find the record of a stream at the routers that keep it. Answered by `Found`.
+    FindStream {
+        /// Hash of the stream.
+        stream: u64,
+    },
+    /// Send the record of a stream to the routers that keep it.
+    PublishBeginning(Beginning),
     /// No requests are left in flight after a drain.
     Drained,
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -7,8 +7,8 @@
 use intents::{Labels, Plan};
 use serde::{Deserialize, Serialize};
 use wire::{
-    Admitted, Broken, Chunk, Delay, Demands, End, Frame, Head, Loads, Observations, Outcome,
-    Refused, WarmPrefixes, Welcome,
+    Admitted, Beginning, Broken, Build, Chunk, Delay, Demands, End, Frame, Head, Loads,
+    Observations, Outcome, Refused, WarmPrefixes, Welcome,
 };
 
 use crate::{Crash, Liveness, Settings};
@@ -191,6 +191,17 @@
         /// Internal id of the request.
         id: u64,
     },
+    /// The builds that may have begun a stream, as a router has saved them; these are all.
+    Builds(Vec<Build>),
+    /// A stream has begun at another router, and this one keeps its record.
+    Begun(Beginning),
+    /// The lookup of the stream that a caller continues has ended.
+    Found {
+        /// Internal id of the request.
+        id: u64,
+        /// Its result.
+        lookup: Lookup,
+    },
     /// The router should stop accepting requests and drain.
     Drain {
         /// Time at which unfinished requests are aborted.
@@ -198,6 +209,17 @@
     },
 }
 
+/// The result of asking the routers that keep the record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lookup {
+    /// This build began the stream.
+    Found(Build),
+    /// All of them have answered, and none has the record.
+    Nowhere,
+    /// None of those that answered has the record, and others did not answer.
+    Unanswered,
+}
+
 /// A complete request from a caller.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -330,7 +352,10 @@
             | Frame::Cleared(_)
             | Frame::Claims(_)
             | Frame::Verdicts(_)
-            | Frame::Saturated(_) => Self::Unexpected,
+            | Frame::Saturated(_)
+            | Frame::Begun(_)
+            | Frame::Find(_)
+            | Frame::Found(_) => Self::Unexpected,
         }
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -16,12 +16,13 @@
 mod upstreams;
 
 pub use effect::{Attempt, Effect};
-pub use event::{Arrival, Continuation, Event, Host, IdempotencyKey, Owner, Prefix, Reply};
+pub use event::{Arrival, Continuation, Event, Host, IdempotencyKey, Lookup, Owner, Prefix, Reply};
 pub use mechanisms::Mechanisms;
 pub use path::Path;
 pub use placement::Bound;
 pub use recovery::budget::Budget;
 pub use recovery::quarantine::{Crash, Liveness};
+pub use requests::continuation::{Binding, Source};
 pub use requests::decision::{Decision, Exclusion, Part, Try};
 pub use settings::{Policy, Settings};
 pub use shares::{Rank, Standing};
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -44,6 +44,9 @@
     pub dealt_room: bool,
     /// In a saturated pool, ask the pool owner for a permit before sending.
     pub places: bool,
+    /// Keep records of streams for other routers, and ask those for them. Without it, only streams
+    /// of this router and of pools with one version are continued for callers.
+    pub streams: bool,
 }
 
 impl Default for Mechanisms {
@@ -67,6 +70,7 @@
             pace: true,
             dealt_room: true,
             places: true,
+            streams: true,
         }
     }
 }
--- a/components/routing/src/requests.rs
+++ b/components/routing/src/requests.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod arrival;
 pub(crate) mod completion;
+pub(crate) mod continuation;
 pub(crate) mod decision;
 pub(crate) mod dispatch;
 pub(crate) mod ownership;
--- a/components/routing/src/requests/arrival.rs
+++ b/components/routing/src/requests/arrival.rs
@@ -91,6 +91,7 @@
             phase: Phase::Sent,
             repeatable: target.repeatable,
             resumable: target.kind.resumable,
+            binding: None,
             max_attempts: intent.attempts.unwrap_or(self.settings.max_attempts),
             pool: "".into(),
             priority: target.priority,
@@ -108,12 +109,15 @@
         }
     }
 
-    /// Starts the first attempt: at the owner if the request has a key, otherwise at the best
-    /// candidate.
+    /// Starts the first attempt: at the build of the stream if the caller continues one, at the
+    /// owner if the request has a key, otherwise at the best candidate.
     fn start(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
+        if request.arrival.continuation.is_some() {
+            return self.start_continuation(id, now);
+        }
         let Some(key) = request.arrival.idempotency_key.clone() else {
             return self.send_next(id, now);
         };
--- a/components/routing/src/requests/completion.rs
+++ b/components/routing/src/requests/completion.rs
@@ -28,6 +28,7 @@
             content: arrival.fingerprint,
             model: arrival.model.clone(),
             continuation: arrival.continuation.clone(),
+            binding: None,
             intent: None,
             generation: self.generation(),
             proof_ms: self.confirmation_age_ms(now),
@@ -56,7 +57,9 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Postponed | Phase::Claiming => Kind::Cancelled,
+            Phase::Binding | Phase::Postponed | Phase::Claiming | Phase::Locating => {
+                Kind::Cancelled
+            }
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -71,7 +74,9 @@
             return Vec::new();
         };
         let kind = match request.phase {
-            Phase::Binding | Phase::Postponed | Phase::Claiming => Kind::ExpiredWaiting,
+            Phase::Binding | Phase::Postponed | Phase::Claiming | Phase::Locating => {
+                Kind::ExpiredWaiting
+            }
             Phase::Sent | Phase::Admitted => Kind::Expired,
             Phase::Answering { .. } => Kind::ExpiredRunning,
         };
@@ -146,6 +151,7 @@
             content: request.arrival.fingerprint,
             model: request.arrival.model,
             continuation: request.arrival.continuation,
+            binding: request.binding,
             intent: Some(request.intent),
             generation: request.generation,
             proof_ms: request.proof_ms,
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use shares::Standing;
 
+use crate::requests::continuation::Binding;
 use crate::{Continuation, Prefix};
 
 /// How a request was routed, or why it did not run.
@@ -26,6 +27,8 @@
     pub intent: Option<Arc<str>>,
     /// The stream that the caller continues, if any.
     pub continuation: Option<Continuation>,
+    /// The build that began the answer, if it is known or needed.
+    pub binding: Option<Binding>,
     /// Generation of the configuration.
     pub generation: u64,
     /// Age of the configuration's confirmation, in milliseconds; none if it was never confirmed.
--- a/components/routing/src/requests/ownership.rs
+++ b/components/routing/src/requests/ownership.rs
@@ -77,7 +77,7 @@
         };
         let estimate = self.estimate(target.intent, now);
         let selection =
-            self.index.choose(&self.upstreams, &target, &arrival, &self.settings, &estimate);
+            self.index.choose(&self.upstreams, &target, &arrival, None, &self.settings, &estimate);
         let upstreams =
             selection.candidates.iter().rev().filter_map(|name| self.upstreams.get(name));
         let best = upstreams.into_iter().find(|upstream| upstream.is_up(now))?;
--- a/components/routing/src/requests/permits.rs
+++ b/components/routing/src/requests/permits.rs
@@ -226,8 +226,9 @@
             .is_some_and(|request| request.phase == Phase::Claiming && is_claimed(&request.permit))
     }
 
-    /// Whether the deadline passed; no `Expire` event arrives while a claim is open.
-    fn is_expired(&self, id: u64, now: Millis) -> bool {
+    /// Whether the deadline passed; no `Expire` event arrives while a claim is open or a stream is
+    /// looked up.
+    pub(crate) fn is_expired(&self, id: u64, now: Millis) -> bool {
         self.requests.get(&id).is_some_and(|request| request.deadline <= now)
     }
 
--- a/components/routing/src/requests/reply.rs
+++ b/components/routing/src/requests/reply.rs
@@ -43,7 +43,7 @@
     fn is_current(&self, id: u64, attempt: u32) -> bool {
         self.requests.get(&id).is_some_and(|request| {
             request.attempt_number() == attempt
-                && !matches!(request.phase, Phase::Binding | Phase::Claiming)
+                && !matches!(request.phase, Phase::Binding | Phase::Claiming | Phase::Locating)
         })
     }
 
@@ -191,9 +191,11 @@
         if chunk.sequence > *chunks {
             return self.cancel_and_fail(id, Kind::Truncated, now);
         }
+        let is_first = *chunks == 0;
         *chunks += 1;
         *bytes += chunk.bytes.len() as u64;
-        vec![Effect::Relay(chunk.bytes)]
+        let beginning = is_first.then(|| self.record_beginning(id, now)).flatten();
+        beginning.into_iter().chain([Effect::Relay(chunk.bytes)]).collect()
     }
 
     fn handle_end(&mut self, id: u64, end: End, now: Millis) -> Vec<Effect> {
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -6,6 +6,7 @@
 use errors::{Kind, Outcome};
 use shares::Standing;
 
+use crate::requests::continuation::Binding;
 use crate::upstreams::estimate::Estimate;
 use crate::{Arrival, Exclusion, IdempotencyKey, Try};
 
@@ -18,6 +19,8 @@
     Postponed,
     /// Not sent: the pool is saturated, and a permit was claimed.
     Claiming,
+    /// Not sent: the build that began the caller's stream is looked up at other routers.
+    Locating,
     /// Sent; nothing received yet.
     Sent,
     /// Admitted by the sidecar.
@@ -65,6 +68,8 @@
     pub repeatable: bool,
     /// Whether a broken answer may be continued at another upstream.
     pub resumable: bool,
+    /// The build that began the answer; the rest of the answer may come from no other.
+    pub binding: Option<Binding>,
     /// Maximum number of upstreams it may be sent to.
     pub max_attempts: u32,
     /// Pool whose retry budget it uses.
--- a/components/routing/src/selection/candidates.rs
+++ b/components/routing/src/selection/candidates.rs
@@ -7,6 +7,7 @@
 use intents::{Intent, Selector, Target};
 use placement::{Pool, key, top};
 
+use crate::requests::continuation::{Binding, OTHER_BUILD};
 use crate::upstreams::allocation::{Allocation, is_degraded};
 use crate::upstreams::estimate::Estimate;
 use crate::upstreams::health::Outcomes;
@@ -54,18 +55,20 @@
         self.matching.clear();
     }
 
-    /// Ranks the matching upstreams that are not excluded.
+    /// Ranks the matching upstreams that are not excluded. With a `binding`, all those of other
+    /// builds are.
     pub(crate) fn choose(
         &mut self,
         upstreams: &Upstreams,
         target: &Target<'_>,
         arrival: &Arrival,
+        binding: Option<&Binding>,
         settings: &Settings,
         estimate: &Estimate,
     ) -> Selection {
         let matching = self.matching(upstreams, target, arrival);
         let matching = matching.iter().map(|index| &upstreams[*index]);
-        let eligibility = Eligibility::new(matching, arrival.weight, settings, estimate);
+        let eligibility = Eligibility::new(matching, arrival.weight, binding, settings, estimate);
         let key = key(&arrival.workspace, &arrival.chat);
         let first_ranked = eligibility
             .home(key)
@@ -113,7 +116,7 @@
     ) -> Arc<[usize]> {
         let (intent, workspace_upstreams) = (target.intent, target.workspace_upstreams);
         let model = arrival.model.as_deref();
-        let branch = select_branch(intent, &arrival.request);
+        let branch = select_branch(intent, arrival.stream());
         let selectors = branch.map_or(&intent.upstreams, |index| &intent.split[index].upstreams);
         let matches_target = |upstream: &Upstream| {
             intent.matches_model_and_domain(&upstream.labels, &upstream.host.domain, model)
@@ -131,7 +134,8 @@
     }
 }
 
-/// The branch of a split intent that a request is drawn into; `None` for the rest.
+/// The branch of a split intent that a request is drawn into; `None` for the rest. A request that
+/// continues a stream is drawn like the one that began it, whose id `request` is then.
 fn select_branch(intent: &Intent, request: &str) -> Option<usize> {
     if intent.split.is_empty() {
         return None;
@@ -154,6 +158,7 @@
     fn new(
         matching: impl Iterator<Item = &'a Upstream> + Clone,
         weight: u64,
+        binding: Option<&Binding>,
         settings: &Settings,
         estimate: &Estimate,
     ) -> Self {
@@ -166,6 +171,10 @@
         let compares_health = settings.path.monitors_upstreams() && settings.mechanisms.health;
         let outcomes = compares_health.then(|| pool_outcomes(matching.clone(), estimate));
         for upstream in matching {
+            if binding.is_some_and(|binding| !binding.allows(upstream)) {
+                eligibility.excluded.push((upstream, OTHER_BUILD));
+                continue;
+            }
             let exclusion = upstream.exclusion(weight, pool, outcomes, settings, estimate);
             let exhausted = || {
                 allocation.filter(|allocation| allocation.is_exhausted(upstream, weight, estimate))
--- a/components/routing/src/selection/ranking.rs
+++ b/components/routing/src/selection/ranking.rs
@@ -24,8 +24,15 @@
             return;
         };
         let estimate = self.estimate(target.intent, now);
-        let Selection { mut candidates, exclusions, home, first_ranked } =
-            self.index.choose(&self.upstreams, &target, arrival, &self.settings, &estimate);
+        let binding = request.binding.as_ref();
+        let Selection { mut candidates, exclusions, home, first_ranked } = self.index.choose(
+            &self.upstreams,
+            &target,
+            arrival,
+            binding,
+            &self.settings,
+            &estimate,
+        );
         self.prefer_warm(&mut candidates, arrival);
         let pool = candidates
             .last()
@@ -69,14 +76,17 @@
         };
         // Sidecars report that they are leaving, and redirect a chat to its context.
         let is_open = |name: &Arc<str>| {
-            self.upstreams.get(name).is_some_and(|upstream| !reranked || is_eligible(upstream))
+            self.upstreams.get(name).is_some_and(|upstream| {
+                let fits = request.binding.as_ref().is_none_or(|binding| binding.allows(upstream));
+                fits && (!reranked || is_eligible(upstream))
+            })
         };
         request.candidates.retain(is_open);
         request.pool = pool;
     }
 
     /// Whether the configuration allows the request at a listed upstream, which need not be a
-    /// candidate.
+    /// candidate, and the upstream is of the build that began its answer.
     pub(crate) fn is_allowed(&self, id: u64, upstream: &str) -> bool {
         let (Some(plan), Some(request)) = (&self.plan, self.requests.get(&id)) else {
             return false;
@@ -91,6 +101,7 @@
                 &upstream.host.domain,
                 arrival.model.as_deref(),
             ) && Selector::all_match(target.workspace_upstreams, &upstream.labels)
+                && request.binding.as_ref().is_none_or(|binding| binding.allows(upstream))
         };
         self.upstreams.get(upstream).is_some_and(is_allowed)
     }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -8,6 +8,7 @@
 use intents::Plan;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use streams::{Builds, Ledger};
 
 use crate::admission::{Flow, Shares};
 use crate::recovery::draining::{Drain, Durations};
@@ -60,6 +61,10 @@
     pub(crate) upstream_notices: Notices,
     /// Loads reported by other routers.
     pub(crate) peers: Peers,
+    /// The builds that may have begun a stream.
+    pub(crate) builds: Builds,
+    /// Which build began each recent stream.
+    pub(crate) ledger: Ledger,
     /// Saturated pools.
     pub(crate) saturation: Saturation,
     /// Further effects of the current event, returned after its own.
@@ -93,6 +98,8 @@
             quarantine: Quarantine::default(),
             upstream_notices: Notices::default(),
             peers: Peers::default(),
+            builds: Builds::default(),
+            ledger: Ledger::default(),
             saturation: Saturation::new(seed),
             pending_effects: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -152,7 +159,7 @@
     ///
     /// Effects of an event about one request concern that request, except `Drained`,
     /// `PublishPrefixes`, `Suspect`, `Recovered`, `Leaving`, `Backoff`, `Check`, `ReportCrashes`,
-    /// `ReportCleared`, `Quarantine`, `Release` and `ReportSaturation`.
+    /// `ReportCleared`, `Quarantine`, `Release`, `ReportSaturation` and `PublishBeginning`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.handle(event, now);
         effects.append(&mut self.pending_effects);
@@ -234,6 +241,15 @@
                 self.saturation.record(&pool, duration, now);
                 Vec::new()
             }
+            Event::Builds(builds) => {
+                self.builds.restore(builds, now);
+                Vec::new()
+            }
+            Event::Begun(beginning) => {
+                self.receive_beginning(&beginning, now);
+                Vec::new()
+            }
+            Event::Found { id, lookup } => self.handle_found(id, lookup, now),
             Event::Drain { until } => self.drain(until),
         }
     }
@@ -257,6 +273,8 @@
         }
         self.plan = Some(plan);
         self.index.clear();
+        // Labels of the configuration may name the pool.
+        self.record_builds(now);
         self.allocate_quotas(now);
         Vec::new()
     }
--- a/components/routing/src/upstreams/updates.rs
+++ b/components/routing/src/upstreams/updates.rs
@@ -49,6 +49,7 @@
         for upstream in gone {
             self.record_crash(&upstream.host.name, now);
         }
+        self.record_builds(now);
         self.mark_evacuated();
         self.restore_notices();
         self.allocate_quotas(now);
--- a/components/routing/src/upstreams/upstream.rs
+++ b/components/routing/src/upstreams/upstream.rs
@@ -6,7 +6,7 @@
 use intents::Labels;
 use pace::Pace;
 use placement::Pool;
-use wire::Status;
+use wire::{Build, Status};
 
 use crate::selection::ranking::POOL_LABEL;
 use crate::upstreams::cold::ColdStart;
@@ -133,6 +133,16 @@
         self.labels.get(POOL_LABEL).cloned().unwrap_or_default()
     }
 
+    /// The software that the upstream runs.
+    pub(crate) fn build(&self) -> Build {
+        Build { pool: self.pool(), version: self.host.version.clone() }
+    }
+
+    /// Whether the upstream runs this software.
+    pub(crate) fn runs(&self, build: &Build) -> bool {
+        self.host.version == build.version && self.pool() == build.pool
+    }
+
     /// The latest load that the sidecar reported, plus requests sent since.
     pub fn reported_load(&self) -> u64 {
         self.status.load
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod allocation;
 mod cleared_work;
 mod cold;
+mod continuations;
 mod decisions;
 mod draining;
 mod evacuation;
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -401,6 +401,9 @@
                 Effect::Claim { .. } | Effect::Release { .. } | Effect::ReportSaturation { .. } => {
                     panic!("a permit was claimed on the sidecar path")
                 }
+                Effect::FindStream { .. } | Effect::PublishBeginning(_) => {
+                    panic!("no stream of this test may be continued")
+                }
                 Effect::BindKey { .. } => record.binding = true,
                 Effect::Head(_) => {
                     assert!(!std::mem::replace(&mut record.head, true), "a second head");
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -10,6 +10,7 @@
 
 use crate::demands::Demands;
 use crate::permits::{Claims, Saturated, Verdicts};
+use crate::streams::{Beginning, Lookup};
 
 /// A message of a stream, or of a datagram between routers.
 ///
@@ -78,6 +79,13 @@
     Verdicts(Verdicts),
     /// Between routers: a pool is saturated.
     Saturated(Saturated),
+    /// To the routers that keep the record of a stream: it has begun.
+    Begun(Beginning),
+    /// To a router that may keep the record of a stream: queries the build that began it, by the
+    /// hash of the stream. The answer is `Found`.
+    Find(u64),
+    /// The record of a stream, or that there is none.
+    Found(Lookup),
 }
 
 /// A query for the content of the platform's store.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! Streams of the link and datagrams between routers carry length-prefixed
 //! [`Frame`]s. Datagrams carry hints, which may be lost or wrong: they improve
-//! decisions only. This crate is the only user of `bincode`.
+//! decisions only. Records of streams may be lost, which costs a refusal, but
+//! must be right. This crate is the only user of `bincode`.
 
 mod codec;
 mod demands;
 mod frame;
 mod pack;
 mod permits;
+mod streams;
 
 pub use codec::{Error, MAX_FRAME_BYTES, Reader, encode};
 pub use demands::Demands;
@@ -19,3 +21,4 @@
 };
 pub use pack::{pack, unpack};
 pub use permits::{Claim, ClaimState, Claims, Finish, Held, Release, Saturated, Verdict, Verdicts};
+pub use streams::{Beginning, Build, Lookup};
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -105,6 +105,18 @@
         router
     }
 
+    /// Like [`Router::start`], at the first start of the whole fleet.
+    pub fn start_first(configuration: &Value, upstreams: &[&Upstream]) -> Self {
+        let host = unused_host();
+        let store = Store::start(&host);
+        fill(&store, configuration, upstreams);
+        let text = format!("bootstrap = true\n{}", toml(&host, DEFAULT_NAME, &store));
+        let log = std::fs::File::create(log_path(&host)).expect("the file is writable");
+        let router = Self::spawn_with(&host, &text, log.into(), store);
+        router.wait_until("ready", || router.is_ready());
+        router
+    }
+
     /// Like [`Router::start`], with a log pipe that is never read.
     pub fn start_with_unread_log(configuration: &Value, upstreams: &[&Upstream]) -> Self {
         let router = Self::start_with(&unused_host(), Stdio::piped(), |store| {
@@ -136,9 +148,14 @@
     }
 
     fn spawn(host: &str, name: &str, out: Stdio, store: Store) -> Self {
+        Self::spawn_with(host, &toml(host, name, &store), out, store)
+    }
+
+    /// Starts a router with the given text as its settings file.
+    fn spawn_with(host: &str, text: &str, out: Stdio, store: Store) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let settings = folder.join(format!("platform-{host}.toml"));
-        std::fs::write(&settings, toml(host, name, &store)).expect("the file is writable");
+        std::fs::write(&settings, text).expect("the file is writable");
         let child = Command::new(env!("CARGO_BIN_EXE_silverstack-router"))
             .env("SILVERSTACK_SETTINGS", &settings)
             .stdout(out)
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -90,16 +90,30 @@
 
 /// Continues stream `number` at a router, after its third event.
 fn take_up(router: &Router, engines: &[Upstream], number: usize) -> Answer {
+    let begun = format!("begun-{number}");
+    take_up_with(router, engines, number, &[("Resumes", &begun)])
+}
+
+/// Continues stream `number` without naming the request that began it.
+fn take_up_unnamed(router: &Router, engines: &[Upstream], number: usize) -> Answer {
+    take_up_with(router, engines, number, &[])
+}
+
+fn take_up_with(
+    router: &Router,
+    engines: &[Upstream],
+    number: usize,
+    names: &[(&str, &str)],
+) -> Answer {
     set_all(engines, &Action::Events(4, 6, 1));
     let (id, prompt) = (format!("taken-{number}"), format!("c{number}:9,bb:1"));
-    let begun = format!("begun-{number}");
-    let further = [
+    let mut further = vec![
         ("Attempt-Identifier", &*id),
-        ("Resumes", &begun),
         ("Last-Event-Id", "3"),
         ("Model", "m"),
         ("Prompt-Prefix", &prompt),
     ];
+    further.extend(names);
     router.request("POST /resumed/x", &further, "b").expect("an answer")
 }
 
@@ -175,3 +189,36 @@
         assert_eq!(version_of(&engines, &format!("taken-{number}")), None, "stream {number}");
     }
 }
+
+#[test]
+fn a_stream_is_continued_without_a_record_where_only_one_version_has_served() {
+    let host = unused_host();
+    let engines = ["i-0", "i-1"].map(|name| Upstream::start(&host, name, "engine"));
+    let mut router = Router::start_first(&without_retries(), &engines.each_ref());
+    assert_eq!(take_up_unnamed(&router, &engines, 0).status, 200);
+    assert_eq!(take_up(&router, &engines, 1).status, 200);
+    // The store keeps what a router that starts later needs for this.
+    let saved = || router.store.contains_key("silverstack/builds");
+    router.wait_until("saved", saved);
+    router.kill();
+    std::fs::write(
+        router.settings(),
+        std::fs::read_to_string(router.settings())
+            .expect("the settings")
+            .replace("bootstrap = true", "bootstrap = false"),
+    )
+    .expect("the file is writable");
+    router.restart();
+    router.wait_until("listening again", || router.is_listening());
+    router.wait_until("ready again", || router.is_ready());
+    assert_eq!(take_up_unnamed(&router, &engines, 2).status, 200);
+    assert_eq!(take_up(&router, &engines, 3).status, 200);
+}
+
+#[test]
+fn an_unnamed_stream_is_refused_while_versions_are_mixed() {
+    let engines = engines();
+    let router = Router::start_first(&without_retries(), &engines.iter().collect::<Vec<_>>());
+    let answer = take_up_unnamed(&router, &engines, 0);
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
