Let the soak break streams, mix versions and have callers continue them

Engines now run two versions and may change on a restart, one may break off all streams for a while, and callers continue what broke off at any router, naming the request that began it. All events of a stream must be of one version.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -38,6 +38,9 @@
 /// Time within which fatal work must have crashed three engines.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The number of the last event of each stream.
+const LAST_EVENT: usize = 5;
+
 /// How often quarantined work may still be sent to upstreams.
 const MAX_RETRIES: usize = 3;
 
@@ -75,6 +78,7 @@
     });
     let context = format!("seed {seed}: {:#?}", fleet.log);
     check(&fleet, &exchanges, &context);
+    check_versions(&exchanges, &context);
     notices::check_backoffs(&fleet, &context);
     notices::check_leaving(&fleet, &exchanges, &context);
     check_calm(&fleet, &context);
@@ -134,6 +138,23 @@
     }
 }
 
+/// Checks that all events of a stream come from one version of the software, over all requests by
+/// which its caller continued it.
+fn check_versions(exchanges: &[Seen], context: &str) {
+    let mut versions: BTreeMap<&str, &str> = BTreeMap::new();
+    for seen in exchanges.iter().filter(|seen| matches!(seen.kind, Kind::Stream | Kind::Resumed)) {
+        let Some(answer) = &seen.answer else { continue };
+        let stream = seen.continued.as_ref().map_or(&seen.id, |continued| &continued.stream);
+        let events = answer.body.lines().filter(|line| line.starts_with("data: piece"));
+        for version in
+            events.filter_map(|line| line.rsplit_once(" at ")).map(|(_, version)| version)
+        {
+            let began = versions.entry(stream).or_insert(version);
+            assert_eq!(*began, version, "{seen:?} has events of two versions: {context}");
+        }
+    }
+}
+
 /// Checks that an answer belongs to its request, is complete or recognizably cut off, and that a
 /// status for unexecuted requests is true.
 fn check_answer(seen: &Seen, answer: &Answer, ran: usize, context: &str) {
@@ -154,8 +175,10 @@
         Kind::Safe | Kind::Unsafe => assert_eq!(answer.body, "whole", "{seen:?}: {context}"),
         Kind::Stream | Kind::Resumed => {
             let lines = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
-            let numbers: Vec<_> = lines.collect();
-            assert_eq!(numbers, ["1", "2", "3", "4", "5"], "{seen:?}: {context}");
+            let numbers: Vec<usize> = lines.filter_map(|number| number.parse().ok()).collect();
+            let had = seen.continued.as_ref().map_or(0, |continued| continued.last_event);
+            let lacked: Vec<_> = (had + 1..=LAST_EVENT).collect();
+            assert_eq!(numbers, lacked, "{seen:?}: {context}");
         }
     }
 }
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -42,6 +42,27 @@
     }
 }
 
+/// A stream of which a caller has the beginning.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Continued {
+    /// The id of the request that brought its first event.
+    pub stream: String,
+    /// The number of the caller's last event.
+    pub last_event: usize,
+}
+
+impl Seen {
+    /// The stream to continue, if this answer broke off after its first event.
+    fn broken(&self) -> Option<Continued> {
+        let answer = self.answer.as_ref().filter(|answer| answer.status == 200 && !answer.whole)?;
+        let had = self.continued.as_ref().map_or(0, |continued| continued.last_event);
+        let last_event = had + answer.body.matches("\n\n").count();
+        let is_begun = self.kind == Kind::Resumed && last_event > 0;
+        let stream = self.continued.as_ref().map_or(&self.id, |continued| &continued.stream);
+        is_begun.then(|| Continued { stream: stream.clone(), last_event })
+    }
+}
+
 /// A request and the answer that its caller received.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -50,6 +71,8 @@
     /// Whether it was sent with the key that is revoked.
     pub revoked: bool,
     pub sent: Instant,
+    /// The stream that the request continues, if any.
+    pub continued: Option<Continued>,
     /// `None` if the connection ended before an answer.
     pub answer: Option<Answer>,
 }
@@ -74,11 +97,15 @@
                 None => continue,
             },
         };
-        let kind = Kind::ALL[random.random_range(0..Kind::ALL.len())];
+        let drawn = Kind::ALL[random.random_range(0..Kind::ALL.len())];
+        let continued = exchanges.last().and_then(Seen::broken);
+        let kind = if continued.is_some() { Kind::Resumed } else { drawn };
+        // The workspace of a stream stays the same, as both keys are of one.
         let revoked = random.random_bool(0.3);
         let id = format!("id-{}", next.fetch_add(1, Ordering::Relaxed));
         let sent = Instant::now();
-        let answer = send(&mut caller, kind, &id, revoked, &index.to_string());
+        let request = Seen { id, kind, revoked, sent, continued, answer: None };
+        let answer = send(&mut caller, &request, &index.to_string());
         if answer.as_ref().is_some_and(|answer| answer.status != 200) {
             std::thread::sleep(REFUSAL_BACKOFF);
         }
@@ -88,19 +115,25 @@
         if answer.as_ref().is_some_and(|answer| answer.whole && !is_closing(answer)) {
             connection = Some((index, caller));
         }
-        exchanges.push(Seen { id, kind, revoked, sent, answer });
+        exchanges.push(Seen { answer, ..request });
     }
     exchanges
 }
 
-fn send(caller: &mut Caller, kind: Kind, id: &str, revoked: bool, router: &str) -> Option<Answer> {
-    let key = if revoked { format!("Bearer {REVOKED}") } else { "Bearer key-one".to_owned() };
-    let headers = headers(&[
-        ("Attempt-Identifier", id),
+fn send(caller: &mut Caller, request: &Seen, router: &str) -> Option<Answer> {
+    let Seen { id, kind, continued, .. } = request;
+    let key = if request.revoked { REVOKED } else { "key-one" };
+    let key = format!("Bearer {key}");
+    let last_event = continued.as_ref().map(|continued| continued.last_event.to_string());
+    let mut further = vec![
+        ("Attempt-Identifier", id.as_str()),
         ("Authorization", &key),
         ("Deadline-Remaining", "3000"),
         (ROUTER_HEADER, router),
-    ]);
-    let body = if kind == Kind::Safe { "" } else { id };
-    caller.try_request(kind.line(), &headers, body)
+    ];
+    if let (Some(continued), Some(last_event)) = (continued, &last_event) {
+        further.extend([("Resumes", continued.stream.as_str()), ("Last-Event-Id", last_event)]);
+    }
+    let body = if *kind == Kind::Safe { "" } else { id.as_str() };
+    caller.try_request(kind.line(), &headers(&further), body)
 }
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -11,6 +11,9 @@
 use crate::router::{KEY, Router, configuration, unused_host};
 use crate::standin::{Action, Mode, Upstream};
 
+/// Number of plain upstreams; the others are engines.
+const PLAIN: usize = 3;
+
 /// Body of requests that crash engines.
 pub const FATAL: &str = "the work under which engines end";
 
@@ -31,11 +34,12 @@
     AskForRest,
     LeaveByAnswers,
     CrossAnswers,
+    BreakStreams,
     Configuration,
     SendFatal,
 }
 
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 17] = [
     Fault::KillRouter,
     Fault::StopRouter,
     Fault::FreezeRouter,
@@ -50,6 +54,7 @@
     Fault::AskForRest,
     Fault::LeaveByAnswers,
     Fault::CrossAnswers,
+    Fault::BreakStreams,
     Fault::Configuration,
     Fault::SendFatal,
 ];
@@ -92,7 +97,7 @@
 impl Fleet {
     pub fn start(routers: usize) -> Self {
         let host = unused_host();
-        let upstreams: Vec<_> = (0..9).map(|index| start_instance(&host, index)).collect();
+        let upstreams: Vec<_> = (0..9).map(|index| start_instance(&host, index, 1)).collect();
         let first = Router::start_unready(&unused_host(), |store| {
             store.put("op/config", &configuration_with_keys(1, &[KEY, REVOKED]));
             for upstream in &upstreams {
@@ -185,6 +190,11 @@
                 self.upstreams[index].set_actions(&[Action::Crossed]);
                 self.undo.push((until, Undo::Actions(index)));
             }
+            Fault::BreakStreams => {
+                let engine = PLAIN + index % (self.upstreams.len() - PLAIN);
+                self.upstreams[engine].set_actions(&[Action::BrokenRest(1, 3, 30)]);
+                self.undo.push((until, Undo::Actions(engine)));
+            }
             Fault::Configuration => self.update_configuration(random.random_bool(0.5)),
             Fault::SendFatal => self.send_fatal(router, 2),
         }
@@ -302,7 +312,7 @@
     fn start_upstream(&mut self, index: usize) {
         self.starts += 1;
         self.born[index] = self.starts;
-        self.upstreams[index] = start_instance(&self.host, index);
+        self.upstreams[index] = start_instance(&self.host, index, self.starts);
         self.all_instances.push(self.upstreams[index].clone());
         self.write_entry(index);
     }
@@ -313,12 +323,15 @@
     }
 }
 
-/// Starts the upstream of this index: the first three are plain, the others engines.
-fn start_instance(host: &str, index: usize) -> Upstream {
-    let service = if index < 3 { "plain" } else { "engine" };
-    let upstream = Upstream::start(host, &format!("i-{index}"), service);
+/// Starts the upstream of this index: the first [`PLAIN`] are plain, the others engines of two versions
+/// of the software. An engine may start again with the other version.
+fn start_instance(host: &str, index: usize, start: u64) -> Upstream {
+    let service = if index < PLAIN { "plain" } else { "engine" };
+    let is_even = (index as u64 + start).is_multiple_of(2);
+    let version = if is_even { "v1" } else { "v2" };
+    let upstream = Upstream::start_version(host, &format!("i-{index}"), service, version);
     upstream.set_actions(&[default_action(index)]);
-    if index >= 3 {
+    if index >= PLAIN {
         upstream.set_fatal(FATAL);
     }
     upstream
@@ -326,7 +339,7 @@
 
 /// The action of the upstream at `index` without faults.
 fn default_action(index: usize) -> Action {
-    if index < 3 { Action::Delayed(40, 200, "whole") } else { Action::Events(1, 5, 30) }
+    if index < PLAIN { Action::Delayed(40, 200, "whole") } else { Action::Rest(1, 5, 30) }
 }
 
 fn entry(upstream: &Upstream, born: u64) -> Value {
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -48,6 +48,10 @@
     Silent(u64),
     /// Events from the first number to the second, this far apart, then the end of the stream.
     Events(u64, u64, u64),
+    /// Like `Events`, but without those that the client already has.
+    Rest(u64, u64, u64),
+    /// Like `Rest`, and a connection that breaks inside the event after the second number.
+    BrokenRest(u64, u64, u64),
     /// Events from the first number to the second, then a connection that breaks inside an event.
     Broken(u64, u64),
     /// One event, then nothing until the client disconnects.
@@ -309,6 +313,15 @@
             Action::Events(from, to, gap_ms) => {
                 self.send_events(writer, request, *from..=*to, *gap_ms) && send(writer, "0\r\n\r\n")
             }
+            Action::Rest(from, to, gap_ms) => {
+                self.send_events(writer, request, next_event(request, *from)..=*to, *gap_ms)
+                    && send(writer, "0\r\n\r\n")
+            }
+            Action::BrokenRest(from, to, gap_ms) => {
+                self.send_events(writer, request, next_event(request, *from)..=*to, *gap_ms);
+                send(writer, "9\r\nid: 99\nda\r\n");
+                false
+            }
             Action::Stalled => {
                 self.stall(writer, request);
                 false
@@ -361,7 +374,8 @@
         let start = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
         self.send_with_notice(writer, request, &format!("{head}{start}"));
         for number in numbers {
-            let event = format!("id: {number}\ndata: piece {number} of {}\n\n", self.name);
+            let (name, version) = (&self.name, self.version);
+            let event = format!("id: {number}\ndata: piece {number} of {name} at {version}\n\n");
             if !send(writer, &format!("{:x}\r\n{event}\r\n", event.len())) {
                 self.state.lock().expect("the lock is not poisoned").disconnects += 1;
                 return false;
@@ -372,6 +386,12 @@
     }
 }
 
+/// The event after those that the client already has, or `first`.
+fn next_event(request: &Request, first: u64) -> u64 {
+    let had = request.header("last-event-id").and_then(|value| value.parse::<u64>().ok());
+    had.map_or(first, |had| had + 1)
+}
+
 fn answer_head(status: u16, id: &str) -> String {
     format!(
         "HTTP/1.1 {status} .\r\nattempt-identifier: {id}\r\nserver-seal: proof.{id}\r\nserver-load: 1,0,8\r\n"
