Name the answer of a keeper a record

Two types called Lookup stood for different things: a keeper's answer on the wire, and the result of asking all keepers. No behaviour changes.

--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -202,7 +202,7 @@
         Frame::Saturated(report) => core.permits.receive_saturation(core, &report),
         Frame::Begun(beginning) => streams::receive_beginning(core, beginning),
         Frame::Find(stream) => streams::answer(core, stream, from),
-        Frame::Found(lookup) => core.streams.receive(&lookup, from),
+        Frame::Found(record) => core.streams.receive(&record, from),
         _ => debug!("unexpected datagram", kv: { from = from.to_string() }),
     }
 }
--- a/components/router/src/streams.rs
+++ b/components/router/src/streams.rs
@@ -14,7 +14,7 @@
 use spdlog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, timeout_at};
-use wire::{Beginning, Build, Frame, Lookup};
+use wire::{Beginning, Build, Frame, Record};
 
 use crate::core::Core;
 
@@ -60,12 +60,12 @@
     }
 
     /// Passes an answer to the lookups of its stream.
-    pub(crate) fn receive(&self, lookup: &Lookup, from: SocketAddr) {
+    pub(crate) fn receive(&self, record: &Record, from: SocketAddr) {
         let pending = self.pending.borrow();
-        let matching = pending.values().filter(|(stream, _)| *stream == lookup.stream);
+        let matching = pending.values().filter(|(stream, _)| *stream == record.stream);
         for (_, sender) in matching {
             // A full buffer means that more answers have come than routers were asked.
-            let _ = sender.try_send((from, lookup.build.clone()));
+            let _ = sender.try_send((from, record.build.clone()));
         }
     }
 }
@@ -129,8 +129,8 @@
 
 /// Answers the lookup of another router.
 pub(crate) fn answer(core: &Core, stream: u64, from: SocketAddr) {
-    let lookup = Lookup { stream, build: core.find_stream(stream) };
-    send(core, &Frame::Found(lookup), from);
+    let record = Record { stream, build: core.find_stream(stream) };
+    send(core, &Frame::Found(record), from);
 }
 
 /// The addresses of the other routers that keep the record of a stream.
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -10,7 +10,7 @@
 
 use crate::demands::Demands;
 use crate::permits::{Claims, Saturated, Verdicts};
-use crate::streams::{Beginning, Lookup};
+use crate::streams::{Beginning, Record};
 
 /// A message of a stream, or of a datagram between routers.
 ///
@@ -85,7 +85,7 @@
     /// hash of the stream. The answer is `Found`.
     Find(u64),
     /// The record of a stream, or that there is none.
-    Found(Lookup),
+    Found(Record),
 }
 
 /// A query for the content of the platform's store.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -21,4 +21,4 @@
 };
 pub use pack::{pack, unpack};
 pub use permits::{Claim, ClaimState, Claims, Finish, Held, Release, Saturated, Verdict, Verdicts};
-pub use streams::{Beginning, Build, Lookup};
+pub use streams::{Beginning, Build, Record};
--- a/components/wire/src/streams.rs
+++ b/components/wire/src/streams.rs
@@ -26,7 +26,7 @@
 
 /// The answer of a router that was asked which build began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lookup {
+pub struct Record {
     /// The hash of the stream.
     pub stream: u64,
     /// The build; `None` if the router has no record.
