--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -117,6 +117,13 @@
     router.request("POST /resumed/x", &further, "b").expect("an answer")
 }
 
+/// Starts a killed router again, and waits until it is ready.
+fn restart(router: &mut Router) {
+    router.restart();
+    router.wait_until("listening again", || router.is_listening());
+    router.wait_until("ready again", || router.is_ready());
+}
+
 /// Two routers of one fleet that know each other.
 fn pair(engines: &[Upstream]) -> (Router, Router) {
     let upstreams: Vec<_> = engines.iter().collect();
@@ -172,9 +179,7 @@
     let began = begin_all(&two, &engines);
     remove_some(&engines, &[&one, &two]);
     two.kill();
-    two.restart();
-    two.wait_until("listening again", || two.is_listening());
-    two.wait_until("ready again", || two.is_ready());
+    restart(&mut two);
     wait_until_removed(&two);
     continue_all(&two, &engines, &began);
 }
@@ -201,16 +206,10 @@
     let saved = || router.store.contains_key("silverstack/builds");
     router.wait_until("saved", saved);
     router.kill();
-    std::fs::write(
-        router.settings(),
-        std::fs::read_to_string(router.settings())
-            .expect("the settings")
-            .replace("bootstrap = true", "bootstrap = false"),
-    )
-    .expect("the file is writable");
-    router.restart();
-    router.wait_until("listening again", || router.is_listening());
-    router.wait_until("ready again", || router.is_ready());
+    let settings = std::fs::read_to_string(router.settings()).expect("the settings");
+    let settings = settings.replace("bootstrap = true", "bootstrap = false");
+    std::fs::write(router.settings(), settings).expect("the file is writable");
+    restart(&mut router);
     assert_eq!(take_up_unnamed(&router, &engines, 2).status, 200);
     assert_eq!(take_up(&router, &engines, 3).status, 200);
 }
