--- a/components/fleet/src/sources.rs
+++ b/components/fleet/src/sources.rs
@@ -26,7 +26,8 @@
 /// How long a router without any source waits.
 const IDLE_PAUSE: Millis = Millis(300);
 
-/// How long enough pollers must rank before a poller until it steps down.
+/// How long enough pollers must rank before a poller until it steps down. Several may have
+/// become pollers at the same time.
 const SURPLUS_TIMEOUT: Millis = Millis(3_000);
 
 /// How long a router that did not answer is not queried again.
--- a/components/outbound/src/connection.rs
+++ b/components/outbound/src/connection.rs
@@ -13,8 +13,9 @@
 use crate::Error;
 use crate::error::{ConnectSnafu, InterruptedSnafu};
 
-/// Upper bound of a connection's read buffer, which limits the memory that the answer to
-/// a slow caller can use.
+/// Upper bound of a connection's read buffer, which limits the memory that the answer to a slow
+/// caller can use. Heads of answers have a few hundred bytes; the library's default of 400 KB would
+/// let slow callers fill the memory of a small host.
 const MAX_READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// An open connection and the task that drives it. Dropping it closes the connection and
--- a/components/pace/src/lib.rs
+++ b/components/pace/src/lib.rs
@@ -19,7 +19,8 @@
 const FASTER_WEIGHT: f64 = 0.2;
 const SLOWER_WEIGHT: f64 = 0.02;
 
-/// The half-life of the latest report, in milliseconds.
+/// The half-life of the latest report, in milliseconds. The pace changes many times a second, so
+/// that a report says little about the next second.
 const HALF_LIFE_MS: f64 = 200.0;
 
 /// How much longer than nominal one upstream takes; above 1 is slower.
--- a/components/permits/src/issuer.rs
+++ b/components/permits/src/issuer.rs
@@ -12,7 +12,8 @@
 use crate::retries::Retries;
 use crate::settings::{Settings, Wait};
 
-/// How long a permit is valid that its router does not renew.
+/// How long a permit is valid that its router does not renew. Routers renew the permits
+/// that they hold several times within it.
 const PERMIT_TTL: Millis = Millis(900);
 
 /// How long a new owner issues half of the permits. Routers report the permits that they hold
--- a/components/permits/src/queue.rs
+++ b/components/permits/src/queue.rs
@@ -27,15 +27,17 @@
 /// which outdated ones are dropped.
 const MAX_ENTRIES: usize = 256;
 
-/// The part of its objective, as a divisor, after which a waiting request goes before newer
-/// ones and is no longer shed for them.
+/// The part of its objective, as a divisor, after which a waiting request goes before newer ones
+/// and is no longer shed for them. Otherwise requests that have waited would be refused for newer
+/// ones.
 const PROTECTED_DIVISOR: u64 = 10;
 
 /// The part of the time left within which a request must be expected to get its permit. The
 /// margin covers variation around the expected wait.
 const WAIT_RATIO: f64 = 0.7;
 
-/// The same for workspaces with heavy use and for early retries.
+/// The same for workspaces with heavy use and for early retries. Leaves room for other
+/// workspaces.
 const REDUCED_WAIT_RATIO: f64 = 0.1;
 
 /// The ratio to the mean usage above which the use of a workspace is heavy.
--- a/components/router/src/clients.rs
+++ b/components/router/src/clients.rs
@@ -9,7 +9,8 @@
 
 use crate::peers::Peers;
 
-/// How long an idle connection to an upstream is kept, unless the upstream announces less.
+/// How long an idle connection to an upstream is kept, unless the upstream announces less. Shorter
+/// than the time after which upstreams close idle connections.
 const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Everything that a router on a platform connects to.
--- a/components/router/src/crashes.rs
+++ b/components/router/src/crashes.rs
@@ -21,7 +21,7 @@
 use crate::core::Core;
 use crate::feed::RETRY_INTERVAL;
 
-/// The most crashes in one report; older ones are dropped.
+/// The most crashes in one report; older ones are dropped. A full report has about 24 KB.
 const MAX_CRASHES: usize = 256;
 
 /// The longest lease that the platform grants.
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -35,7 +35,8 @@
 /// Outages longer than this are followed by a full read instead of the history.
 const LONG_OUTAGE: Millis = Millis(2_000);
 
-/// Size of a full read, in bytes, from which on polls have a reduced scope after an outage.
+/// Size of a full read, in bytes, from which on polls have a reduced scope after an outage. The
+/// history of an outage may hold a dozen configurations of that length, each in full.
 const LARGE_READ_BYTES: usize = 128 * 1024;
 
 /// Shorter suspensions of the host are not logged; the two compared clocks are not read at the same
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -20,13 +20,15 @@
 /// How often changed loads of this router are sent.
 const LOADS_INTERVAL: Millis = Millis(100);
 
-/// How often outcomes, delays, paces and demands are sent.
+/// How often outcomes, delays, paces and demands are sent. Two failures can exclude an upstream
+/// whose pool has none, so all routers learn of a failing one soon.
 const REPORTS_INTERVAL: Millis = Millis(400);
 
 /// Unchanged loads are sent once in this many intervals.
 const MAX_UNCHANGED_ROUNDS: u32 = 4;
 
-/// How long hints to neighbours are collected before they are sent.
+/// How long hints to neighbours are collected before they are sent. A prefill takes about as long,
+/// and a hint crosses a large fleet in a few hops.
 const COLLECT_DELAY: Millis = Millis(25);
 
 /// How often received hints are logged.
--- a/components/routing/src/admission/flow.rs
+++ b/components/routing/src/admission/flow.rs
@@ -12,7 +12,8 @@
 use crate::upstreams::estimate::to_f64;
 
 /// Fraction of an objective within which an answer is expected to begin; actual waits vary widely
-/// around the estimate.
+/// around the estimate. A lower one refuses requests while slots are free; a higher one serves as
+/// many, but later.
 const MAX_WAIT_RATIO: f64 = 0.5;
 
 /// Factor on the limit for each more urgent priority, so that less urgent requests are refused
--- a/components/routing/src/admission/retry_after.rs
+++ b/components/routing/src/admission/retry_after.rs
@@ -14,7 +14,8 @@
 /// Shortest time over which a completion rate is measured, in milliseconds.
 const MIN_AGE_MS: f64 = 100.0;
 
-/// Longest retry time given to a caller.
+/// Longest retry time given to a caller. Callers wait for at most a third of the time that they
+/// have left.
 const MAX_RETRY_AFTER: Millis = Millis(4_000);
 
 /// Retry bookings of a router in one pool.
--- a/components/routing/src/admission/shares.rs
+++ b/components/routing/src/admission/shares.rs
@@ -19,7 +19,8 @@
 /// saturated.
 const SATURATION_RATIO: f64 = 0.8;
 
-/// Smallest fraction of the full limit left to a workspace over its share.
+/// Smallest fraction of the full limit left to a workspace over its share. Where the wait at some
+/// upstream is below it, nobody is refused.
 const MIN_LIMIT_RATIO: f64 = 0.4;
 
 /// Demand on all pools.
--- a/components/routing/src/recovery/draining.rs
+++ b/components/routing/src/recovery/draining.rs
@@ -8,10 +8,12 @@
 use crate::Effect;
 use crate::state::State;
 
-/// Expected duration of an answer as a percentage of the longest recent one.
+/// Expected duration of an answer as a percentage of the longest recent one. The next answer may be
+/// longer than all of them.
 const DURATION_MARGIN_PERCENT: u64 = 150;
 
-/// Factor by which the longest duration decays with each further answer, in thousandths.
+/// Factor by which the longest duration decays with each further answer, in thousandths. The
+/// longest duration is thus that of the last few hundred answers.
 const DECAY_PER_MILLE: u64 = 998;
 
 /// How long answers of a kind must have been observed before their longest duration counts, as a
--- a/components/routing/src/recovery/silence.rs
+++ b/components/routing/src/recovery/silence.rs
@@ -14,6 +14,8 @@
 use crate::upstreams::upstream::FAILURES_BEFORE_PROBE;
 
 /// Silence timeout of a request as a percentage of its objective: the request is late by then.
+/// Callers give up a stream after four times its objective. At about one objective, engines that
+/// are prefilling prompts would count as silent.
 const SILENCE_TIMEOUT_PERCENT: u64 = 200;
 
 /// Minimum silence timeout, in milliseconds.
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -14,7 +14,8 @@
 use crate::upstreams::upstream::{BACKING_OFF, COLD, EVACUATED, OVER_BOUND};
 use crate::{Attempt, Effect, Part, Try};
 
-/// Upper bound of the random addition to a retry delay after a backoff.
+/// Upper bound of the random addition to a retry delay after a backoff. Spreads the callers that
+/// return when a backoff ends.
 const RETRY_SPREAD: Millis = Millis(500);
 
 impl State {
--- a/components/routing/src/selection/prefill.rs
+++ b/components/routing/src/selection/prefill.rs
@@ -8,9 +8,11 @@
 use crate::{Mechanisms, Upstream};
 
 /// An upstream whose load is at least its slots divided by this may have evicted cached prefixes.
+/// The memory of running requests is no longer available for prefixes.
 const EVICTION_LOAD_DIVISOR: u64 = 4;
 
 /// Minimum length of a cached prefix for which a second source is named, in case it was evicted.
+/// Prefilling fewer takes only some milliseconds.
 const MIN_BACKUP_SOURCE_TOKENS: u64 = 500;
 
 /// Estimated work of an upstream before it can answer a request.
--- a/components/routing/src/selection/prefixes.rs
+++ b/components/routing/src/selection/prefixes.rs
@@ -10,7 +10,8 @@
 use crate::state::State;
 use crate::{Effect, Prefix};
 
-/// A request is postponed for another's prefill for at most its objective divided by this.
+/// A request is postponed for another's prefill for at most its objective divided by this. Long
+/// enough to prefill the longest prefix that many requests share.
 const MAX_POSTPONE_DIVISOR: u64 = 4;
 
 /// Time after which a postponed request is due.
--- a/components/routing/src/upstreams/estimate.rs
+++ b/components/routing/src/upstreams/estimate.rs
@@ -4,7 +4,8 @@
 
 use crate::{Path, Settings};
 
-/// Half-life of an observation of other routers' requests, in milliseconds.
+/// Half-life of an observation of other routers' requests, in milliseconds. About as long as a
+/// stream takes.
 const HALF_LIFE_MS: f64 = 700.0;
 
 /// How long an observation counts in full in the mean of a pool. It exceeds the interval at
@@ -15,7 +16,8 @@
 const MEAN_SMOOTHING: f64 = 0.1;
 
 /// Shape of the gamma distribution that is assumed for the request rates of upstreams before any
-/// observation. A low value is a wide spread.
+/// observation. A low value is a wide spread. Some prompts are requested far more often than
+/// others.
 const GAMMA_SHAPE: f64 = 0.4;
 
 /// The assumptions of a router about one pool at one point in time.
--- a/components/routing/src/upstreams/health.rs
+++ b/components/routing/src/upstreams/health.rs
@@ -4,7 +4,8 @@
 
 use clock::Millis;
 
-/// Half-life of the weight of an outcome, in milliseconds.
+/// Half-life of the weight of an outcome, in milliseconds. Long enough for several outcomes of each
+/// upstream at a usual rate.
 const HALF_LIFE_MS: f64 = 3_000.0;
 
 /// Failures beyond the expected number and its deviation that make an outlier.
--- a/components/routing/src/upstreams/prefix_index.rs
+++ b/components/routing/src/upstreams/prefix_index.rs
@@ -6,7 +6,7 @@
 
 use clock::Millis;
 
-/// Maximum number of indexed prefixes.
+/// Maximum number of indexed prefixes. Each takes about 100 bytes.
 const MAX_PREFIXES: usize = 16_384;
 
 /// Maximum number of indexed upstreams for each prefix.
--- a/components/routing/src/upstreams/upstream.rs
+++ b/components/routing/src/upstreams/upstream.rs
@@ -21,7 +21,9 @@
 /// Consecutive failures after which an upstream gets one request at a time until it answers.
 pub(crate) const FAILURES_BEFORE_PROBE: u32 = 2;
 
-/// Smallest copy, in tokens, that is worth the risk of a timeout at a source that has failed.
+/// Smallest copy, in tokens, that is worth the risk of a timeout at a source that has failed. A
+/// copy from a source that is gone takes as long as it takes engines to prefill several times this;
+/// most sources that have failed are not gone.
 const MIN_RISKY_COPY_TOKENS: u64 = 4_000;
 
 /// Exclusion reason: the upstream failed recently.
--- a/components/shares/src/ledger.rs
+++ b/components/shares/src/ledger.rs
@@ -13,7 +13,8 @@
 /// The demand below which a counter is ignored, in requests.
 const MIN_DEMAND: f64 = 0.01;
 
-/// The number of refusals kept to recognize retries, and how long each is kept.
+/// The number of refusals kept to recognize retries, and how long each is kept. Callers retry
+/// within a few seconds or not at all.
 const MAX_REFUSED: usize = 4_096;
 const REFUSED_TTL: Millis = Millis(6_000);
 
