--- a/components/routing/tests/direct/fixture.rs
+++ b/components/routing/tests/direct/fixture.rs
@@ -32,7 +32,7 @@
 }
 
 fn plan() -> Arc<Plan> {
-    let kind = |name: &str, repeatable: bool| json!({ "name": name, "repeatable": repeatable, "keyless": true, "resumable": name == "stream" || name == "bulk" });
+    let kind = |name: &str, repeatable: bool| json!({ "name": name, "repeatable": repeatable, "keyless": true, "resumable": matches!(name, "stream" | "bulk" | "split") });
     let intent = |name: &str, service: &str| {
         let equals =
             |label: &str, value: &str| json!([{ "op": "equals", "label": label, "value": value }]);
@@ -42,13 +42,16 @@
             "priority": if name == "bulk" { 7 } else { 5 },
         })
     };
+    let mut split = intent("split", "engine");
+    let plain = json!([{ "op": "equals", "label": "service", "value": "plain" }]);
+    split["split"] = json!([{ "percent": 50, "upstreams": plain }]);
     let document = json!({
         "generation": 1,
         "workspaces": WORKSPACES.map(|name| json!({ "name": name, "key_sha256": "0".repeat(64) })),
         "models": ["m"],
         "pools": [{ "name": "engine", "cold_ms": 3_000, "cold_per_s": 8.0 }],
-        "kinds": [kind("safe", true), kind("unsafe", false), kind("stream", true), kind("bulk", true)],
-        "intents": [intent("safe", "plain"), intent("unsafe", "plain"), intent("stream", "engine"), intent("bulk", "engine")],
+        "kinds": [kind("safe", true), kind("unsafe", false), kind("stream", true), kind("bulk", true), kind("split", true)],
+        "intents": [intent("safe", "plain"), intent("unsafe", "plain"), intent("stream", "engine"), intent("bulk", "engine"), split],
     });
     let document = Document::parse(&document.to_string()).expect("a document");
     Arc::new(Plan::compile(document).expect("a plan"))
