--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,11 +18,14 @@
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::persistence::Saver;
-use crate::{announcement, crashes, feed, hints, permits, persistence, query_server};
+use crate::{announcement, crashes, feed, hints, permits, persistence, query_server, report};
 
 /// How often the intents file is checked for changes.
 const INTENTS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of unfinished requests that the end of a drain logs.
+const MAX_LOGGED_UNFINISHED: usize = 256;
+
 pub(crate) fn read_plan(path: &str) -> Result<Arc<Plan>, Error> {
     let json = std::fs::read_to_string(path).context(ReadSnafu { path })?;
     let document = Document::parse(&json).context(IntentsSnafu { path })?;
@@ -54,15 +57,30 @@
         tasks.spawn_local(watch_settings(core.clone()));
         tasks.spawn_local(send_directory_updates(core.clone(), directory_updates));
         core.stop.requested().await;
-        tokio::time::sleep(Duration::from_millis(core.settings.drain_notice_ms)).await;
-        let until = core.clock.now() + Millis(core.settings.drain_ms);
-        core.apply(Event::Drain { until });
+        drain(&core).await;
         core.stop.finished().await;
         tasks.shutdown().await;
     })
     .detach();
 }
 
+/// Waits for the notice of a planned stop, then for the requests in flight.
+async fn drain(core: &Core) {
+    let requested_at = core.clock.now();
+    let notice = Millis(core.settings.drain_notice_ms);
+    let duration = Millis(core.settings.drain_ms);
+    report::log_stop(core.in_flight(), notice, duration);
+    tokio::time::sleep(notice.duration()).await;
+    let started_at = core.clock.now();
+    report::log_drain(core.in_flight(), requested_at.until(started_at));
+    core.apply(Event::Drain { until: started_at + duration });
+    let _ = tokio::time::timeout(duration.duration(), core.stop.finished()).await;
+    report::log_drained(core.in_flight(), requested_at.until(core.clock.now()));
+    for unfinished in core.unfinished().iter().take(MAX_LOGGED_UNFINISHED) {
+        report::log_unfinished(unfinished);
+    }
+}
+
 async fn poll_hosts(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
     let Ok(mut hosts) = store::Hosts::new(&core.settings.hosts_url).await else { return };
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -11,7 +11,7 @@
 use intents::Plan;
 use link::Links;
 use outbound::Client;
-use routing::{Crash, Decision, Effect, Event, Owner, State};
+use routing::{Crash, Decision, Effect, Event, Owner, State, Unfinished};
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
@@ -389,6 +389,16 @@
         self.state.borrow().plan().cloned()
     }
 
+    /// Number of requests without a final answer.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.state.borrow().in_flight()
+    }
+
+    /// The requests without a final answer.
+    pub(crate) fn unfinished(&self) -> Vec<Unfinished> {
+        self.state.borrow().unfinished(self.clock.now()).collect()
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         !self.stop.is_requested() && self.state.borrow().is_ready(self.clock.now())
     }
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -1,7 +1,7 @@
 //! Log lines on requests and upstreams.
 
 use clock::Millis;
-use routing::{Binding, Continuation, Crash, Decision, Part, Standing, Try};
+use routing::{Binding, Continuation, Crash, Decision, Part, Standing, Try, Unfinished};
 use spdlog::info;
 
 /// Logs the decision on a completed request.
@@ -49,6 +49,34 @@
     });
 }
 
+/// Logs that a planned stop was requested, and its time limits.
+pub(crate) fn log_stop(in_flight: usize, notice: Millis, drain: Millis) {
+    info!("stop requested", kv: { in_flight, notice_ms = notice.0, drain_ms = drain.0 });
+}
+
+/// Logs that the notice of a stop is over; `since` is the time since the stop was requested.
+pub(crate) fn log_drain(in_flight: usize, since: Millis) {
+    info!("drain started", kv: { in_flight, ms = since.0 });
+}
+
+/// Logs that a drain is over, because nothing is in flight or its time has passed.
+pub(crate) fn log_drained(in_flight: usize, since: Millis) {
+    info!("drain ended", kv: { in_flight, ms = since.0 });
+}
+
+/// Logs a request that the end of a drain interrupts.
+pub(crate) fn log_unfinished(unfinished: &Unfinished) {
+    info!("request unfinished at the end of the drain", kv: {
+        request = &*unfinished.request,
+        kind = &*unfinished.kind,
+        upstream = &*unfinished.upstream,
+        answering = unfinished.is_answering,
+        age_ms = unfinished.age.0,
+        left_ms = unfinished.remaining.0,
+        idle_ms = unfinished.idle.0,
+    });
+}
+
 /// Logs that an upstream is avoided for `backoff`; `reachable` is whether the last connection
 /// attempt succeeded.
 pub(crate) fn log_suspect(upstream: &str, failures: u32, reachable: bool, backoff: Millis) {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub use recovery::quarantine::{Crash, Liveness};
 pub use requests::continuation::{Binding, Source};
 pub use requests::decision::{Decision, Exclusion, Part, Try};
+pub use requests::unfinished::Unfinished;
 pub use settings::{Policy, Settings};
 pub use shares::{Rank, Standing};
 pub use state::State;
--- a/components/routing/src/recovery/silence.rs
+++ b/components/routing/src/recovery/silence.rs
@@ -36,7 +36,7 @@
     }
 
     /// The time since data was last received for the current attempt.
-    fn idle_time(&self, now: Millis) -> Millis {
+    pub(crate) fn idle_time(&self, now: Millis) -> Millis {
         self.tries.last().map_or(Millis::ZERO, |attempt| attempt.last_received.until(now))
     }
 }
--- a/components/routing/src/requests.rs
+++ b/components/routing/src/requests.rs
@@ -9,3 +9,4 @@
 pub(crate) mod permits;
 pub(crate) mod reply;
 pub(crate) mod request;
+pub(crate) mod unfinished;
