Serve connections on one thread and close them once their answers are written

Cause: the HTTP library's graceful stop waits for open connections by a signal that is sent, once, when its set of connections becomes empty, at any time since the start. After the first moment without a connection it waits for nothing, and its worker ends with all that is open (strace: listener closed at 796.88, accept thread gone at 796.98, ten sockets closed and the worker gone at 796.987, while five streams were going on and a timeout of 2 s was set). Connections in the queues between accept thread, manager and worker are dropped unread. Class: the end of a process is not tied to what it still owes. Evidence: stop::a_stop_waits_for_a_caller_that_reads_slowly failed (an answer of 16 MB cut 0.1 s after the notice for a caller that reads 0.5 s later). Why it works: the router accepts connections itself, in the thread that serves them, and holds each as a task. At the end it takes in what has connected, stops listening, reads new connections for 50 ms, has the service close idle ones, and joins the tasks until the grace time is over. The background tasks are joined too. Thread and queues between accepting and serving are gone.

--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -4,10 +4,12 @@
 mod bind;
 mod client;
 mod hangup;
+mod listener;
 mod shutdown;
 
 pub use announce::announce;
 pub use bind::{Error, bind};
 pub use client::{CONNECT_TIMEOUT, client};
 pub use hangup::Hangup;
+pub use listener::{Listener, Unfinished};
 pub use shutdown::Shutdown;
--- /dev/null
+++ b/components/process/src/listener.rs
@@ -0,0 +1,161 @@
+//! A listening socket whose connections are all served to their end.
+
+use std::io;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::io::Io;
+use ntex::rt::from_tcp_stream;
+use ntex::service::{Pipeline, PipelineBinding, Service};
+use spdlog::warn;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use crate::Shutdown;
+
+/// Pause after a failed accept, such as for lack of descriptors.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long a new connection is read before it may be closed: callers send their request at once.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// A listening socket that is served on the current thread.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    config: SharedCfg,
+}
+
+/// Number of connections that were closed before all was written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Unfinished(pub usize);
+
+impl Listener {
+    /// Creates a listener whose connections use `config`.
+    ///
+    /// # Errors
+    ///
+    /// The socket can't be registered for events.
+    pub fn new(socket: std::net::TcpListener, config: SharedCfg) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        Ok(Self { socket: TcpListener::from_std(socket)?, config })
+    }
+
+    /// Serves connections until `stop` is finished. Then it stops listening, closes idle
+    /// connections, and waits for the others until `grace` after the stop was requested.
+    pub async fn serve<S>(self, service: S, stop: Shutdown, grace: Duration) -> Unfinished
+    where
+        S: Service<Io, Response = ()> + 'static,
+    {
+        let mut connections = Connections::new(service, self.config.clone());
+        let mut finished = std::pin::pin!(stop.finished());
+        loop {
+            tokio::select! {
+                () = &mut finished => break,
+                accepted = self.accept() => connections.handle(accepted).await,
+                () = connections.join_next() => {}
+            }
+        }
+        self.accept_queue(&mut connections);
+        let requested_at = stop.requested_at().unwrap_or_else(Instant::now);
+        connections.finish(requested_at + grace).await
+    }
+
+    async fn accept(&self) -> io::Result<TcpStream> {
+        let (stream, _) = self.socket.accept().await?;
+        stream.into_std()
+    }
+
+    /// Accepts what is in the socket's queue, as its callers have connected already, and closes the
+    /// socket.
+    fn accept_queue<S>(self, connections: &mut Connections<S>)
+    where
+        S: Service<Io, Response = ()> + 'static,
+    {
+        let Ok(socket) = self.socket.into_std() else { return };
+        while let Ok((stream, _)) = socket.accept() {
+            connections.start(stream);
+        }
+    }
+}
+
+/// The open connections of a listener.
+struct Connections<S>
+where
+    S: Service<Io>,
+{
+    service: PipelineBinding<S, Io>,
+    config: SharedCfg,
+    tasks: JoinSet<()>,
+    /// Until when the latest connection is read at least.
+    read_until: Instant,
+}
+
+impl<S> Connections<S>
+where
+    S: Service<Io, Response = ()> + 'static,
+{
+    fn new(service: S, config: SharedCfg) -> Self {
+        let service = Pipeline::new(service).bind();
+        Self { service, config, tasks: JoinSet::new(), read_until: Instant::now() }
+    }
+
+    async fn handle(&mut self, accepted: io::Result<TcpStream>) {
+        match accepted {
+            Ok(stream) => self.start(stream),
+            Err(error) => {
+                warn!("connection not accepted", kv: { reason = error.to_string() });
+                sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Serves a connection in a task of its own.
+    fn start(&mut self, stream: TcpStream) {
+        let io = match from_tcp_stream(stream, self.config.clone()) {
+            Ok(io) => io,
+            Err(error) => {
+                return warn!("connection not accepted", kv: { reason = error.to_string() });
+            }
+        };
+        self.read_until = Instant::now() + FIRST_REQUEST_TIMEOUT;
+        let served = self.service.call(io);
+        self.tasks.spawn_local(async move {
+            // Errors of a connection concern its caller only, who sees it closed.
+            let _ = served.await;
+        });
+    }
+
+    /// Joins the next connection that ends; waits for ever if there is none.
+    async fn join_next(&mut self) {
+        if self.tasks.join_next().await.is_none() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Closes the connections once their answers are written, or at `deadline`.
+    async fn finish(mut self, deadline: Instant) -> Unfinished {
+        while !self.tasks.is_empty() && Instant::now() < self.read_until {
+            tokio::select! {
+                () = sleep_until(self.read_until) => {}
+                _ = self.tasks.join_next() => {}
+            }
+        }
+        let tasks = &mut self.tasks;
+        let join_all = async { while tasks.join_next().await.is_some() {} };
+        // The service's own wait for connections may end early or late; only the tasks count.
+        let closing = self.service.shutdown();
+        let _ = timeout_at(deadline, async {
+            tokio::select! {
+                () = join_all => {}
+                () = async { closing.await; std::future::pending::<()>().await } => {}
+            }
+        })
+        .await;
+        let unfinished = Unfinished(self.tasks.len());
+        self.tasks.shutdown().await;
+        unfinished
+    }
+}
--- a/components/process/src/shutdown.rs
+++ b/components/process/src/shutdown.rs
@@ -1,9 +1,10 @@
 //! Planned stops.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The progress of a stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -11,6 +12,7 @@
     #[default]
     Running,
     Requested,
+    Interrupted,
     Finished,
 }
 
@@ -18,24 +20,36 @@
 #[derive(Clone, Debug)]
 pub struct Shutdown {
     stage: Arc<watch::Sender<Stage>>,
+    requested_at: Arc<OnceLock<Instant>>,
 }
 
 impl Shutdown {
     /// Creates the handle of a running process.
     pub fn new() -> Self {
-        Self { stage: Arc::new(watch::Sender::new(Stage::Running)) }
+        Self { stage: Arc::new(watch::Sender::new(Stage::Running)), requested_at: Arc::default() }
     }
 
     /// Requests that the process finishes what is in flight and stops.
     pub fn request(&self) {
+        self.requested_at.get_or_init(Instant::now);
         self.advance_to(Stage::Requested);
     }
 
+    /// Requests that what is still in flight ends now.
+    pub fn interrupt(&self) {
+        self.advance_to(Stage::Interrupted);
+    }
+
     /// Marks the stop as finished: nothing is in flight.
     pub fn finish(&self) {
         self.advance_to(Stage::Finished);
     }
 
+    /// When the stop was requested.
+    pub fn requested_at(&self) -> Option<Instant> {
+        self.requested_at.get().copied()
+    }
+
     /// Whether a stop was requested.
     pub fn is_requested(&self) -> bool {
         *self.stage.borrow() >= Stage::Requested
@@ -46,6 +60,11 @@
         self.wait_until(Stage::Requested).await;
     }
 
+    /// Waits until what is in flight must end.
+    pub async fn interrupted(&self) {
+        self.wait_until(Stage::Interrupted).await;
+    }
+
     /// Waits until the stop is finished.
     pub async fn finished(&self) {
         self.wait_until(Stage::Finished).await;
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,67 +18,40 @@
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::persistence::Saver;
-use crate::{announcement, crashes, feed, hints, permits, persistence, query_server, report};
+use crate::{announcement, crashes, feed, hints, permits, persistence, query_server};
 
 /// How often the intents file is checked for changes.
 const INTENTS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of unfinished requests that the end of a drain logs.
-const MAX_LOGGED_UNFINISHED: usize = 256;
-
 pub(crate) fn read_plan(path: &str) -> Result<Arc<Plan>, Error> {
     let json = std::fs::read_to_string(path).context(ReadSnafu { path })?;
     let document = Document::parse(&json).context(IntentsSnafu { path })?;
     Ok(Arc::new(Plan::compile(document).context(IntentsSnafu { path })?))
 }
 
-/// Spawns the tasks; they end when the shutdown is complete.
-pub(crate) fn spawn(core: &Rc<Core>, directory_updates: Receiver<Effect>) {
-    let core = core.clone();
-    ntex::rt::spawn(async move {
-        let mut tasks = JoinSet::new();
-        if let Some(direct) = &core.settings.direct {
-            let (saver, pending) = Saver::new();
-            tasks.spawn_local(feed::run(core.clone(), Millis(direct.poll_interval_ms), saver));
-            tasks.spawn_local(persistence::save_upstreams(core.clone(), pending.clone()));
-            tasks.spawn_local(persistence::save_prefixes(core.clone(), pending));
-            tasks.spawn_local(announcement::run(core.clone()));
-            tasks.spawn_local(hints::receive(core.clone()));
-            tasks.spawn_local(hints::publish(core.clone()));
-            tasks.spawn_local(hints::forward(core.clone()));
-            tasks.spawn_local(permits::run(core.clone()));
-            tasks.spawn_local(query_server::serve(core.clone()));
-            tasks.spawn_local(crashes::run_checks(core.clone()));
-            tasks.spawn_local(crashes::run_reports(core.clone()));
-        } else {
-            tasks.spawn_local(poll_hosts(core.clone()));
-            tasks.spawn_local(watch_intents(core.clone()));
-        }
-        tasks.spawn_local(watch_settings(core.clone()));
-        tasks.spawn_local(send_directory_updates(core.clone(), directory_updates));
-        core.stop.requested().await;
-        drain(&core).await;
-        core.stop.finished().await;
-        tasks.shutdown().await;
-    })
-    .detach();
-}
-
-/// Waits for the notice of a planned stop, then for the requests in flight.
-async fn drain(core: &Core) {
-    let requested_at = core.clock.now();
-    let notice = Millis(core.settings.drain_notice_ms);
-    let duration = Millis(core.settings.drain_ms);
-    report::log_stop(core.in_flight(), notice, duration);
-    tokio::time::sleep(notice.duration()).await;
-    let started_at = core.clock.now();
-    report::log_drain(core.in_flight(), requested_at.until(started_at));
-    core.apply(Event::Drain { until: started_at + duration });
-    let _ = tokio::time::timeout(duration.duration(), core.stop.finished()).await;
-    report::log_drained(core.in_flight(), requested_at.until(core.clock.now()));
-    for unfinished in core.unfinished().iter().take(MAX_LOGGED_UNFINISHED) {
-        report::log_unfinished(unfinished);
+/// Spawns the tasks.
+pub(crate) fn spawn(core: &Rc<Core>, directory_updates: Receiver<Effect>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    if let Some(direct) = &core.settings.direct {
+        let (saver, pending) = Saver::new();
+        tasks.spawn_local(feed::run(core.clone(), Millis(direct.poll_interval_ms), saver));
+        tasks.spawn_local(persistence::save_upstreams(core.clone(), pending.clone()));
+        tasks.spawn_local(persistence::save_prefixes(core.clone(), pending));
+        tasks.spawn_local(announcement::run(core.clone()));
+        tasks.spawn_local(hints::receive(core.clone()));
+        tasks.spawn_local(hints::publish(core.clone()));
+        tasks.spawn_local(hints::forward(core.clone()));
+        tasks.spawn_local(permits::run(core.clone()));
+        tasks.spawn_local(query_server::serve(core.clone()));
+        tasks.spawn_local(crashes::run_checks(core.clone()));
+        tasks.spawn_local(crashes::run_reports(core.clone()));
+    } else {
+        tasks.spawn_local(poll_hosts(core.clone()));
+        tasks.spawn_local(watch_intents(core.clone()));
     }
+    tasks.spawn_local(watch_settings(core.clone()));
+    tasks.spawn_local(send_directory_updates(core.clone(), directory_updates));
+    tasks
 }
 
 async fn poll_hosts(core: Rc<Core>) {
--- a/components/router/src/error.rs
+++ b/components/router/src/error.rs
@@ -18,6 +18,9 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// The HTTP service could not be created.
+    #[snafu(display("the HTTP service can't be created"))]
+    Service,
     /// The intents file could not be read.
     #[snafu(display("can't read the intents in {path}: {source}"))]
     Read {
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -1,99 +1,100 @@
 //! Starts, runs and stops a router.
 
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use edge::Connect;
+use futures_util::future::try_join;
+use intents::Plan;
+use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig};
-use ntex::server::Server;
+use ntex::io::Io;
+use ntex::service::ServiceFactory;
 use ntex::time::Seconds;
-use ntex::{SharedCfg, web};
+use ntex::web;
+use process::{Listener, Unfinished};
+use routing::Effect;
 use snafu::ResultExt;
+use spdlog::error;
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::watch;
 
+use crate::clients::Clients;
 use crate::core::Core;
 use crate::error::{BindSnafu, Error, SocketSnafu};
-use crate::factory::CoreFactory;
-use crate::{background, http, ingress};
+use crate::{background, http, ingress, report, stop};
 
 /// How long a caller may take to send the headers.
 const HEADERS_TIMEOUT: Seconds = Seconds(5);
 
 const MAX_HEADERS: usize = 64;
 
-/// How long a shutdown waits for the last bytes to be written.
-const FLUSH_TIMEOUT: Seconds = Seconds(2);
+/// How long after the drain the last bytes of answers may be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How long an idle connection of a caller is kept. Longer than callers on a platform keep theirs,
 /// so that they are the ones to close it.
 const IDLE_TIMEOUT: Seconds = Seconds(30);
 
-/// A running router.
-#[derive(Debug)]
+/// The pause before another attempt to create the clients.
+const CLIENTS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Where the configuration and the upstreams come from.
+enum Source {
+    /// The intents file and the platform's list of hosts.
+    Intents(Arc<Plan>),
+    /// The store of a platform; operators have a listener of their own.
+    Platform { connect: Connect, operators: TcpListener },
+}
+
+/// A router whose sockets are bound.
 pub struct Router {
     settings: Arc<settings::Router>,
+    callers: TcpListener,
     address: SocketAddr,
-    server: Server,
+    source: Source,
     stop: process::Shutdown,
     reload: watch::Sender<settings::Router>,
 }
 
+impl std::fmt::Debug for Router {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Router").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
 impl Router {
-    /// Reads the intents, binds the socket and starts to serve.
+    /// Reads the intents and binds the socket.
     ///
     /// # Errors
     ///
     /// The intents are invalid, or listening on the address failed.
-    pub fn start(settings: settings::Router) -> Result<Self, Error> {
+    pub fn bind(settings: settings::Router) -> Result<Self, Error> {
         let plan = background::read_plan(&settings.intents)?;
-        let settings = Arc::new(settings);
-        let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
-        let stop = process::Shutdown::new();
-        let reload = watch::Sender::new((*settings).clone());
-        let (shared, stop_handle, changes) = (settings.clone(), stop.clone(), reload.subscribe());
-        let factory = async move || {
-            let plan = Some(plan.clone());
-            let (core, directory_updates) =
-                Core::new(shared.clone(), plan, None, stop_handle.clone(), changes.clone()).await;
-            background::spawn(&core, directory_updates);
-            web::App::new().state(core).configure(http::routes)
-        };
-        let server = web::HttpServer::new(factory)
-            .workers(1)
-            .disable_signals()
-            .shutdown_timeout(FLUSH_TIMEOUT)
-            .config(SharedCfg::new("router").add(limits()))
-            .listen(listener)
-            .context(SocketSnafu)?
-            .run();
-        Ok(Self { settings, address, server, stop, reload })
+        Self::bind_callers(settings, Source::Intents(plan))
     }
 
-    /// Binds the sockets and starts to serve on a platform, whose store provides the configuration
-    /// and the upstreams.
+    /// Binds the sockets on a platform, whose store provides the configuration and the upstreams.
     ///
     /// # Errors
     ///
     /// Listening on an address failed.
-    pub fn start_direct(
+    pub fn bind_direct(
         settings: settings::Router,
         operators: &str,
         connect: Connect,
     ) -> Result<Self, Error> {
-        let settings = Arc::new(settings);
-        let (listener, address) = process::bind(&settings.listen).context(BindSnafu)?;
         let (operators, _) = process::bind(operators).context(BindSnafu)?;
-        let stop = process::Shutdown::new();
-        let reload = watch::Sender::new((*settings).clone());
-        let factory = CoreFactory {
-            settings: settings.clone(),
-            connect,
-            stop: stop.clone(),
-            reload: reload.subscribe(),
-        };
-        let server = serve(factory, listener, operators)?;
-        Ok(Self { settings, address, server, stop, reload })
+        Self::bind_callers(settings, Source::Platform { connect, operators })
+    }
+
+    fn bind_callers(settings: settings::Router, source: Source) -> Result<Self, Error> {
+        let (callers, address) = process::bind(&settings.listen).context(BindSnafu)?;
+        let reload = watch::Sender::new(settings.clone());
+        let (settings, stop) = (Arc::new(settings), process::Shutdown::new());
+        Ok(Self { settings, callers, address, source, stop, reload })
     }
 
     /// The address for callers.
@@ -111,50 +112,98 @@
         self.reload.clone()
     }
 
-    /// Serves until a stop was requested and all requests have ended, or the drain timeout has
-    /// passed. Returns whether all requests were completed.
-    pub async fn run(self) -> bool {
-        self.stop.requested().await;
-        let timeout = self.settings.drain_notice_ms + self.settings.drain_ms;
-        let timeout = Duration::from_millis(timeout);
-        let finished = tokio::time::timeout(timeout, self.stop.finished()).await.is_ok();
-        self.server.stop(true).await;
-        finished
+    /// Serves on the current thread until a stop was requested and all requests have ended, or the
+    /// time of the drain has passed. Returns whether all answers were completed.
+    ///
+    /// # Errors
+    ///
+    /// A socket can't be used.
+    pub async fn run(self) -> Result<bool, Error> {
+        let Self { settings, callers, source, stop, reload, .. } = self;
+        match source {
+            Source::Intents(plan) => {
+                let (core, updates) =
+                    Core::new(settings, Some(plan), None, stop, reload.subscribe()).await;
+                let app = web::App::new().state(core.clone()).configure(http::routes);
+                let callers = serve(&core, callers, HttpService::new(app), limits());
+                run(&core, updates, callers).await
+            }
+            Source::Platform { connect, operators } => {
+                let clients = Some(connect_clients(&connect, &settings).await);
+                let (core, updates) =
+                    Core::new(settings, None, clients, stop, reload.subscribe()).await;
+                let listeners = serve_platform(&core, callers, operators);
+                run(&core, updates, listeners).await
+            }
+        }
+    }
+}
+
+/// Creates the clients; retries until it succeeds, since nothing can be served without them.
+async fn connect_clients(connect: &Connect, settings: &Arc<settings::Router>) -> Clients {
+    loop {
+        match Clients::connect(connect, settings).await {
+            Ok(clients) => return clients,
+            Err(error) => error!("clients can't be created", kv: { fault = error }),
+        }
+        tokio::time::sleep(CLIENTS_RETRY_INTERVAL).await;
     }
 }
 
+/// Runs the listeners and the background tasks until the router has stopped.
+async fn run(
+    core: &Rc<Core>,
+    directory_updates: Receiver<Effect>,
+    listeners: impl Future<Output = Result<Unfinished, Error>>,
+) -> Result<bool, Error> {
+    let mut tasks = background::spawn(core, directory_updates);
+    let drain = async {
+        let is_complete = stop::run(core).await;
+        tasks.shutdown().await;
+        Ok(is_complete)
+    };
+    let (is_complete, unfinished) = try_join(drain, listeners).await?;
+    report::log_closed(unfinished.0);
+    Ok(is_complete && unfinished.0 == 0)
+}
+
 /// Limits on requests.
 fn limits() -> HttpServiceConfig {
     HttpServiceConfig::new().set_max_headers(MAX_HEADERS).set_client_timeout(HEADERS_TIMEOUT)
 }
 
-/// Serves callers and operators on one thread with shared state.
-fn serve(
-    factory: CoreFactory,
+/// Serves callers and operators of a platform.
+async fn serve_platform(
+    core: &Rc<Core>,
     callers: TcpListener,
     operators: TcpListener,
-) -> Result<Server, Error> {
-    let (for_callers, for_operators) = (factory.clone(), factory);
-    let config: SharedCfg =
-        SharedCfg::new("router").add(limits().set_keepalive(IDLE_TIMEOUT)).into();
-    let operators_config = config.clone();
-    let server = ntex::server::build()
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(FLUSH_TIMEOUT)
-        .listen("callers", callers, async move |service| {
-            service.config(config.clone());
-            let core = for_callers.core().await;
-            HttpService::new(web::App::new().state(core).default_service(web::to(ingress::serve)))
-        })
-        .context(SocketSnafu)?
-        .listen("operators", operators, async move |service| {
-            service.config(operators_config.clone());
-            let core = for_operators.core().await;
-            let ready = core.edges().ready_path;
-            let routes = move |config: &mut _| ingress::operators(config, ready);
-            HttpService::new(web::App::new().state(core).configure(routes))
-        })
-        .context(SocketSnafu)?;
-    Ok(server.run())
+) -> Result<Unfinished, Error> {
+    let limits = || limits().set_keepalive(IDLE_TIMEOUT);
+    let app = web::App::new().state(core.clone()).default_service(web::to(ingress::serve));
+    let callers = serve(core, callers, HttpService::new(app), limits());
+    let ready = core.edges().ready_path;
+    let routes = move |config: &mut _| ingress::operators(config, ready);
+    let app = web::App::new().state(core.clone()).configure(routes);
+    let operators = serve(core, operators, HttpService::new(app), limits());
+    let (callers, operators) = try_join(callers, operators).await?;
+    Ok(Unfinished(callers.0 + operators.0))
+}
+
+/// Serves a listening socket until the router has stopped.
+async fn serve<F>(
+    core: &Rc<Core>,
+    socket: TcpListener,
+    factory: F,
+    limits: HttpServiceConfig,
+) -> Result<Unfinished, Error>
+where
+    F: ServiceFactory<Io, SharedCfg, Response = (), InitError = ()>,
+    F::Service: 'static,
+{
+    let settings = &core.settings;
+    let grace = Duration::from_millis(settings.drain_notice_ms + settings.drain_ms) + FLUSH_TIMEOUT;
+    let config: SharedCfg = SharedCfg::new("router").add(limits).into();
+    let service = factory.create(config.clone()).await.map_err(|()| Error::Service)?;
+    let listener = Listener::new(socket, config).context(SocketSnafu)?;
+    Ok(listener.serve(service, core.stop.clone(), grace).await)
 }
--- a/src/bin/silverstack-router.rs
+++ b/src/bin/silverstack-router.rs
@@ -33,7 +33,7 @@
         Ok(started) => started,
         Err(code) => return code,
     };
-    match Router::start(settings) {
+    match Router::bind(settings) {
         Ok(router) => {
             let reload = move || settings::load(&path).map_err(|error| error.to_string());
             cli::reload_on_signal(router.reload(), reload);
@@ -69,7 +69,7 @@
         let settings = settings.clone();
         async move { settings.connect().await }.boxed_local()
     });
-    match Router::start_direct(router_settings, &direct.admin, connect) {
+    match Router::bind_direct(router_settings, &direct.admin, connect) {
         Ok(router) => {
             let path = path.to_owned();
             let reload = move || load_settings(&path).map(|settings| settings.router);
@@ -93,7 +93,11 @@
 
 async fn serve(router: Router) -> ExitCode {
     cli::stop_on_signal(router.stop());
-    let is_complete = router.run().await;
-    info!("router stopped", kv: { whole = is_complete });
-    ExitCode::from(if is_complete { cli::EXIT_OK } else { cli::EXIT_INTERRUPTED })
+    match router.run().await {
+        Ok(is_complete) => {
+            info!("router stopped", kv: { whole = is_complete });
+            ExitCode::from(if is_complete { cli::EXIT_OK } else { cli::EXIT_INTERRUPTED })
+        }
+        Err(error) => cli::fail(NAME, error, cli::EXIT_FAILED),
+    }
 }
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -237,10 +237,10 @@
             "drain_ms": 5_000,
         });
         let settings = settings::parse(&settings.to_string()).expect("the settings are valid");
-        let router = Router::start(settings).context(RouterSnafu)?;
+        let router = Router::bind(settings).context(RouterSnafu)?;
         self.router_urls.push(format!("http://{}", router.address()));
         self.router_stops.push(router.stop());
-        self.routers.spawn_local(router.run());
+        self.routers.spawn_local(async move { router.run().await.unwrap_or(false) });
         Ok(())
     }
 
