End unfinished requests with an answer at the end of a drain

What callers saw: requests in flight at the end of a planned stop ended with their connection, without an answer, also where nothing had been passed on yet; the log had no line on how they ended. Cause: the end of the drain was no event of the reducer; what was in flight went with the process. Class as before: the end of a process is not tied to what it still owes. Why it works: Event::Interrupt ends each request: one that was not sent as not run (draining), one that was sent as unknown (interrupted, 502), a stream that has begun by its connection (interrupted_running). Each has its request ended line. The new kinds come last, as kinds go by number between processes.

--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -141,6 +141,10 @@
     AnswerTooLarge: 502 Ran false false "the answer is larger than may be kept";
     /// The caller continues a stream, and it is unknown which software version began it.
     StreamLost: 503 NotRun false false "the stream can't be continued: its beginning is not known";
+    /// The router stopped while the request may have been running.
+    Interrupted: 502 Unknown false false "the router stopped before the upstream answered";
+    /// The router stopped before the answer was complete.
+    InterruptedRunning: 502 Ran false false "the router stopped before the answer was whole";
 }
 
 /// The JSON body of an error answer.
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -321,9 +321,22 @@
         }
     }
 
+    /// Waits for the next event of the request, or until the router stops.
+    async fn wait(&mut self) {
+        let stop = self.core.stop.clone();
+        tokio::select! {
+            biased;
+            () = stop.interrupted() => {
+                let id = self.id;
+                self.apply(Event::Interrupt { id });
+            }
+            () = self.wait_for_event() => {}
+        }
+    }
+
     /// Waits for the end of the backoff, or for the next reply, the loss of the connection, the
     /// timeout or the deadline.
-    async fn wait(&mut self) {
+    async fn wait_for_event(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
         if let Some(until) = self.backoff_until.take() {
             tokio::time::sleep_until(until).await;
--- a/components/router/src/stop.rs
+++ b/components/router/src/stop.rs
@@ -1,5 +1,7 @@
 //! The planned stop of a router.
 
+use std::time::Duration;
+
 use clock::Millis;
 use routing::Event;
 use tokio::time::timeout;
@@ -10,6 +12,9 @@
 /// Maximum number of unfinished requests that the end of a drain logs.
 const MAX_LOGGED_UNFINISHED: usize = 256;
 
+/// How long interrupted requests may take to end, such as one that waits for another router.
+const INTERRUPT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Waits for a stop, for its notice, and for the requests in flight, which are interrupted when the
 /// drain's time is up. Returns whether none was.
 pub(crate) async fn run(core: &Core) -> bool {
@@ -25,15 +30,17 @@
     let is_complete = timeout(duration.duration(), core.stop.finished()).await.is_ok();
     report::log_drained(core.in_flight(), requested_at.until(core.clock.now()));
     if !is_complete {
-        interrupt(core);
+        interrupt(core).await;
     }
     is_complete
 }
 
-/// Logs the requests in flight and ends the drain.
-fn interrupt(core: &Core) {
+/// Ends the requests in flight.
+async fn interrupt(core: &Core) {
     for unfinished in core.unfinished().iter().take(MAX_LOGGED_UNFINISHED) {
         report::log_unfinished(unfinished);
     }
+    core.stop.interrupt();
+    let _ = timeout(INTERRUPT_TIMEOUT, core.stop.finished()).await;
     core.stop.finish();
 }
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -60,6 +60,11 @@
         /// Internal id of the request.
         id: u64,
     },
+    /// The drain has ended, and the request has not.
+    Interrupt {
+        /// Internal id of the request.
+        id: u64,
+    },
     /// A new list of hosts from the platform; replaces the previous one.
     Hosts(Vec<Host>),
     /// Periodic timer: opens missing connections to sidecars.
@@ -204,7 +209,7 @@
     },
     /// The router should stop accepting requests and drain.
     Drain {
-        /// Time at which unfinished requests are aborted.
+        /// When unfinished requests are interrupted.
         until: Millis,
     },
 }
--- a/components/routing/src/recovery/draining.rs
+++ b/components/routing/src/recovery/draining.rs
@@ -1,8 +1,10 @@
-//! Draining: which requests are still accepted before a planned stop.
+//! Draining: which requests are still accepted before a planned stop, and how the others end.
 
 use clock::Millis;
+use errors::Kind;
 
 use crate::Effect;
+use crate::requests::request::Phase;
 use crate::state::State;
 
 /// Progress of a planned stop.
@@ -33,6 +35,20 @@
         self.finish_drain().into_iter().collect()
     }
 
+    /// Ends a request that is unfinished at the end of the drain, so that its caller gets an answer
+    /// before the process is gone.
+    pub(crate) fn interrupt(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let kind = match request.phase {
+            Phase::Binding | Phase::Postponed | Phase::Claiming | Phase::Locating => Kind::Draining,
+            Phase::Sent | Phase::Admitted => Kind::Interrupted,
+            Phase::Answering { .. } => Kind::InterruptedRunning,
+        };
+        self.cancel_and_fail(id, kind, now)
+    }
+
     /// Ends a drain once no request is in flight.
     pub(crate) fn finish_drain(&mut self) -> Option<Effect> {
         let is_draining = matches!(self.drain, Some(Drain::Draining { .. }));
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -174,6 +174,7 @@
             Event::Stalled { id, attempt } => self.handle_stall(id, attempt, now),
             Event::Cancel { id } => self.cancel(id, now),
             Event::Expire { id } => self.expire(id, now),
+            Event::Interrupt { id } => self.interrupt(id, now),
             Event::Hosts(hosts) => self.set_hosts(hosts, now),
             Event::Tick => self.connect(now),
             Event::Connected(welcome) => self.record_connected(&welcome, now),
--- a/components/routing/tests/direct/draining.rs
+++ b/components/routing/tests/direct/draining.rs
@@ -69,6 +69,26 @@
     assert_eq!(failure(&state.apply(with_deadline(4, 401), now)), Some(Kind::Draining));
 }
 
+#[test]
+fn interrupts_a_request_that_was_sent_with_an_unsure_answer() {
+    let mut state = draining_router();
+    let effects = state.apply(Event::Interrupt { id: 2 }, DRAIN_END);
+    assert_eq!(failure(&effects), Some(Kind::Interrupted));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Cancel)));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Drained)));
+    assert!(state.apply(Event::Interrupt { id: 2 }, DRAIN_END).is_empty());
+}
+
+#[test]
+fn aborts_an_answer_that_has_begun_at_the_end_of_the_drain() {
+    let mut state = draining_router();
+    let head = Head { attempt: 1, status: 200, headers: Vec::new() };
+    state.apply(Event::Reply { id: 2, attempt: 1, reply: Reply::Head(head) }, NOW);
+    let effects = state.apply(Event::Interrupt { id: 2 }, DRAIN_END);
+    let is_abort = |effect: &Effect| matches!(effect, Effect::Abort(answer) if answer.kind == Kind::InterruptedRunning);
+    assert!(effects.iter().any(is_abort), "{effects:?}");
+}
+
 #[test]
 fn refuses_requests_once_drained() {
     let mut state = draining_router();
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -44,6 +44,7 @@
     Act { back: usize, act: Act },
     Stale { back: usize, act: Act },
     Expire(usize),
+    Interrupt(usize),
     Cancel(usize),
     Hosts { present: u8, leaving: u8 },
     Connected { upstream: usize, load: u64, newer: bool },
@@ -95,6 +96,7 @@
             40 => (recent.clone(), acts()).prop_map(|(back, act)| Step::Act { back, act }),
             2 => (recent.clone(), acts()).prop_map(|(back, act)| Step::Stale { back, act }),
             1 => recent.clone().prop_map(Step::Expire),
+            1 => recent.clone().prop_map(Step::Interrupt),
             1 => recent.prop_map(Step::Cancel),
             1 => (any::<u8>(), any::<u8>())
                 .prop_map(|(present, leaving)| Step::Hosts { present, leaving }),
@@ -232,6 +234,9 @@
             }
             Step::Stale { back, act } => self.apply_stale(back, act),
             Step::Expire(back) => self.apply_event(self.recent_id(back), |id| Event::Expire { id }),
+            Step::Interrupt(back) => {
+                self.apply_event(self.recent_id(back), |id| Event::Interrupt { id });
+            }
             Step::Cancel(back) => {
                 let id = self.recent_id(back);
                 let open = self.requests.get(&id).is_some_and(|record| record.ended == 0);
