Skip receivers of load reports that never answer

Seen: a sidecar whose leader was down when it started reported to that leader for ever, and took the rest of the pool for idle, which lowers its bound to the constant part: it refuses work (over_bound) that it could run.

Cause: the silence of a receiver was measured from its last answer only, and was zero before the first.

Evidence: tree::skips_a_receiver_that_never_answers failed before, in a pool of 3 with reports to e0 at 1, 2, 3 and 4 s. does_not_skip_a_receiver_before_its_time passed before and passes now.

Why it works: before the first answer the silence is that since the first report. After an answer nothing is changed. Routers choose as before.

--- a/components/admission/src/pool.rs
+++ b/components/admission/src/pool.rs
@@ -180,7 +180,7 @@
         let leaders = self.leaders();
         let first = leader_index(self.index, &self.own, leaders);
         let to = self.receiver(first, leaders, self.load_uplink.missed(self.ttl, now));
-        self.load_uplink.sent = Some((load, now));
+        self.load_uplink.record_sent(load, now);
         let report = self.report(load, 1, false);
         if to.name != self.own.name {
             return Some((to, report));
@@ -197,7 +197,7 @@
             return None;
         }
         let to = self.receiver(0, leaders, self.sum_uplink.missed(self.ttl, now));
-        self.sum_uplink.sent = Some((group.load, now));
+        self.sum_uplink.record_sent(group.load, now);
         if to.name != self.own.name {
             return Some((to, self.report(group.load, group.members, true)));
         }
@@ -238,6 +238,8 @@
 struct Uplink {
     /// The last reported load, and when it was sent.
     sent: Option<(u64, Millis)>,
+    /// When the first report was sent.
+    started: Option<Millis>,
     /// When the last answer arrived.
     answered: Option<Millis>,
 }
@@ -258,10 +260,17 @@
         at.until(now).0 >= after
     }
 
-    /// The number of receivers to skip: one per full `ttl` since the last answer, none before the
-    /// first answer.
+    /// Records that a report is sent.
+    fn record_sent(&mut self, load: u64, now: Millis) {
+        self.sent = Some((load, now));
+        self.started.get_or_insert(now);
+    }
+
+    /// The number of receivers to skip: one per full `ttl` since the last answer, or before the
+    /// first answer since the first report.
     fn missed(&self, ttl: Millis, now: Millis) -> usize {
-        let silence = self.answered.map_or(Millis::ZERO, |at| at.until(now));
+        let since = self.answered.or(self.started);
+        let silence = since.map_or(Millis::ZERO, |at| at.until(now));
         usize::try_from(silence.0 / ttl.0.max(1)).unwrap_or(usize::MAX)
     }
 }
