Age paces while they wait to be forwarded

Seen: in a fleet that forwards hints by neighbours, a pace counted as younger than it was, by 25 ms and more for each router on its way, so an upstream that was slow for a moment counted as slow for longer.

Cause: only observations aged in the queue of Gossip.

Evidence: gossip::ages_of_paces_grow_while_they_wait failed before: age 10 for a pace that was 10 ms old and waited 45 ms.

Why it works: each kind of hint with an age gets its time in the queue added.

--- a/components/fleet/src/gossip.rs
+++ b/components/fleet/src/gossip.rs
@@ -118,17 +118,30 @@
     }
 }
 
-/// Encodes a hint; the ages of observations grow by its time in the queue. `None` if that fails.
+/// Encodes a hint; the ages in it grow by its time in the queue. `None` if that fails.
 fn encode(mut hint: Hint, now: Millis) -> Option<EncodedHint> {
-    if let Frame::Observations(observations) = &mut hint.frame {
-        for observation in &mut observations.upstreams {
-            observation.age_ms += hint.queued_at.until(now).0;
-        }
-    }
+    add_age(&mut hint.frame, hint.queued_at.until(now));
     let bytes = wire::encode(&hint.frame).ok()?;
     Some(EncodedHint { origin: hint.origin, hops: hint.hops, bytes })
 }
 
+/// Adds to the ages of what a frame reports.
+fn add_age(frame: &mut Frame, age: Millis) {
+    match frame {
+        Frame::Observations(observations) => {
+            for observation in &mut observations.upstreams {
+                observation.age_ms = observation.age_ms.saturating_add(age.0);
+            }
+        }
+        Frame::Paces(paces) => {
+            for pace in paces {
+                pace.age_ms = pace.age_ms.saturating_add(age.0);
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Appends datagrams with `hints` for `peer`.
 fn pack<'a>(
     peer: &Peer,
--- a/components/fleet/tests/gossip.rs
+++ b/components/fleet/tests/gossip.rs
@@ -7,7 +7,7 @@
 use clock::Millis;
 use edge::Peer;
 use fleet::{Gossip, Neighbours, Origin};
-use wire::{Frame, Observation, Observations, Reader};
+use wire::{Frame, Observation, Observations, Pace, Reader};
 
 fn peer(name: &str) -> Peer {
     Peer { name: name.into(), hints: None, domain: "".into(), strength: 0 }
@@ -137,6 +137,16 @@
     assert_eq!(observations.upstreams[0].age_ms, 55);
 }
 
+#[test]
+fn ages_of_paces_grow_while_they_wait() {
+    let mut gossip = Gossip::default();
+    let pace = |age_ms| Pace { upstream: "i-1".into(), percent: 300, age_ms };
+    gossip.push(Origin::Own, Frame::Paces(vec![pace(10)]), 0, Millis(100));
+    let neighbours = Neighbours { source: Some(peer("f")), ..Neighbours::default() };
+    let datagrams = gossip.flush(&neighbours, Millis(145));
+    assert_eq!(hints(&datagrams[0].1).1, [Frame::Paces(vec![pace(55)])]);
+}
+
 #[test]
 fn drops_the_oldest_hints_beyond_the_limit() {
     let mut gossip = Gossip::default();
