Keep the cold time of upstreams from before the first configuration

Seen: a router that read the entry of a cold upstream before its first configuration sends that upstream as much as any other once it has both; an upstream that has just started gets a burst, and its callers late answers. Within one read of the store the configuration is applied first (feed/facts.rs), so this takes a first configuration that comes, or can be parsed, in a later read only, and it lasts until the entry of the upstream is written again.

Cause: mark_cold returned without a configuration.

Why it works: the cold time needs no configuration; the quota does, and a new configuration allocates the quotas of all cold upstreams. Until then it is zero.

This touches the choice of upstreams, of a router that has just started.

--- a/components/routing/src/upstreams/cold.rs
+++ b/components/routing/src/upstreams/cold.rs
@@ -148,13 +148,13 @@
         self.allocate_quotas(now);
     }
 
-    /// Extends the cold time of an upstream to at least `remaining`; ignored before the first
-    /// configuration.
+    /// Extends the cold time of an upstream to at least `remaining`. Before the first
+    /// configuration, which allocates the quota, the upstream has none.
     pub(crate) fn mark_cold(&mut self, upstream: &str, remaining: Millis, now: Millis) {
-        let Some(plan) = self.plan.clone() else { return };
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.cold_start.extend(now + remaining);
-            upstream.cold_start.quota = quota(upstream, &plan, &self.settings, &self.members, now);
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        upstream.cold_start.extend(now + remaining);
+        if let Some(plan) = &self.plan {
+            upstream.cold_start.quota = quota(upstream, plan, &self.settings, &self.members, now);
         }
     }
 
--- a/components/routing/tests/direct/cold.rs
+++ b/components/routing/tests/direct/cold.rs
@@ -8,7 +8,7 @@
 use routing::{Event, Settings, State};
 
 use crate::fixture::{
-    NOW, arrival, engines, evacuated, failure, members, router, sent_to, settings,
+    NOW, arrival, engines, evacuated, failure, members, plan, router, sent_to, settings,
 };
 
 /// Limit of the cold engine in requests per second: 1.5 x 8 + 5.
@@ -17,15 +17,19 @@
 /// When routers that start at `NOW` have a quota.
 const SETTLED: Millis = Millis(NOW.0 + 4_000);
 
-/// Router number `own` of `count`, with one engine.
-fn fleet_router(own: usize, count: usize) -> State {
-    let mut state = router(Settings {
+fn settings_of_the_fleet() -> Settings {
+    Settings {
         cold_multiple: 1.5,
         cold_extra: 5.0,
         current_ms: 0,
         retry_burst: 100.0,
         ..settings()
-    });
+    }
+}
+
+/// Router number `own` of `count`, with one engine.
+fn fleet_router(own: usize, count: usize) -> State {
+    let mut state = router(settings_of_the_fleet());
     state.apply(engines(&["a"]), NOW);
     state.apply(members(own, count), NOW);
     state
@@ -131,6 +135,16 @@
     assert_eq!(count_sent(&mut state, 200, 50, SETTLED + Millis(3_000)), 50);
 }
 
+#[test]
+fn an_engine_reported_cold_before_the_first_configuration_is_cold_after_it() {
+    let mut state = State::new(settings_of_the_fleet(), 1);
+    state.apply(engines(&["a"]), NOW);
+    state.apply(members(0, 1), NOW);
+    state.apply(cold(60_000), NOW);
+    state.apply(Event::Configure(plan()), NOW + Millis(100));
+    assert_eq!(count_sent(&mut state, 0, 50, SETTLED), 15);
+}
+
 /// A step of a scenario.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/components/routing/tests/direct/fixture.rs
+++ b/components/routing/tests/direct/fixture.rs
@@ -31,7 +31,8 @@
     }
 }
 
-fn plan() -> Arc<Plan> {
+/// The configuration of the tests.
+pub fn plan() -> Arc<Plan> {
     let kind = |name: &str, repeatable: bool| json!({ "name": name, "repeatable": repeatable, "keyless": true, "resumable": matches!(name, "stream" | "bulk" | "split") });
     let intent = |name: &str, service: &str| {
         let equals =
