Count an answer that breaks off once

Seen: upstreams whose answers begin and break off counted with one success for each failure. Among upstreams that fail now and then, one that breaks off all its answers was found later, or not at all.

Cause: record_outcome added a failure to the recorded success of an attempt.

Why it works: the success is taken back with the weight that it still has. If other routers were told of it already, the next success is not reported.

This touches the choice of upstreams.

--- a/components/routing/src/recovery/silence.rs
+++ b/components/routing/src/recovery/silence.rs
@@ -96,20 +96,22 @@
         Some(Effect::CloseIdle { address })
     }
 
-    /// Records the outcome of a request's current attempt. After a success only a failure is
-    /// added, and after a failure nothing.
+    /// Records the outcome of a request's current attempt, which counts once: a failure replaces a
+    /// success, and after a failure nothing changes.
     pub(crate) fn record_outcome(&mut self, id: u64, success: bool, now: Millis) {
         let Some(last) = self.requests.get_mut(&id).and_then(|request| request.tries.last_mut())
         else {
             return;
         };
-        let before = last.recorded_outcome.replace(success);
-        if before.is_some_and(|recorded| !recorded || success) {
-            last.recorded_outcome = before;
+        let before = last.recorded_outcome;
+        if before.is_some_and(|(recorded, _)| !recorded || success) {
             return;
         }
-        if let Some(upstream) = self.upstreams.get_mut(&last.upstream) {
-            upstream.health.record(success, now);
+        last.recorded_outcome = Some((success, now));
+        let Some(upstream) = self.upstreams.get_mut(&last.upstream) else { return };
+        match before {
+            Some((_, recorded_at)) => upstream.health.replace_success(recorded_at, now),
+            None => upstream.health.record(success, now),
         }
     }
 
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -125,9 +125,10 @@
     /// Whether the attempt exceeded the silence timeout.
     #[serde(skip)]
     pub(crate) is_silent: bool,
-    /// The outcome counted for the upstream's health, if any.
+    /// The outcome counted for the upstream's health, if any: whether it is a success, and when it
+    /// was recorded.
     #[serde(skip)]
-    pub(crate) recorded_outcome: Option<bool>,
+    pub(crate) recorded_outcome: Option<(bool, Millis)>,
     /// Whether its load at the upstream was released.
     #[serde(skip)]
     pub(crate) is_released: bool,
--- a/components/routing/src/upstreams/health.rs
+++ b/components/routing/src/upstreams/health.rs
@@ -24,8 +24,10 @@
     successes: f64,
     failures: f64,
     at: Millis,
-    /// Successes and failures of own requests that are not yet reported to other routers.
-    unreported: (u32, u32),
+    /// Successes and failures of own requests that are not yet reported to other routers. The
+    /// successes are negative if reported ones were replaced by failures; later ones make up for
+    /// them.
+    unreported: (i32, u32),
 }
 
 /// Decayed counts of outcomes at one point in time.
@@ -40,7 +42,18 @@
     pub(crate) fn record(&mut self, success: bool, now: Millis) {
         let (successes, failures) = if success { (1, 0) } else { (0, 1) };
         self.add(successes, failures, now);
-        self.unreported = (self.unreported.0 + successes, self.unreported.1 + failures);
+        self.unreported.0 += i32::from(success);
+        self.unreported.1 += failures;
+    }
+
+    /// Replaces the success of an own request, recorded at `recorded_at`, by a failure.
+    pub(crate) fn replace_success(&mut self, recorded_at: Millis, now: Millis) {
+        let known = self.outcomes(now);
+        self.successes = (known.successes - decay(recorded_at, now)).max(0.0);
+        self.failures = known.failures;
+        self.at = now;
+        self.unreported.0 -= 1;
+        self.record(false, now);
     }
 
     /// Adds outcomes of this or another router.
@@ -53,18 +66,26 @@
 
     /// Takes the unreported successes and failures, if there are any.
     pub(crate) fn take_unreported(&mut self) -> Option<(u32, u32)> {
-        let unreported = std::mem::take(&mut self.unreported);
-        (unreported != (0, 0)).then_some(unreported)
+        let successes = u32::try_from(self.unreported.0).unwrap_or_default();
+        let failures = std::mem::take(&mut self.unreported.1);
+        self.unreported.0 = self.unreported.0.min(0);
+        ((successes, failures) != (0, 0)).then_some((successes, failures))
     }
 
     /// The counts decayed to `now`.
     pub(crate) fn outcomes(&self, now: Millis) -> Outcomes {
-        #[expect(clippy::cast_precision_loss, reason = "ages stay far below 2^53")]
-        let decay = 0.5_f64.powf(self.at.until(now).0 as f64 / HALF_LIFE_MS);
+        let decay = decay(self.at, now);
         Outcomes { successes: self.successes * decay, failures: self.failures * decay }
     }
 }
 
+/// The weight at `now` of an outcome recorded at `at`.
+fn decay(at: Millis, now: Millis) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "ages stay far below 2^53")]
+    let age = at.until(now).0 as f64;
+    0.5_f64.powf(age / HALF_LIFE_MS)
+}
+
 impl Outcomes {
     /// The sums of both.
     pub(crate) fn merge(self, other: Self) -> Self {
--- a/components/routing/tests/direct/health.rs
+++ b/components/routing/tests/direct/health.rs
@@ -91,3 +91,33 @@
     assert_eq!(state.take_outcomes(), [outcome(&targets[0], 1, 1)]);
     assert_eq!(state.take_outcomes(), []);
 }
+
+/// Sends a stream, whose answer begins; returns the upstream.
+fn begin_stream(state: &mut State, id: u64) -> Arc<str> {
+    let upstream = sent_to(&state.apply(arrival(id, "stream", "chat"), NOW)).expect("an upstream");
+    let head = Head { attempt: 1, status: 200, headers: Vec::new() };
+    state.apply(Event::Reply { id, attempt: 1, reply: Reply::Head(head) }, NOW);
+    upstream
+}
+
+#[test]
+fn an_answer_that_breaks_off_counts_once() {
+    let mut state = router(settings());
+    let upstream = begin_stream(&mut state, 1);
+    state.apply(Event::ConnectionFailed { id: 1, attempt: 1, sent: true }, NOW);
+    assert_eq!(state.take_outcomes(), [outcome(&upstream, 0, 1)]);
+}
+
+#[test]
+fn a_later_success_makes_up_for_one_that_was_reported_before_its_answer_broke_off() {
+    let mut state = router(settings());
+    let upstream = begin_stream(&mut state, 1);
+    assert_eq!(state.take_outcomes(), [outcome(&upstream, 1, 0)]);
+    state.apply(Event::ConnectionFailed { id: 1, attempt: 1, sent: true }, NOW);
+    assert_eq!(state.take_outcomes(), [outcome(&upstream, 0, 1)]);
+    for (id, reported) in [(2, 0), (3, 1)] {
+        assert_eq!(begin_stream(&mut state, id), upstream);
+        let outcomes = state.take_outcomes();
+        assert_eq!(outcomes.first().map_or(0, |outcome| outcome.successes), reported);
+    }
+}
