Keep a report of loads within a datagram

Seen: routers read 16 KiB of a datagram. A longer report of loads is cut off there, taken for an unexpected datagram and dropped whole (by the code of hints.rs; the test shows the sizes), so the others count the load of its router as none.

At 400 loaded upstreams this is no fault: their report has 5,107 bytes with names of ten letters. By that size it starts at about 1,200 upstreams (estimated).

Cause: State::loads had no limit.

Evidence: loads::reports_the_highest_loads_that_fit_a_datagram failed before: 18,507 bytes for 1,400 engines. The part with 400 engines passed.

Why it works: the entries are limited by their encoded size. If not all fit, the highest are sent, which the load bound depends on. Reports that fit are as before, in order and content.

This touches the choice of upstreams beyond that size only.

--- a/components/routing/src/upstreams/loads.rs
+++ b/components/routing/src/upstreams/loads.rs
@@ -23,6 +23,10 @@
 /// datagram.
 const MAX_ENTRIES: usize = 40;
 
+/// Maximum size of the entries in a report of loads, so that it fits the 16 KiB that routers read of
+/// a datagram.
+const MAX_LOADS_BYTES: usize = 15 * 1_024;
+
 /// What other routers have reported.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
@@ -142,7 +146,8 @@
         }
     }
 
-    /// The loads of this router, named `router`, for other routers.
+    /// The loads of this router, named `router`, for other routers: the highest if not all fit a
+    /// datagram.
     pub fn loads(&self, router: &Arc<str>, now: Millis) -> Loads {
         let loaded = self.upstreams.values().filter(|upstream| upstream.own_load > 0);
         let load = |upstream: &Upstream| Load {
@@ -150,7 +155,38 @@
             requests: upstream.own_load,
             waiting: upstream.own_waiting,
         };
-        let upstreams = loaded.map(load).collect();
+        let upstreams = fit_datagram(loaded.map(load).collect());
         Loads { router: router.clone(), current: self.has_confirmed_plan(now), upstreams }
     }
 }
+
+/// Keeps the highest loads that fit a datagram; all in their order if they fit.
+fn fit_datagram(mut loads: Vec<Load>) -> Vec<Load> {
+    if loads.iter().map(encoded_size).sum::<usize>() <= MAX_LOADS_BYTES {
+        return loads;
+    }
+    loads.sort_by_key(|load| std::cmp::Reverse(load.requests));
+    let mut left = MAX_LOADS_BYTES;
+    let fits = |load: &Load| {
+        let rest = left.checked_sub(encoded_size(load));
+        left = rest.unwrap_or_default();
+        rest.is_some()
+    };
+    loads.into_iter().take_while(fits).collect()
+}
+
+/// The size of a load in a message: the name with its length, and two numbers.
+fn encoded_size(load: &Load) -> usize {
+    let name = load.upstream.len();
+    number_size(name as u64) + name + number_size(load.requests) + number_size(load.waiting)
+}
+
+/// The size of a number in a message.
+fn number_size(number: u64) -> usize {
+    match number {
+        0..=250 => 1,
+        251..=0xffff => 3,
+        0x1_0000..=0xffff_ffff => 5,
+        _ => 9,
+    }
+}
--- a/components/routing/tests/direct/loads.rs
+++ b/components/routing/tests/direct/loads.rs
@@ -5,9 +5,12 @@
 use clock::Millis;
 use errors::Kind;
 use routing::{Bound, Event, Settings, State};
-use wire::{Load, Loads, Observation, Observations};
+use wire::{Frame, Load, Loads, Observation, Observations};
 
-use crate::fixture::{NOW, arrival, failure, retry_after, router, sent_to, settings};
+use crate::fixture::{NOW, arrival, engines, failure, retry_after, router, sent_to, settings};
+
+/// The largest datagram that routers read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1_024;
 
 fn router_with_known_bound() -> State {
     let known_bound = Bound { multiple: 2.0, floor: 4, margin: 0.0, extra: 0 };
@@ -153,3 +156,25 @@
     }
     assert_ne!(target(&mut state, 1, NOW + Millis(3_900)), first);
 }
+
+/// A router that has sent a request to each of `count` engines, and two to one of them.
+fn loaded_router(count: usize) -> State {
+    let bound = Bound { multiple: 1.0, floor: 1, margin: 0.0, extra: 0 };
+    let mut state = router(Settings { bound, current_ms: 0, ..settings() });
+    state.apply(engines(&vec!["d"; count]), NOW);
+    for id in 0..=count as u64 {
+        state.apply(arrival(id, "stream", &format!("chat-{id}")), NOW);
+    }
+    state
+}
+
+#[test]
+fn reports_the_highest_loads_that_fit_a_datagram() {
+    for (count, reported) in [(400, 400), (1_400, 1_100)] {
+        let loads = loaded_router(count).loads(&"front-1".into(), NOW);
+        assert!(loads.upstreams.len() >= reported, "{} of {count}", loads.upstreams.len());
+        assert!(loads.upstreams.iter().any(|load| load.requests == 2), "{count} engines");
+        let bytes = wire::encode(&Frame::Loads(loads)).expect("a frame").len();
+        assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes for {count} engines");
+    }
+}
