Release own load with sidecars too

Seen: behind sidecars each request stayed in the router's own load for ever. An upstream that had failed twice, and had ever had a request of this router, was excluded as suspect although its time alone was over and nothing was sent there: callers got no_upstream until the router was connected to it again.

Cause: release_load did nothing with sidecars, as these report their load; but own_load is also what says that an upstream has its probe.

Evidence: sidecars::answered_requests_are_no_load failed before (a load of 1 after the answer), and so did sidecars::sends_one_request_to_an_upstream_that_ has_failed_repeatedly (no upstream).

Why it works: the load of an attempt is released as it ends, on both paths. The load that is compared with the bound is still the sidecar's.

This touches the choice of upstreams, with sidecars only.

--- a/components/routing/src/requests/completion.rs
+++ b/components/routing/src/requests/completion.rs
@@ -174,12 +174,8 @@
         effects
     }
 
-    /// Removes the current attempt from the load of its upstream. Does nothing with sidecars, which
-    /// report their load themselves.
+    /// Removes the current attempt from this router's own load at its upstream.
     pub(crate) fn release_load(&mut self, id: u64) {
-        if self.settings.path.has_sidecars() {
-            return;
-        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(last) = request.tries.last_mut().filter(|last| !last.is_released) else { return };
         last.is_released = true;
--- a/components/routing/src/upstreams/upstream.rs
+++ b/components/routing/src/upstreams/upstream.rs
@@ -60,7 +60,7 @@
     /// Whether no new connection is needed.
     pub(crate) connected: bool,
     pub(crate) status: Status,
-    /// Load of this router's own requests; used where the upstream is reached directly.
+    /// Load of this router's own requests. With sidecars it only shows whether there are any.
     pub(crate) own_load: u64,
     /// Load of all other routers, as they report it.
     pub(crate) peer_load: u64,
