Record cancelled requests as cancelled

Seen: 'request ended' and silverstack_refusals_total had the error expired or expired_running for a request whose caller had gone away, long before its time was over; only detail told them apart. One that waited for a permit after an attempt that may have run was recorded as not run.

Cause: cancel had no kind of its own for requests that were sent, and looked only at the phase.

Evidence: decisions::a_cancelled_request_is_not_recorded_as_expired failed before ('expired'), and so did a_cancelled_request_that_waits_after_a_lost_attempt_may_ have_run ('cancelled', not run).

Why it works: two kinds stand beside cancelled, with the outcomes that were recorded before; an earlier attempt that may have run counts. Both are last in the table, as the position of a kind is its code in frames, and no frame has them.

--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -141,6 +141,10 @@
     AnswerTooLarge: 502 Ran false false "the answer is larger than may be kept";
     /// The caller continues a stream, and it is unknown which software version began it.
     StreamLost: 503 NotRun false false "the stream can't be continued: its beginning is not known";
+    /// The caller disconnected while the request may have been running.
+    CancelledSent: 499 Unknown false false "the caller went away while the request may have been running";
+    /// The caller disconnected before the answer was complete.
+    CancelledRunning: 499 Ran false false "the caller went away before the answer was whole";
 }
 
 /// The JSON body of an error answer.
--- a/components/routing/src/requests/completion.rs
+++ b/components/routing/src/requests/completion.rs
@@ -50,18 +50,23 @@
         vec![Effect::Fail(answer), Effect::Record(Arc::new(decision))]
     }
 
-    /// Handles a caller that closed its connection. A request that was sent may have run, so it
-    /// ends like one whose deadline passed.
+    /// Handles a caller that closed its connection. A request that was sent may have run.
     pub(crate) fn cancel(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
+        let may_have_run = request.uncertain_error().is_some();
         let kind = match request.phase {
+            Phase::Answering { .. } => Kind::CancelledRunning,
+            Phase::Sent | Phase::Admitted => Kind::CancelledSent,
+            Phase::Binding | Phase::Postponed | Phase::Claiming | Phase::Locating
+                if may_have_run =>
+            {
+                Kind::CancelledSent
+            }
             Phase::Binding | Phase::Postponed | Phase::Claiming | Phase::Locating => {
                 Kind::Cancelled
             }
-            Phase::Sent | Phase::Admitted => Kind::Expired,
-            Phase::Answering { .. } => Kind::ExpiredRunning,
         };
         let mut effects = vec![Effect::Cancel];
         effects.extend(self.close(id, Some(kind), "the caller went away", now));
--- a/components/routing/tests/direct/decisions.rs
+++ b/components/routing/tests/direct/decisions.rs
@@ -4,10 +4,10 @@
 
 use crate::fixture::{
     NOW, arrival, arrival_with_prefixes, failure, recorded_decision, refusal, router, sent_to,
-    settings,
+    services, settings,
 };
 use clock::Millis;
-use errors::Kind;
+use errors::{Kind, Outcome};
 use routing::{Effect, Event, Mechanisms, Prefix, Reply, Settings, State};
 use wire::{Chunk, End, Head, Refused, Status};
 
@@ -273,3 +273,44 @@
     let without_postponing = Mechanisms { waits: false, ..Mechanisms::default() };
     assert!(sent_to(&repeat_prefix(without_postponing)).is_some());
 }
+
+/// The error and the outcome recorded for a request that its caller cancels after `events`.
+fn recorded_after_cancel(state: &mut State, events: Vec<Event>) -> (&'static str, Outcome) {
+    for event in events {
+        state.apply(event, NOW);
+    }
+    let decision =
+        recorded_decision(&state.apply(Event::Cancel { id: 1 }, NOW)).expect("a decision");
+    assert_eq!(decision.detail.as_ref(), "the caller went away");
+    (decision.error.expect("an error").into(), decision.outcome)
+}
+
+#[test]
+fn a_cancelled_request_is_not_recorded_as_expired() {
+    let begin = || vec![arrival(1, "stream", "chat")];
+    let sent = recorded_after_cancel(&mut router(settings()), begin());
+    assert_eq!(sent, ("cancelled_sent", Outcome::Unknown));
+    let head = Head { attempt: 1, status: 200, headers: Vec::new() };
+    let answered = Event::Reply { id: 1, attempt: 1, reply: Reply::Head(head) };
+    let events = begin().into_iter().chain([answered]).collect();
+    let answering = recorded_after_cancel(&mut router(settings()), events);
+    assert_eq!(answering, ("cancelled_running", Outcome::Ran));
+}
+
+#[test]
+fn a_cancelled_request_that_waits_after_a_lost_attempt_may_have_run() {
+    let saturated = Event::Saturated { pool: "plain".into(), duration: Millis(1_500) };
+    let begin = || vec![services(2), saturated.clone(), arrival(1, "safe", "chat")];
+    let waiting = recorded_after_cancel(&mut router(settings()), begin());
+    assert_eq!(waiting, ("cancelled", Outcome::NotRun));
+
+    let mut state = router(settings());
+    state.apply(services(2), NOW);
+    state.apply(arrival(1, "safe", "chat"), NOW);
+    state.apply(saturated, NOW);
+    let lost = Event::ConnectionFailed { id: 1, attempt: 1, sent: true };
+    let claims = state.apply(lost, NOW);
+    assert!(claims.iter().any(|effect| matches!(effect, Effect::Claim { .. })));
+    let waiting = recorded_after_cancel(&mut state, Vec::new());
+    assert_eq!(waiting, ("cancelled_sent", Outcome::Unknown));
+}
