Judge each claim of a permit by its own objective

Seen: in a saturated pool with kinds of different objectives, the objective of the claim that came last set the permits of all upstreams. Requests of a short objective were sent where the queue is longer than their objective allows, and those of a long one were kept waiting or refused while permits were left.

Cause: Issuer::enqueue kept one objective for the whole pool.

Why it works: the claim whose turn it is, by the order of the queue, is granted by its own objective. Claims of a longer objective do not pass it: while they keep the upstreams full, it would never fit. With one objective in a pool, the decisions are the same as before. An upstream counts as full, for its growth, by the objective of the permit that is released. The totals of /status still go by the latest claim.

This touches the choice of upstreams, in saturated pools of several objectives.

--- a/components/permits/src/issuer.rs
+++ b/components/permits/src/issuer.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Debug)]
 struct Grant {
     upstream: Arc<str>,
+    /// The objective of the request; `None` if the permit was granted by an earlier owner.
+    objective: Option<Millis>,
     granted: Millis,
     renewed: Millis,
 }
@@ -68,7 +70,7 @@
     arrived: Vec<Id>,
     /// Decisions with their times; `None` for released claims.
     decided: HashMap<Id, (Option<ClaimState>, Millis)>,
-    /// The objective of the latest new claim, by which permits are computed.
+    /// The objective of the latest new claim, for totals and for permits of earlier owners.
     objective: Millis,
     started: Millis,
     saturated_at: Millis,
@@ -232,8 +234,10 @@
         self.record_decision(&id, None, now);
         let upstream = granted.unwrap_or_else(|| release.upstream.clone());
         if let Some(upstream) = self.upstreams.get_mut(&upstream).filter(|_| first) {
-            let held = self.grants.get(&id).map_or(Millis::ZERO, |grant| grant.granted.until(now));
-            let full = upstream.in_flight >= upstream.limit.permits(self.objective, now);
+            let grant = self.grants.get(&id);
+            let held = grant.map_or(Millis::ZERO, |grant| grant.granted.until(now));
+            let objective = grant.and_then(|grant| grant.objective).unwrap_or(self.objective);
+            let full = upstream.in_flight >= upstream.limit.permits(objective, now);
             match release.end {
                 Finish::Answered => {
                     upstream.limit.record_answer(Millis(u64::from(release.elapsed_ms)), held, full);
@@ -260,15 +264,22 @@
                 self.decided.get(&id),
                 Some((None | Some(ClaimState::Refused(_)), _))
             ) {
-                self.insert_grant(id, &held.upstream, now);
+                self.insert_grant(id, &held.upstream, None, now);
             }
         }
     }
 
-    fn insert_grant(&mut self, id: Id, upstream: &Arc<str>, now: Millis) {
+    fn insert_grant(
+        &mut self,
+        id: Id,
+        upstream: &Arc<str>,
+        objective: Option<Millis>,
+        now: Millis,
+    ) {
         let new = || Upstream { limit: Limit::new(0), listed: false, in_flight: 0 };
         self.upstreams.entry(upstream.clone()).or_insert_with(new).in_flight += 1;
-        self.grants.insert(id, Grant { upstream: upstream.clone(), granted: now, renewed: now });
+        let upstream = upstream.clone();
+        self.grants.insert(id, Grant { upstream, objective, granted: now, renewed: now });
     }
 
     fn remove_grant(&mut self, id: &Id) {
@@ -306,24 +317,32 @@
         self.usable(now).map(|(_, upstream)| upstream.limit.rate_per_ms()).sum()
     }
 
-    /// Takes the next claim that can be granted, with the upstream that has the largest free
+    /// Takes the next claim if it can be granted, with the upstream that has the largest free
     /// fraction among those that the claim does not avoid.
+    ///
+    /// The permits of an upstream depend on the objective of the claim. Claims of a longer
+    /// objective, by which there are more, do not pass one that comes first: it might never get a
+    /// permit.
     fn next(&mut self, now: Millis) -> Option<(Waiter, Arc<str>)> {
-        let free = self.free_upstreams(now);
-        if free.is_empty() || self.queue.is_empty() {
-            return None;
-        }
-        let target = |waiter: &Waiter| free.iter().find(|(name, _)| !waiter.avoid.contains(name));
-        let waiter = self.queue.pop(|waiter| target(waiter).is_some(), now)?;
-        let upstream = target(&waiter)?.0.clone();
+        let longest = self.queue.longest_objective()?;
+        let free = self.free_upstreams(longest, now);
+        let waiter = self.queue.peek(|waiter| target(&free, waiter).is_some(), now)?;
+        let upstream = if waiter.objective == longest {
+            target(&free, waiter)?
+        } else {
+            target(&self.free_upstreams(waiter.objective, now), waiter)?
+        };
+        let id = waiter.id.clone();
+        let waiter = self.queue.pop(|other| other.id == id, now)?;
         Some((waiter, upstream))
     }
 
-    /// The upstreams with free permits and the fraction that is free, largest first.
-    fn free_upstreams(&self, now: Millis) -> Vec<(Arc<str>, f64)> {
+    /// The upstreams with free permits for requests of an objective, and the fraction that is free,
+    /// largest first.
+    fn free_upstreams(&self, objective: Millis, now: Millis) -> Vec<(Arc<str>, f64)> {
         let starting = self.started.until(now) < STARTUP_PERIOD;
         let free = |(name, upstream): (&Arc<str>, &Upstream)| {
-            let permits = upstream.limit.permits(self.objective, now);
+            let permits = upstream.limit.permits(objective, now);
             let permits = if starting { permits.div_ceil(2) } else { permits };
             let free = permits.checked_sub(upstream.in_flight).filter(|free| *free > 0)?;
             #[expect(clippy::cast_precision_loss, reason = "few")]
@@ -336,7 +355,7 @@
     }
 
     fn grant(&mut self, waiter: Waiter, upstream: &Arc<str>, now: Millis) -> Decision {
-        self.insert_grant(waiter.id.clone(), upstream, now);
+        self.insert_grant(waiter.id.clone(), upstream, Some(waiter.objective), now);
         self.decision(waiter, ClaimState::Granted(upstream.clone()), now)
     }
 
@@ -370,3 +389,8 @@
         self.decided.insert(id.clone(), (state, now));
     }
 }
+
+/// The first upstream that a claim does not avoid.
+fn target(free: &[(Arc<str>, f64)], waiter: &Waiter) -> Option<Arc<str>> {
+    free.iter().find(|(name, _)| !waiter.avoid.contains(name)).map(|(name, _)| name.clone())
+}
--- a/components/permits/src/queue.rs
+++ b/components/permits/src/queue.rs
@@ -170,17 +170,33 @@
         self.waiting.iter().find(|waiter| waiter.id == *id)
     }
 
+    /// The longest objective of the waiting requests.
+    pub fn longest_objective(&self) -> Option<Millis> {
+        self.waiting.iter().map(|waiter| waiter.objective).max()
+    }
+
+    /// Returns the next request for which `fits` is true.
+    pub fn peek(&self, fits: impl Fn(&Waiter) -> bool, now: Millis) -> Option<&Waiter> {
+        self.next_index(fits, now).map(|index| &self.waiting[index])
+    }
+
     /// Removes and returns the next request for which `fits` is true.
     pub fn pop(&mut self, fits: impl Fn(&Waiter) -> bool, now: Millis) -> Option<Waiter> {
-        let indices: Vec<usize> =
-            (0..self.waiting.len()).filter(|index| fits(&self.waiting[*index])).collect();
-        let next = self.scheduler.next(indices.iter().map(|index| &self.waiting[*index]), now)?;
-        let waiter = self.waiting.remove(indices[next]);
+        let index = self.next_index(fits, now)?;
+        let waiter = self.waiting.remove(index);
         self.scheduler.advance(&waiter.workspace);
         self.scheduler.add_usage(&waiter.workspace, now);
         Some(waiter)
     }
 
+    /// The index of the next request for which `fits` is true.
+    fn next_index(&self, fits: impl Fn(&Waiter) -> bool, now: Millis) -> Option<usize> {
+        let indices: Vec<usize> =
+            (0..self.waiting.len()).filter(|index| fits(&self.waiting[*index])).collect();
+        let next = self.scheduler.next(indices.iter().map(|index| &self.waiting[*index]), now)?;
+        Some(indices[next])
+    }
+
     /// Removes and returns the requests that would not get a permit in time if the pool
     /// completes `rate_per_ms` requests per millisecond.
     pub fn shed(&mut self, rate_per_ms: f64, now: Millis) -> Vec<Waiter> {
