Limit the time of a call in the load client

Seen: a run of the local binary, a test or a benchmark that calls a plain service hung for ever if the router took the call and did not answer, or stopped amid the answer.

Cause: only the bodies of answers to chats had a time limit; the HTTP client has none.

Why it works: a call has the limit that the body of a chat's answer has, from its request to the end of its answer. The limit can be set, for tests.

--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -18,7 +18,7 @@
 /// The largest accepted answer.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
-/// How long the body of an answer to a chat may take.
+/// How long an answer may take: from its head for a chat, from the request for a call.
 const ANSWER_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// An HTTP client with the credentials of one workspace.
@@ -27,6 +27,7 @@
     client: Client,
     base: String,
     token: String,
+    answer_timeout: Duration,
 }
 
 /// An open answer whose body is not read. Dropping it cancels the request.
@@ -59,7 +60,18 @@
     pub async fn new(base: &str, workspace: &str, key: &str) -> Result<Self, Error> {
         let client =
             process::client(KEEP_ALIVE, ntex::time::Millis::ZERO).await.map_err(client_error)?;
-        Ok(Self { client, base: base.to_owned(), token: format!("{workspace}:{key}") })
+        Ok(Self {
+            client,
+            base: base.to_owned(),
+            token: format!("{workspace}:{key}"),
+            answer_timeout: ANSWER_TIMEOUT,
+        })
+    }
+
+    /// Returns the caller with another limit on how long an answer may take.
+    #[must_use]
+    pub fn answer_timeout(self, answer_timeout: Duration) -> Self {
+        Self { answer_timeout, ..self }
     }
 
     /// Returns the caller with another base URL.
@@ -76,14 +88,19 @@
     pub async fn chat(&self, chat: &Chat) -> Result<Answer, Error> {
         let started = Instant::now();
         let response = self.begin(chat).await?;
-        let read = async {
+        self.in_time(async {
             if chat.stream {
                 streamed(response, started).await
             } else {
                 unstreamed(response, started).await
             }
-        };
-        tokio::time::timeout(ANSWER_TIMEOUT, read)
+        })
+        .await
+    }
+
+    /// Limits the time that an answer takes.
+    async fn in_time<T>(&self, answer: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+        tokio::time::timeout(self.answer_timeout, answer)
             .await
             .unwrap_or_else(|_| Err(client_error("answer timed out")))
     }
@@ -114,7 +131,7 @@
     ///
     /// # Errors
     ///
-    /// The answer is an error or incomplete.
+    /// The answer is an error or incomplete, or takes too long.
     pub async fn call(
         &self,
         kind: &str,
@@ -126,11 +143,14 @@
         if let Some(key) = key {
             request = request.header("idempotency-key", key);
         }
-        let response = request.send_body(body.to_owned()).await.map_err(client_error)?;
-        let response = check_status(response).await?;
-        let (request, upstream) = ids(&response);
-        let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(client_error)?;
-        Ok(Reply { request, upstream, body: String::from_utf8_lossy(&body).into_owned() })
+        self.in_time(async {
+            let response = request.send_body(body.to_owned()).await.map_err(client_error)?;
+            let response = check_status(response).await?;
+            let (request, upstream) = ids(&response);
+            let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(client_error)?;
+            Ok(Reply { request, upstream, body: String::from_utf8_lossy(&body).into_owned() })
+        })
+        .await
     }
 
     /// Requests a new idempotency key.
