Say why the drained effect of a sidecar is repeated

No fault: a sidecar also leaves because the platform's list says so (sidecar/src/peers.rs). Its drained effect is then ignored (sidecar/src/core.rs), as no stop was requested; the one after the stop is requested ends it. Ending a stop again has no effect (process/src/shutdown.rs).

Evidence: leaving::a_stop_of_a_drained_sidecar_ends passes.

Only a comment is changed.

--- a/components/admission/src/event.rs
+++ b/components/admission/src/event.rs
@@ -122,6 +122,7 @@
         /// The load of this member, or the sum of its group.
         report: Report,
     },
-    /// The sidecar is leaving and no call is in flight. May be repeated.
+    /// The sidecar is leaving and no call is in flight. Repeated with each event from then on: its
+    /// stop may be requested later, and ending a stop again has no effect.
     Drained,
 }
