--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -145,6 +145,10 @@
     Interrupted: 502 Unknown false false "the router stopped before the upstream answered";
     /// The router stopped before the answer was complete.
     InterruptedRunning: 502 Ran false false "the router stopped before the answer was whole";
+    /// The caller disconnected while the request may have been running.
+    CancelledSent: 499 Unknown false false "the caller went away while the request may have been running";
+    /// The caller disconnected before the answer was complete.
+    CancelledRunning: 499 Ran false false "the caller went away before the answer was whole";
 }
 
 /// The JSON body of an error answer.
