--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod configuration;
 mod discovery;
+mod endless;
 mod evacuation;
 mod faults;
 mod fleet;
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -253,6 +253,15 @@
         kill(Pid::from_raw(id), signal).expect("the signal is sent");
     }
 
+    /// The most memory that the process has used so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the process runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a line");
+        let kilobytes = line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number");
+        kilobytes * 1024
+    }
+
     /// Path of the settings file.
     pub fn settings(&self) -> &Path {
         &self.settings
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use super::feedback::Feedback;
-use super::{Backoff, Request};
+use super::{Backoff, Endless, Request};
 
 /// What the stand-in does with a request. Times are in milliseconds.
 #[derive(Clone, Debug)]
@@ -56,6 +56,10 @@
     Broken(u64, u64),
     /// One event, then nothing until the client disconnects.
     Stalled,
+    /// An answer of which a part never ends, sent at full speed.
+    Endless(Endless),
+    /// Like `Endless`, with a byte each 100 ms of the part that never ends.
+    Drip(Endless),
     /// A crash of the upstream.
     Crash,
 }
@@ -322,6 +326,14 @@
                 send(writer, "9\r\nid: 99\nda\r\n");
                 false
             }
+            Action::Endless(part) => {
+                self.send_endless(writer, *part, &id, false);
+                false
+            }
+            Action::Drip(part) => {
+                self.send_endless(writer, *part, &id, true);
+                false
+            }
             Action::Stalled => {
                 self.stall(writer, request);
                 false
@@ -355,6 +367,12 @@
         send(writer, &text.replacen("\r\n", &line, 1))
     }
 
+    /// Sends an endless answer until the client disconnects.
+    fn send_endless(&self, writer: &mut TcpStream, part: Endless, id: &str, drip: bool) {
+        part.send(writer, &answer_head(200, id), drip);
+        self.state.lock().expect("the lock is not poisoned").disconnects += 1;
+    }
+
     /// Sends one event and waits until the client disconnects.
     fn stall(&self, writer: &mut TcpStream, request: &Request) {
         self.send_events(writer, request, 1..=1, 0);
