Requests end at their deadline although bytes keep arriving

Callers saw no end: with chunks or events at full speed a request with a deadline of 2.5 s had no answer after 20 s, and the router used 88 % of a core until the upstream stopped.

Relay::wait computed its timer as now plus what is left plus 1 ms. After the deadline nothing is left, so each wait set a new timer 1 ms ahead, and the next reply came sooner; timeout_at polls the reply first. The deadline is now compared before each wait.

Evidence: endless_streams_end_at_the_deadline had not ended after 100 s before and passes now; endless_bodies_are_refused failed by 21 s without an answer, and fails by memory now.

--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -333,6 +333,10 @@
             return std::future::pending().await;
         };
         let now = self.core.clock.now();
+        // A reply that is ready completes `timeout_at` before its timer is polled.
+        if self.deadline.is_some_and(|deadline| deadline <= now) {
+            return self.handle_timeout();
+        }
         // The clock counts whole milliseconds, so a timer without the extra one may fire before the
         // deadline.
         let to_instant =
