Answers that are collected have a bound on memory

A call's answer is collected whole before its caller gets any of it, so that an answer that ends early becomes an error. Nothing bounded this: twelve calls whose bodies never ended took 546 MB within a deadline of 2.5 s, on hosts that may have 112 MB.

Collections holds 16 MiB for all requests; an upstream may hold at most as much as is free, so endless answers of one leave half for the others. The first 64 KiB of each answer are free, which covers usual answers.

Evidence: endless_bodies_are_refused failed with 546 MB used, and passes now.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::clients::Clients;
+use crate::collection::Collections;
 use crate::crashes::Crashes;
 use crate::decisions::Decisions;
 use crate::fleet::Fleet;
@@ -55,6 +56,7 @@
     pub decisions: RefCell<Decisions>,
     directory_updates: Sender<Effect>,
     /// Crashes that this router has observed.
+    pub collections: Rc<Collections>,
     pub crashes: Crashes,
     /// Permits of saturated pools.
     pub permits: Permits,
@@ -105,6 +107,7 @@
             query_client: QueryClient::new(hello),
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             directory_updates,
+            collections: Rc::default(),
             crashes: Crashes::default(),
             permits: Permits::default(),
             streams: Streams::default(),
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -163,8 +163,8 @@
 ) -> HttpResponse {
     let events = template.events;
     let mut relay = Relay::start(core.get_ref().clone(), arrival, template);
-    let head = match relay.next().await {
-        Step::Head(head, _) => head,
+    let (head, upstream) = match relay.next().await {
+        Step::Head(head, upstream) => (head, upstream),
         Step::Failed(answer) | Step::Aborted(answer) => return failure(core, &answer),
         Step::Bytes(_) | Step::Finished => {
             unreachable!("the routing state sends a head first")
@@ -177,10 +177,14 @@
         let parts = stream::unfold(Some((Box::new(relay), connection)), next_part);
         return builder.streaming(Box::pin(parts));
     }
+    let mut collection = core.collections.start(&upstream);
     let mut body = Vec::new();
     loop {
         match relay.next().await {
-            Step::Bytes(bytes) => body.extend_from_slice(&bytes),
+            Step::Bytes(bytes) if collection.resize(body.len() + bytes.len()) => {
+                body.extend_from_slice(&bytes);
+            }
+            Step::Bytes(_) => relay.refuse_long_response(body.len()),
             Step::Finished => return builder.body(body),
             Step::Failed(answer) | Step::Aborted(answer) => return failure(core, &answer),
             Step::Head(..) => {}
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod background;
 mod body;
 mod clients;
+mod collection;
 mod core;
 mod crashes;
 mod decisions;
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -9,7 +9,7 @@
 use clock::Millis;
 use errors::Answer;
 use permits::Resolution;
-use routing::{Arrival, Attempt, Decision, Effect, Event, Owner};
+use routing::{Arrival, Attempt, Decision, Effect, Event, Owner, Reply};
 use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 use wire::{Claim, Frame, Head, Open};
@@ -17,6 +17,7 @@
 use crate::core::Core;
 use crate::direct::{self, Progress};
 use crate::key;
+use crate::report;
 use crate::streams;
 use crate::template::Template;
 
@@ -134,6 +135,14 @@
         }
     }
 
+    /// Ends the request, whose response is too long to be collected; the next step is
+    /// [`Step::Failed`] or [`Step::Aborted`].
+    pub(crate) fn refuse_long_response(&mut self, collected: usize) {
+        report::log_long_response(&self.request, &self.upstream, collected);
+        let (id, attempt) = (self.id, self.attempt);
+        self.apply(Event::Reply { id, attempt, reply: Reply::Unexpected });
+    }
+
     /// The trace context of the response.
     pub(crate) fn traceparent(&self) -> Option<&str> {
         self.traceparent.as_deref()
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -2,7 +2,7 @@
 
 use clock::Millis;
 use routing::{Binding, Continuation, Crash, Decision, Part, Standing, Try};
-use spdlog::info;
+use spdlog::{info, warn};
 
 /// Logs the decision on a completed request.
 pub(crate) fn log_request(decision: &Decision, trace: &str) {
@@ -152,3 +152,8 @@
     };
     decision.tries.iter().map(format).collect::<Vec<_>>().join(" ")
 }
+
+/// Logs that a response is refused since too much of it would have to be held.
+pub(crate) fn log_long_response(request: &str, upstream: &str, held: usize) {
+    warn!("response too long to be held", kv: { request, upstream, held });
+}
