Streams end at the deadline although their callers do not read

The deadline was compared only when the server asked for the next part of the body, which it does once the caller has taken the earlier ones. A caller that stopped reading kept its request and the upstream's connection open: 20 s after a deadline of 1.5 s they still were.

A task of the stream now ends the caller's connection half a second after the deadline, which drops the relay and with it the upstream's connection.

Evidence: an_endless_stream_ends_at_the_deadline_though_the_caller_does_not_read failed by the open connection, and passes now.

--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use edge::{Header, Metadata, Prefix};
@@ -11,6 +12,7 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::{Arrival, Continuation};
+use tokio::task::JoinSet;
 
 use crate::core::Core;
 use crate::relay::{Relay, Step};
@@ -21,6 +23,9 @@
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
 
+/// How long after its deadline a stream may still be written to a caller that does not read.
+const WRITE_GRACE: Duration = Duration::from_millis(500);
+
 type SharedCore = State<Rc<Core>>;
 
 /// Routes for operators and the platform.
@@ -173,8 +178,8 @@
     let mut builder = answer::forwarded(&head);
     close_if_stopping(core, &mut builder);
     if events {
-        let connection = request.io().cloned();
-        let parts = stream::unfold(Some((Box::new(relay), connection)), next_part);
+        let rest = Rest::new(core, relay, request.io().cloned());
+        let parts = stream::unfold(Some(Box::new(rest)), next_part);
         return builder.streaming(Box::pin(parts));
     }
     let mut collection = core.collections.start(&upstream);
@@ -194,18 +199,38 @@
 
 type Chunk = Result<ntex::util::Bytes, std::io::Error>;
 
-/// A stream in progress and the caller's connection.
-type Rest = Option<(Box<Relay>, Option<IoRef>)>;
+/// A stream in progress.
+struct Rest {
+    relay: Relay,
+    /// The caller's connection.
+    connection: Option<IoRef>,
+    /// Ends the connection after the deadline; stopped when dropped.
+    _watchdog: JoinSet<()>,
+}
+
+impl Rest {
+    fn new(core: &SharedCore, relay: Relay, connection: Option<IoRef>) -> Self {
+        let mut watchdog = JoinSet::new();
+        if let (Some(deadline), Some(connection)) = (relay.deadline(), connection.clone()) {
+            let remaining = core.clock.now().until(deadline).duration();
+            watchdog.spawn_local(async move {
+                tokio::time::sleep(remaining + WRITE_GRACE).await;
+                connection.terminate();
+            });
+        }
+        Self { relay, connection, _watchdog: watchdog }
+    }
+}
 
 /// The next part of a stream. An incomplete stream ends by closing its connection, since the server
 /// would write an error response into it otherwise.
-async fn next_part(rest: Rest) -> Option<(Chunk, Rest)> {
-    let (mut relay, connection) = rest?;
-    match relay.next().await {
-        Step::Bytes(bytes) => Some((Ok(copy(&bytes)), Some((relay, connection)))),
+async fn next_part(rest: Option<Box<Rest>>) -> Option<(Chunk, Option<Box<Rest>>)> {
+    let mut rest = rest?;
+    match rest.relay.next().await {
+        Step::Bytes(bytes) => Some((Ok(copy(&bytes)), Some(rest))),
         Step::Finished => None,
         Step::Failed(_) | Step::Aborted(_) | Step::Head(..) => {
-            if let Some(connection) = connection {
+            if let Some(connection) = &rest.connection {
                 connection.close();
             }
             Some((Err(answer::aborted()), None))
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -143,6 +143,11 @@
         self.apply(Event::Reply { id, attempt, reply: Reply::Unexpected });
     }
 
+    /// The request's deadline, once it was sent.
+    pub(crate) fn deadline(&self) -> Option<Millis> {
+        self.deadline
+    }
+
     /// The trace context of the response.
     pub(crate) fn traceparent(&self) -> Option<&str> {
         self.traceparent.as_deref()
