--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -9,6 +9,9 @@
 /// Requests sent at once to the upstreams whose answers never end.
 const CONCURRENT: usize = 12;
 
+/// Requests sent at once where each holds at most the bytes of one event.
+const MANY: usize = 96;
+
 /// Deadline of these requests.
 const DEADLINE_MS: &str = "2500";
 
@@ -35,7 +38,7 @@
 /// Sends requests at once to upstreams of `service` that perform `action`, and meanwhile a request
 /// to an upstream of another service. Checks time, memory and the upstreams' connections; returns
 /// the answers.
-fn play(action: &Action, service: &str, line: &str) -> Vec<Option<Answer>> {
+fn play(action: &Action, service: &str, line: &str, count: usize) -> Vec<Option<Answer>> {
     let host = unused_host();
     let bad = ["i-1", "i-2"].map(|name| Upstream::start(&host, name, service));
     let other = if service == "plain" { "engine" } else { "plain" };
@@ -47,7 +50,7 @@
     let router = Router::start(&configuration(1), &[&bad[0], &bad[1], &good]);
     let started = Instant::now();
     let answers = std::thread::scope(|scope| {
-        let requests: Vec<_> = (0..CONCURRENT)
+        let requests: Vec<_> = (0..count)
             .map(|number| {
                 let router = &router;
                 scope.spawn(move || {
@@ -70,7 +73,7 @@
     let disconnects = || bad.iter().map(Upstream::disconnects).sum::<usize>();
     router.wait_until("closing the upstreams' connections", || disconnects() == requests());
     if !line.starts_with("GET") && !line.contains("resumed") {
-        assert_eq!(requests(), CONCURRENT, "{action:?}: a request ran twice");
+        assert_eq!(requests(), count, "{action:?}: a request ran twice");
     }
     let peak = router.peak_memory();
     assert!(peak < MAX_MEMORY_BYTES, "{action:?}: {} MB used", peak / 1_000_000);
@@ -85,10 +88,12 @@
     assert!(is_whole, "{action:?}: {}", describe(answer.as_ref()));
 }
 
-/// A description of an answer without its body.
+/// A description of an answer with the beginning of its body.
 fn describe(answer: Option<&Answer>) -> String {
     answer.map_or("no answer".to_owned(), |answer| {
-        format!("{}, {} bytes, whole: {}", answer.status, answer.body.len(), answer.whole)
+        let begin = answer.body.chars().take(100).collect::<String>();
+        let length = answer.body.len();
+        format!("{}, {length} bytes, whole: {}, {begin}", answer.status, answer.whole)
     })
 }
 
@@ -114,15 +119,15 @@
 fn check_calls(actions: impl IntoIterator<Item = Action>) {
     for action in actions {
         for line in ["POST /unsafe/x", "GET /safe/x"] {
-            check_refused(&action, &play(&action, "plain", line));
+            check_refused(&action, &play(&action, "plain", line, CONCURRENT));
         }
     }
 }
 
-fn check_streams(actions: impl IntoIterator<Item = Action>) {
+fn check_streams(actions: impl IntoIterator<Item = Action>, count: usize) {
     for action in actions {
         for line in ["POST /stream/x", "POST /resumed/x"] {
-            check_incomplete(&action, &play(&action, "engine", line));
+            check_incomplete(&action, &play(&action, "engine", line, count));
         }
     }
 }
@@ -165,7 +170,7 @@
 #[test]
 fn bytes_after_an_answer_are_not_forwarded() {
     let action = Action::Endless(Endless::Surplus);
-    for answer in play(&action, "plain", "GET /safe/x") {
+    for answer in play(&action, "plain", "GET /safe/x", CONCURRENT) {
         let answer = answer.expect("an answer");
         assert_eq!((answer.status, &*answer.body, answer.whole), (200, "whole", true));
     }
@@ -174,18 +179,46 @@
 // Guards against streams that are read past the deadline, or that look complete.
 #[test]
 fn endless_streams_end_at_the_deadline() {
-    check_streams(STREAMS.map(Action::Endless));
+    check_streams(STREAMS.map(Action::Endless), CONCURRENT);
 }
 
 #[test]
 fn dripping_streams_end_at_the_deadline() {
-    check_streams(STREAMS.map(Action::Drip));
+    check_streams(STREAMS.map(Action::Drip), CONCURRENT);
 }
 
-// Guards against events that are buffered without bound over all requests.
+// Guards against events that are buffered without bound.
 #[test]
 fn endless_events_are_refused() {
-    check_streams([Action::Endless(Endless::Event)]);
+    check_streams([Action::Endless(Endless::Event)], CONCURRENT);
+}
+
+// Guards against many endless events that leave no time for other requests.
+#[test]
+fn other_requests_are_served_beside_many_endless_events() {
+    check_streams([Action::Endless(Endless::Event)], MANY);
+}
+
+// Guards against events that are buffered without bound over all requests.
+#[test]
+fn many_endless_events_take_little_memory() {
+    let host = unused_host();
+    let engines = ["i-1", "i-2"].map(|name| Upstream::start(&host, name, "engine"));
+    for engine in &engines {
+        engine.set_actions(&[Action::Endless(Endless::Event)]);
+    }
+    let router = Router::start(&configuration(1), &[&engines[0], &engines[1]]);
+    std::thread::scope(|scope| {
+        for number in 0..MANY {
+            let router = &router;
+            scope.spawn(move || {
+                let id = format!("id-{number}");
+                router.request("POST /stream/x", &[("Attempt-Identifier", &*id)], "b")
+            });
+        }
+    });
+    let peak = router.peak_memory();
+    assert!(peak < MAX_MEMORY_BYTES, "{} MB used", peak / 1_000_000);
 }
 
 // Guards against a call whose upstream is read on after its caller has gone.
@@ -253,3 +286,18 @@
     }
     assert!(good.requests().len() >= CONCURRENT / 4, "{}", good.requests().len());
 }
+
+// Guards against an answer of the store that drips, and so keeps the router from newer ones.
+#[test]
+fn a_dripping_answer_of_the_store_is_given_up() {
+    let router = Router::start(&configuration(1), &[]);
+    router.store.set_send_rate(20);
+    let mut long = configuration(2);
+    long["note"] = "x".repeat(100_000).into();
+    router.store.put("op/config", &long);
+    std::thread::sleep(Duration::from_secs(4));
+    router.store.set_send_rate(0);
+    router.wait_until("aware of the new configuration", || {
+        router.page("/status").contains(r#""generation":2"#)
+    });
+}
