Events that are not complete have a bound on memory

Each stream may hold an event of 1 MiB until it is complete; nothing bounded their sum. 96 streams, each with 900 KiB of an event that then dripped, took 106 MB; a host may have 112.

A part of an event beyond 64 KiB counts against the memory for collected answers now. A stream for which there is none left has failed, as one whose connection broke, and is logged.

Evidence: many_endless_events_take_little_memory, made stricter by the drip after 900 KiB, failed with 106 MB used, and passes now.

--- a/components/events/src/splitter.rs
+++ b/components/events/src/splitter.rs
@@ -45,6 +45,11 @@
         self.last_id
     }
 
+    /// The length of the part of an event in the buffer.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds part of an event.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/components/events/tests/splitter.rs
+++ b/components/events/tests/splitter.rs
@@ -81,3 +81,12 @@
     let error = (0..100).find_map(|_| splitter.push(&chunk).err());
     assert_eq!(error, Some(Error::TooLarge));
 }
+
+#[test]
+fn counts_the_bytes_of_an_incomplete_event() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\ndata: x\n\nid: 2").expect("valid events");
+    assert_eq!(splitter.buffered(), b"id: 2".len());
+    splitter.push(b"\ndata: x\n\n").expect("valid events");
+    assert_eq!(splitter.buffered(), 0);
+}
--- a/components/router/src/direct.rs
+++ b/components/router/src/direct.rs
@@ -13,8 +13,10 @@
 use routing::{Attempt, Event, Reply};
 use wire::{Chunk, End, Head, Refused, Status};
 
+use crate::collection::Collection;
 use crate::core::Core;
 use crate::headers;
+use crate::report;
 use crate::template::Template;
 
 /// The status of a response from another upstream than the intended one.
@@ -64,6 +66,8 @@
     head: Option<Head>,
     /// Bytes buffered until the response is complete.
     buffer: BytesMut,
+    /// The memory for a part of an event.
+    collection: Collection,
     /// Set where the response is a stream of events.
     events: Option<Splitter>,
     progress: Progress,
@@ -102,6 +106,7 @@
             ready: VecDeque::new(),
             head: None,
             buffer: BytesMut::new(),
+            collection: core.collections.start(&attempt.upstream),
             events: template.events.then(|| Splitter::resume_after(progress.event)),
             progress,
             queued_progress: progress,
@@ -208,7 +213,12 @@
         if let Some(events) = &mut self.events {
             let complete = events.push(bytes).map_err(|_| AttemptFailure { sent: true });
             let complete = complete.inspect_err(|_| self.stage = Stage::Done)?;
-            let last = self.events.as_ref().and_then(Splitter::last_id);
+            let (last, held) = (events.last_id(), events.buffered());
+            if !self.collection.resize(held) {
+                report::log_long_response(&self.request, &self.upstream, held);
+                self.stage = Stage::Done;
+                return Err(AttemptFailure { sent: true });
+            }
             self.forward(complete, last);
             return Ok(());
         }
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -205,7 +205,7 @@
     let host = unused_host();
     let engines = ["i-1", "i-2"].map(|name| Upstream::start(&host, name, "engine"));
     for engine in &engines {
-        engine.set_actions(&[Action::Endless(Endless::Event)]);
+        engine.set_actions(&[Action::Drip(Endless::LongEvent)]);
     }
     let router = Router::start(&configuration(1), &[&engines[0], &engines[1]]);
     std::thread::scope(|scope| {
--- a/tests/platform/standin/endless.rs
+++ b/tests/platform/standin/endless.rs
@@ -7,6 +7,9 @@
 /// Bytes sent at once at full speed.
 const BLOCK_BYTES: usize = 16 * 1024;
 
+/// The beginning of a long event.
+const LONG_BYTES: usize = 900 * 1024;
+
 /// Time between the bytes of a drip.
 const DRIP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -37,6 +40,8 @@
     Surplus,
     /// One event.
     Event,
+    /// One event, of which [`LONG_BYTES`] come at once.
+    LongEvent,
     /// Comments of an event stream, each followed by a blank line.
     Comments,
     /// Events without ids.
@@ -63,6 +68,7 @@
             Self::Unframed => format!("{head}connection: close\r\n\r\n"),
             Self::Surplus => format!("{head}content-length: 5\r\n\r\nwhole"),
             Self::Event => format!("{events}id: 1\ndata: "),
+            Self::LongEvent => format!("{events}id: 1\ndata: {}", "x".repeat(LONG_BYTES)),
             Self::Comments | Self::Events | Self::Numbered => events,
             Self::Duplicates => format!("{events}id: 1\ndata: x\n\n"),
         }
