--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::clients::Clients;
+use crate::collection::Collections;
 use crate::crashes::Crashes;
 use crate::decisions::Decisions;
 use crate::fleet::Fleet;
@@ -54,6 +55,8 @@
     pub query_client: QueryClient,
     pub decisions: RefCell<Decisions>,
     directory_updates: Sender<Effect>,
+    /// The memory for parts of responses that can't be forwarded yet.
+    pub collections: Rc<Collections>,
     /// Crashes that this router has observed.
     pub crashes: Crashes,
     /// Permits of saturated pools.
@@ -105,6 +108,7 @@
             query_client: QueryClient::new(hello),
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             directory_updates,
+            collections: Rc::default(),
             crashes: Crashes::default(),
             permits: Permits::default(),
             streams: Streams::default(),
