Let other work run beside an upstream that sends at full speed

What callers saw: 503 stale_configuration from a router to which other upstreams send bytes without end, as its poll of the store was not read in time. Cause: the HTTP client's task reads a connection until the runtime's budget of a turn is used up, 128 reads of 16 KiB, and parses each. Why it works: the stream of a connection yields after 64 KiB.

--- a/components/outbound/src/connection.rs
+++ b/components/outbound/src/connection.rs
@@ -12,6 +12,7 @@
 
 use crate::Error;
 use crate::error::{ConnectSnafu, InterruptedSnafu};
+use crate::stream::Stream;
 
 /// Upper bound of a connection's read buffer, which limits the memory that the answer to a slow
 /// caller can use. Heads of answers have a few hundred bytes; the library's default of 400 KB would
@@ -35,7 +36,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let (sender, driver) =
-            builder.handshake(TokioIo::new(stream)).await.context(InterruptedSnafu)?;
+            builder.handshake(TokioIo::new(Stream::new(stream))).await.context(InterruptedSnafu)?;
         let task = tokio::task::spawn_local(async move {
             // An error is returned by the request in flight.
             let _ = driver.await;
--- a/components/outbound/src/lib.rs
+++ b/components/outbound/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod connection;
 mod error;
+mod stream;
 
 pub use answer::Answer;
 pub use client::{Client, Request};
