Tell readers of evacuations that changed between two lists of the store

A router that queried another one could go on sending requests to an evacuated failure domain, or leave a restored one without requests, until the next change there: the answer at revision 9 lacked what the router at 7 did not know.

Cause: full reads and reduced polls bring evacuations as a list, without the history. fleet::Mirror compared the list with the last one it knew, so a domain restored and evacuated again (or the reverse) in between was no change, though a reader from another source may know the state in between. It also compared the changes of upstreams in the same batch as if they were listed.

Readers below the revision of the last list now get the list, after the changes; changes before the list count as such at each further router.

Not concerned: facts that are read with their history, as each event is compared in order. Open: an upstream added and removed between two full reads stays at a reader that learned of it elsewhere until its own full read.

--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -56,6 +56,9 @@
     removed: BTreeMap<Key, Entry>,
     /// Changes after this revision are known.
     history_start: u64,
+    /// The revision of the latest list of evacuated domains. A domain may have been evacuated and
+    /// restored, or the reverse, between the revision before and this one.
+    listed_at: u64,
 }
 
 impl Mirror {
@@ -86,13 +89,18 @@
         self.removed.values_mut().for_each(|entry| entry.settle(revision));
         let new_entry = |fact| Entry { fact, revision, latest: batch.latest, at: now };
         let mut listed = Vec::new();
-        let is_listing = full || batch.facts.contains(&Fact::AllRestored);
+        let mut is_listing = full;
         for fact in &batch.facts {
+            // The changes before the list are of upstreams, in order.
+            is_listing |= *fact == Fact::AllRestored;
             if let Some(key) = key_of(fact) {
                 self.put(key.clone(), new_entry(published(fact, recovering)), !is_listing);
                 listed.push(key);
             }
         }
+        if is_listing && !keep_evacuated {
+            self.listed_at = revision;
+        }
         listed.sort();
         let is_complete = |key: &Key| match key {
             Key::Evacuated(_) => is_listing && !keep_evacuated,
@@ -151,13 +159,27 @@
         let removed = self.removed.values().filter(is_new);
         let changed =
             self.entries.iter().filter(|(key, entry)| is_new(entry) && !is_startup_only(key));
-        Some(removed.chain(changed.map(|(_, entry)| entry)).map(|entry| aged(entry, now)).collect())
+        let all = removed.chain(changed.map(|(_, entry)| entry));
+        let mut facts: Vec<_> = all.map(|entry| aged(entry, now)).collect();
+        if self.listed_at > position.number {
+            facts.retain(|fact| !matches!(fact, Fact::Evacuated(_)));
+            facts.push(Fact::AllRestored);
+            facts.extend(self.evacuated());
+        }
+        Some(facts)
+    }
+
+    /// The list of evacuated domains, without its head [`Fact::AllRestored`].
+    fn evacuated(&self) -> impl Iterator<Item = Fact> {
+        let is_evacuated = |fact: &&Fact| matches!(fact, Fact::Evacuated(_));
+        self.entries.values().map(|entry| &entry.fact).filter(is_evacuated).cloned()
     }
 
     /// Whether there are changes after `position` that a running router needs.
     pub fn has_changes_since(&self, position: Revision) -> bool {
         let is_new = |entry: &Entry| entry.revision > position.number;
-        self.removed.values().any(is_new)
+        self.listed_at > position.number
+            || self.removed.values().any(is_new)
             || self.entries.iter().any(|(key, entry)| is_new(entry) && !is_startup_only(key))
     }
 
