--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use crate::router::{Router, configuration, route, unused_host};
-use crate::standin::{Mode, Upstream};
+use crate::standin::{Framing, Mode, Upstream};
 
 fn plain_upstream() -> Upstream {
     Upstream::start(&unused_host(), "i-1", "plain")
@@ -262,3 +262,40 @@
         .collect();
     assert!(history.is_empty(), "{history:?}");
 }
+
+/// Starts a router, has its store mark the ends of answers by `framing`, removes an upstream and
+/// writes configurations that are too long for one poll. Waits until both are applied.
+fn read_long_history(framing: Framing) -> Router {
+    let [removed, remaining] = crate::router::plain_pair();
+    let mut long = configuration(1);
+    let router = Router::start(&long, &[&removed, &remaining]);
+    router.store.set_framing(framing);
+    long["note"] = "x".repeat(300_000).into();
+    long["routes"].as_array_mut().expect("routes").remove(0);
+    for version in [20, 21] {
+        long["version"] = version.into();
+        router.store.put("op/config", &long);
+    }
+    router.store.remove(&removed.key());
+    router.wait_until("using the new configuration", || {
+        router.request("GET /safe/x", &[], "").unwrap().status == 404
+    });
+    router.wait_until("without the removed upstream", || {
+        router.log().iter().any(|line| line["kv"]["upstreams"] == 1)
+    });
+    router
+}
+
+#[test]
+fn a_long_history_in_chunks_reduces_polls() {
+    let router = read_long_history(Framing::Chunks);
+    router.wait_until("polling less", || router.has_logged("store polls are reduced"));
+    assert!(!router.has_logged("the store does not answer"));
+}
+
+#[test]
+fn an_answer_without_end_is_cut_off_and_delays_no_change() {
+    let router = read_long_history(Framing::Endless);
+    router.wait_until("polling less", || router.has_logged("store polls are reduced"));
+    assert!(!router.has_logged("the store does not answer"));
+}
--- a/tests/platform/standin/mod.rs
+++ b/tests/platform/standin/mod.rs
@@ -8,5 +8,5 @@
 
 pub use feedback::{Backoff, ROUTER_HEADER, sender};
 pub use http::{Request, read_headers};
-pub use store::{Mode, Store};
+pub use store::{Framing, Mode, Store};
 pub use upstream::{Action, Upstream};
--- a/tests/platform/standin/store.rs
+++ b/tests/platform/standin/store.rs
@@ -24,6 +24,21 @@
     Silent,
 }
 
+/// How the end of an answer is marked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length in the head.
+    #[default]
+    Length,
+    /// By the last of several chunks.
+    Chunks,
+    /// Like [`Framing::Chunks`], but watches of all keys never end.
+    Endless,
+}
+
+/// Length of the chunks of an answer.
+const CHUNK_BYTES: usize = 16 * 1024;
+
 #[derive(Debug, Default)]
 struct State {
     /// By endpoint.
@@ -49,6 +64,7 @@
     page_size: usize,
     /// Bytes of an answer after which sending stops; unlimited if zero.
     answer_limit: usize,
+    framing: Framing,
 }
 
 /// A store that serves until the test process ends. Clones share its contents.
@@ -117,6 +133,11 @@
         self.lock().answer_limit = bytes;
     }
 
+    /// Sets how the ends of answers are marked.
+    pub fn set_framing(&self, framing: Framing) {
+        self.lock().framing = framing;
+    }
+
     /// Sets the number of items per page of a range.
     pub fn set_page_size(&self, items: usize) {
         self.lock().page_size = items;
@@ -243,11 +264,23 @@
                 self.lock().watches -= 1;
             }
             let body = body.to_string();
+            let framing = self.lock().framing;
+            let length = match framing {
+                Framing::Length => format!("content-length: {}", body.len()),
+                Framing::Chunks | Framing::Endless => "transfer-encoding: chunked".to_owned(),
+            };
             let head = format!(
-                "HTTP/1.1 {status} .\r\nstore-era: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} .\r\nstore-era: {}\r\ncontent-type: application/json\r\n{length}\r\n\r\n",
                 self.lock().era,
-                body.len()
             );
+            if framing != Framing::Length {
+                let is_endless = framing == Framing::Endless
+                    && request.target.starts_with("/v1/kv-watch?pathPrefix=&");
+                if send_chunks(&mut writer, &head, &body, is_endless).is_err() {
+                    return;
+                }
+                continue;
+            }
             if self.send(&mut writer, format!("{head}{body}").as_bytes()).is_err() {
                 return;
             }
@@ -384,3 +417,27 @@
         }
     }
 }
+
+/// Sends an answer in chunks; an endless one is followed by spaces until the connection closes.
+fn send_chunks(
+    writer: &mut TcpStream,
+    head: &str,
+    body: &str,
+    is_endless: bool,
+) -> std::io::Result<()> {
+    writer.write_all(head.as_bytes())?;
+    let mut send = |chunk: &[u8]| -> std::io::Result<()> {
+        write!(writer, "{:x}\r\n", chunk.len())?;
+        writer.write_all(chunk)?;
+        writer.write_all(b"\r\n")
+    };
+    for chunk in body.as_bytes().chunks(CHUNK_BYTES) {
+        send(chunk)?;
+    }
+    if !is_endless {
+        return send(&[]);
+    }
+    loop {
+        send(&[b' '; CHUNK_BYTES])?;
+    }
+}
