Run an unsafe request once also where its route resumes streams

A caller's unsafe request on a route with streamResumption was sent to a second upstream after the first had read it and broken off: it could run twice.

Cause: the translation of a route took streamResumption alone for repeatable.

No fault: a pathPrefix that doesn't begin and end with a slash. To ignore such a route would answer 404 to what the configuration allows.

--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -48,6 +48,24 @@
     }
 }
 
+#[test]
+fn does_not_repeat_an_unsafe_request_of_a_route_with_stream_resumption() {
+    let upstreams = plain_pair();
+    for upstream in &upstreams {
+        upstream.set_actions(&[Action::Close]);
+    }
+    let mut configuration = configuration(1);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["streamResumption"] = true.into();
+    }
+    let router = Router::start(&configuration, &[&upstreams[0], &upstreams[1]]);
+    let sent = || upstreams.iter().map(|upstream| upstream.requests().len()).sum::<usize>();
+    let answer = router.request("POST /unsafe/x", &[], "b").expect("an answer");
+    assert_eq!((answer.status, sent()), (502, 1));
+    let answer = router.request("GET /safe/x", &[], "").expect("an answer");
+    assert_eq!((answer.status, sent()), (502, 3));
+}
+
 #[test]
 fn an_answer_without_a_length_is_complete_when_the_connection_closes_cleanly() {
     for line in ["POST /unsafe/x", "GET /safe/x"] {
