Test that no query outlasts the subscription of its router

No fault: a subscription ends 3 s after the last query while the answering side would hold a query for up to 5 s, but no router asks for more than 1.2 s (Freshness::wait), so that it queries again after 1.7 s at most.

No fault: MAX_SUBSCRIBERS bounds direct subscribers and those answered once apart.

--- a/components/fleet/tests/subscribers.rs
+++ b/components/fleet/tests/subscribers.rs
@@ -2,7 +2,7 @@
 
 use clock::Millis;
 use edge::Peer;
-use fleet::Subscribers;
+use fleet::{ANSWER_TIMEOUT, Freshness, Subscribers};
 
 /// The time between two queries of a router.
 const STEP: Millis = Millis(100);
@@ -121,3 +121,20 @@
     }
     assert!(answered <= 24, "{answered} at a time");
 }
+
+#[test]
+fn a_router_stays_a_subscriber_while_its_longest_query_waits() {
+    let validity = [1_000, 2_000, 3_900, 60_000].map(Millis);
+    let ages = || (0..5_000).step_by(50).map(|age| Some(Millis(age))).chain([None]);
+    let left = [None, Some(Millis(0)), Some(Millis(60_000))];
+    for validity in validity {
+        let freshness = Freshness::new(validity);
+        for (age, left) in ages().flat_map(|age| left.map(|left| (age, left))) {
+            let answered_at = freshness.wait(age, left) + ANSWER_TIMEOUT;
+            let mut subscribers = Subscribers::new("front".into());
+            assert!(subscribers.register(vec![peer(1)], Millis::ZERO));
+            subscribers.expire(answered_at + STEP);
+            assert_eq!(subscribers.all(), [peer(1)], "{age:?}, {left:?}");
+        }
+    }
+}
