Name the cause of a failed greeting

Whoever read the reason of a failed link or query to another router ("query to another router failed") saw "the link key was rejected" also when the other process had closed the connection or answered nothing, and looked at keys.

Cause: Connection::open mapped every failure after the handshake to InvalidKey. Only a reset of the greeting's stream, which is how a listener rejects it, is one now; the rest is the new error Greeting with its source. Both count as nothing sent, also if the greeting itself could not be written, which counted as a request that may have run.

--- a/components/link/src/client.rs
+++ b/components/link/src/client.rs
@@ -11,7 +11,7 @@
 use wire::{Frame, Hello, Welcome};
 
 use crate::error::{
-    BrokenSnafu, ConnectSnafu, InvalidKeySnafu, StreamNotOpenedSnafu, TimeoutSnafu,
+    BrokenSnafu, ConnectSnafu, GreetingSnafu, InvalidKeySnafu, StreamNotOpenedSnafu, TimeoutSnafu,
     UnexpectedEndSnafu, UnexpectedSnafu,
 };
 use crate::{CONNECTION_WINDOW, Error, Sink, Source, WINDOW};
@@ -67,11 +67,20 @@
             let _ = driver.await;
         });
         let connection = Self { sender, driver: Rc::new(driver) };
-        let mut call = connection.call(&Frame::Hello(hello)).await?;
-        match call.next().await {
-            Ok(Some(Frame::Welcome(welcome))) => Ok((connection, welcome)),
-            Ok(Some(_)) => UnexpectedSnafu.fail(),
-            Ok(None) | Err(_) => InvalidKeySnafu.fail(),
+        match connection.request_welcome(hello).await {
+            Ok(welcome) => Ok((connection, welcome)),
+            // A rejected greeting is answered by a reset of its stream.
+            Err(error) if error.is_reset_by_peer() => InvalidKeySnafu.fail(),
+            Err(error) => Err(error).context(GreetingSnafu { address }),
+        }
+    }
+
+    async fn request_welcome(&self, hello: Hello) -> Result<Welcome, Error> {
+        let mut call = self.call(&Frame::Hello(hello)).await?;
+        match call.next().await? {
+            Some(Frame::Welcome(welcome)) => Ok(welcome),
+            Some(_) => UnexpectedSnafu.fail(),
+            None => UnexpectedEndSnafu.fail(),
         }
     }
 
--- a/components/link/src/error.rs
+++ b/components/link/src/error.rs
@@ -39,9 +39,18 @@
     /// The type of the frame is not allowed at this point.
     #[snafu(display("unexpected frame"))]
     Unexpected,
-    /// The link key was rejected, or the greeting was not answered.
+    /// The other process rejected the link key.
     #[snafu(display("the link key was rejected"))]
     InvalidKey,
+    /// The greeting was not sent or not answered; no request was sent.
+    #[snafu(display("the greeting of {address} failed: {source}"))]
+    Greeting {
+        /// The address of the other process.
+        address: String,
+        /// Why it failed.
+        #[snafu(source(from(Error, Box::new)))]
+        source: Box<Error>,
+    },
     /// The process at the address has another name than expected.
     #[snafu(display("{found} answered instead of {expected}"))]
     WrongPeer {
@@ -59,6 +68,11 @@
 }
 
 impl Error {
+    /// Whether the other side reset the stream.
+    pub(crate) fn is_reset_by_peer(&self) -> bool {
+        matches!(self, Self::Broken { source } if source.is_reset() && source.is_remote())
+    }
+
     /// Whether no byte of a request can have reached the other side.
     pub fn is_unsent(&self) -> bool {
         matches!(
@@ -67,6 +81,7 @@
                 | Self::Timeout { .. }
                 | Self::StreamNotOpened { .. }
                 | Self::InvalidKey
+                | Self::Greeting { .. }
                 | Self::WrongPeer { .. }
         )
     }
