Tell a broken answer of the platform's service from none

Whoever reads the error of the list of hosts or the key-value service saw "did not answer" also when an answer broke off, was too long, or the HTTP client could not be created. These have errors of their own now. Nothing decides by the kind, so behaviour is as before.

--- a/components/store/src/error.rs
+++ b/components/store/src/error.rs
@@ -6,12 +6,24 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
-    /// The request failed or its response is incomplete; a write may have taken effect.
+    /// The HTTP client can't be created.
+    #[snafu(display("the client of the platform's service can't be created: {reason}"))]
+    Client {
+        /// The runtime's error.
+        reason: String,
+    },
+    /// The service did not answer; a write may have taken effect.
     #[snafu(display("the platform's service did not answer: {reason}"))]
     Unreachable {
         /// The client's error.
         reason: String,
     },
+    /// The answer broke off or is too long; a write may have taken effect.
+    #[snafu(display("the answer of the platform's service is incomplete: {reason}"))]
+    Incomplete {
+        /// The client's error.
+        reason: String,
+    },
     /// The service answered with an error.
     #[snafu(display("the platform's service answered {status}"))]
     Status {
--- a/components/store/src/hosts.rs
+++ b/components/store/src/hosts.rs
@@ -61,7 +61,7 @@
     /// The runtime can't create an HTTP client.
     pub async fn new(base: &str) -> Result<Self, Error> {
         let client =
-            process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(to_unreachable)?;
+            process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(to_client_error)?;
         Ok(Self { client, url: format!("{base}/v1/hosts").into(), etag: None })
     }
 
@@ -83,13 +83,21 @@
             status => return Err(Error::Status { status }),
         }
         let etag = response.header("etag").and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let body = response.body().limit(MAX_LIST_BYTES).await.map_err(to_unreachable)?;
+        let body = response.body().limit(MAX_LIST_BYTES).await.map_err(to_incomplete)?;
         let entries = serde_json::from_slice(&body).context(MalformedSnafu)?;
         self.etag = etag;
         Ok(Update { entries: Some(entries), bytes: body.len() })
     }
 }
 
+pub(crate) fn to_client_error(error: impl std::fmt::Display) -> Error {
+    Error::Client { reason: error.to_string() }
+}
+
+pub(crate) fn to_incomplete(error: impl std::fmt::Display) -> Error {
+    Error::Incomplete { reason: error.to_string() }
+}
+
 pub(crate) fn to_unreachable(error: impl std::fmt::Display) -> Error {
     Error::Unreachable { reason: error.to_string() }
 }
--- a/components/store/src/store.rs
+++ b/components/store/src/store.rs
@@ -11,7 +11,7 @@
 
 use crate::Error;
 use crate::error::{MalformedSnafu, MissingValueSnafu};
-use crate::hosts::{KEEP_ALIVE, to_unreachable};
+use crate::hosts::{KEEP_ALIVE, to_client_error, to_incomplete, to_unreachable};
 
 const REQUEST_TIMEOUT: Millis = Millis(1_000);
 
@@ -30,7 +30,7 @@
     /// The runtime can't create an HTTP client.
     pub async fn new(base: &str) -> Result<Self, Error> {
         let client =
-            process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(to_unreachable)?;
+            process::client(KEEP_ALIVE, process::CONNECT_TIMEOUT).await.map_err(to_client_error)?;
         Ok(Self { client, base: base.into() })
     }
 
@@ -69,7 +69,7 @@
         if status != 200 {
             return Err(Error::Status { status });
         }
-        let body = response.body().await.map_err(to_unreachable)?;
+        let body = response.body().await.map_err(to_incomplete)?;
         serde_json::from_slice(&body).context(MalformedSnafu)
     }
 }
