Describe silverstack_attempts for both paths

Operators of a fleet without sidecars read that the series counts attempts sent to sidecars. It counts attempts to send requests to upstreams on either path.

Evidence: the new test failed before and passes now.

--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -42,7 +42,7 @@
         Self {
             requests: counter("silverstack_requests", "Requests that ended, by outcome"),
             refusals: counter("silverstack_refusals", "Errors answered, by kind"),
-            attempts: counter("silverstack_attempts", "Attempts sent to sidecars"),
+            attempts: counter("silverstack_attempts", "Attempts to send requests to upstreams"),
             share_refusals: counter(
                 "silverstack_share_refusals",
                 "Refusals in a pool that is short, by the workspace's standing",
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -303,3 +303,13 @@
         }
     }
 }
+
+#[test]
+fn metrics_of_a_router_without_sidecars_name_none() {
+    let upstream = Upstream::start(&unused_host(), "i-1", "plain");
+    let router = Router::start(&configuration(1), &[&upstream]);
+    router.request("GET /safe/x", &[], "").expect("an answer");
+    let page = router.page("/metrics");
+    let help = page.lines().find(|line| line.starts_with("# HELP silverstack_attempts"));
+    assert!(help.is_some_and(|help| !help.contains("sidecar")), "{page}");
+}
