--- a/src/bin/silverstack-experiment.rs
+++ b/src/bin/silverstack-experiment.rs
@@ -18,7 +18,8 @@
     help: bool,
     /// Print name and version.
     version: bool,
-    /// The pattern: calm, surge, engines-lost or slow-engines; all if none is given.
+    /// The pattern: calm, surge, engines-lost, slow-engines, short-memory or short-memory-untold;
+    /// all if none is given.
     #[options(free)]
     pattern: Option<String>,
     /// The seed of all random numbers.
--- a/tests/end_to_end/commands.rs
+++ b/tests/end_to_end/commands.rs
@@ -60,6 +60,16 @@
     assert!(text.contains("18 chat turns and 18 calls answered correctly; 0 failed"), "{text}");
 }
 
+#[test]
+fn help_of_the_experiment_lists_all_patterns() {
+    let output = run(EXPERIMENT, &["--help"]);
+    let help = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+    let words: Vec<_> = help.split(|c: char| !c.is_ascii_lowercase() && c != '-').collect();
+    for pattern in experiment::overload::Pattern::ALL {
+        assert!(words.contains(&pattern.name()), "{} is missing:\n{help}", pattern.name());
+    }
+}
+
 #[test]
 fn experiment_runs_known_patterns_and_rejects_unknown_ones() {
     let output = run(EXPERIMENT, &["calm", "--json"]);
