Name the pause after a failed accept of the query server

The pause was that of another matter, the gain of a confirmation that is worth an answer, so that a change of one would have changed the other. The value is as before; no test can tell.

--- a/components/router/src/query_server.rs
+++ b/components/router/src/query_server.rs
@@ -18,9 +18,12 @@
 const MAX_WAIT: Millis = Millis(5_000);
 
 /// How much newer a confirmation must be than that of the querying router to be worth an
-/// answer. Also the pause after a failed accept.
+/// answer.
 const MIN_CONFIRMATION_GAIN: Millis = Millis(200);
 
+/// The pause after a failed accept, which fails again at once while descriptors are used up.
+const ACCEPT_RETRY_INTERVAL: Millis = Millis(200);
+
 /// The most bytes of facts in one frame.
 const MAX_CHUNK_BYTES: usize = 64 * 1_024;
 
@@ -49,7 +52,7 @@
                 debug!("connection of another router not accepted", kv: {
                     fault = error.to_string(),
                 });
-                tokio::time::sleep(MIN_CONFIRMATION_GAIN.duration()).await;
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL.duration()).await;
             }
         }
     }
