--- a/components/store/tests/errors.rs
+++ b/components/store/tests/errors.rs
@@ -1,7 +1,8 @@
 //! Errors name what failed at the platform's service.
 
-use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
 
 use store::{Hosts, Store};
 
@@ -11,13 +12,30 @@
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut socket in listener.incoming().flatten() {
-            let _ = socket.read(&mut [0; 4096]);
+            read_request(&mut socket);
             let _ = socket.write_all(answer.as_bytes());
+            // The client reads the head before the connection ends.
+            std::thread::sleep(Duration::from_millis(100));
         }
     });
     format!("http://{address}")
 }
 
+/// Reads a request with its body.
+fn read_request(socket: &mut TcpStream) {
+    let mut reader = BufReader::new(socket);
+    let (mut line, mut length) = (String::new(), 0);
+    while line != "\r\n" {
+        line.clear();
+        reader.read_line(&mut line).expect("a line of the head");
+        let value = line.to_ascii_lowercase();
+        if let Some(value) = value.strip_prefix("content-length:") {
+            length = value.trim().parse().expect("a length");
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).expect("the body");
+}
+
 /// Returns the errors of the list of hosts and of the key-value service.
 async fn errors(answer: &'static str) -> [String; 2] {
     let base = start(answer);
