Count the router's own lateness before a request is sent

Reading, connecting, sending and learning of closes are all 0.7 to 1.1 s late. Each takes several turns of the run queue; a timer takes one, so it is 0.05 to 0.5 s late.

Cause: the host has no processor time to spare. Admission knows only the upstreams' queues: the late router goes on sending, takes upstreams for silent that have answered, and retries, which costs more time.

Change: a probe through the queues that an attempt passes measures the lateness. A request is refused where the router alone is later than its objective; an upstream is silent only beyond this lateness; a retry is not sent if it leaves after the deadline.

--- a/components/router/src/factory.rs
+++ b/components/router/src/factory.rs
@@ -8,9 +8,9 @@
 use spdlog::error;
 use tokio::sync::{OnceCell, watch};
 
-use crate::background;
 use crate::clients::Clients;
 use crate::core::Core;
+use crate::{background, lateness};
 
 /// The pause before another attempt to create the clients.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -43,6 +43,7 @@
         let (core, directory_updates) =
             Core::new(self.settings.clone(), None, Some(clients), stop, reload).await;
         background::spawn(&core, directory_updates);
+        lateness::spawn(&core);
         core
     }
 
--- /dev/null
+++ b/components/router/src/lateness.rs
@@ -0,0 +1,34 @@
+//! Measures how late this router carries out its own work.
+
+use std::rc::Rc;
+
+use clock::Millis;
+use routing::Event;
+
+use crate::core::Core;
+
+/// Time between two probes.
+const INTERVAL: Millis = Millis(100);
+
+/// Spawns the task that measures; it ends when the shutdown is complete.
+pub(crate) fn spawn(core: &Rc<Core>) {
+    let core = core.clone();
+    ntex::rt::spawn(async move {
+        tokio::select! {
+            () = core.stop.finished() => {}
+            () = run_probes(&core) => {}
+        }
+    })
+    .detach();
+}
+
+async fn run_probes(core: &Core) {
+    loop {
+        let due = core.clock.now() + INTERVAL;
+        core.apply(Event::ProbeStarted { due });
+        tokio::time::sleep(INTERVAL.duration()).await;
+        // An attempt also wakes another task, its connection's, and waits for it.
+        let _ = tokio::task::spawn_local(async {}).await;
+        core.apply(Event::ProbeEnded);
+    }
+}
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod http;
 mod ingress;
 mod key;
+mod lateness;
 mod peers;
 mod permits;
 mod persistence;
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -12,6 +12,7 @@
 
 mod estimator;
 mod flow;
+mod lateness;
 mod retry_after;
 mod shares;
 
@@ -23,10 +24,11 @@
 use crate::Effect;
 use crate::requests::request::Request;
 use crate::state::State;
-use crate::upstreams::estimate::Estimate;
+use crate::upstreams::estimate::{Estimate, millis_to_f64};
 
 pub(crate) use self::shares::Shares;
 pub(crate) use flow::Flow;
+pub(crate) use lateness::Lateness;
 
 /// Expected wait of one request at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -115,6 +117,25 @@
         Some(flow.book((wait - limit).max(0.0), excess_ratio, now))
     }
 
+    /// How late this router carries out its own work; zero where lateness is not to be considered.
+    pub(crate) fn own_lateness(&self, now: Millis) -> Millis {
+        let applies = self.settings.path.monitors_upstreams() && self.settings.mechanisms.admission;
+        if applies { self.lateness.at(now) } else { Millis::ZERO }
+    }
+
+    /// Time after which the caller may retry if this router is so late itself that the answer would
+    /// be late at any upstream, in milliseconds; `None` if the request may be sent.
+    pub(crate) fn reject_if_behind(&mut self, id: u64, now: Millis) -> Option<u64> {
+        let lateness = self.own_lateness(now);
+        let request =
+            self.requests.get(&id).filter(|request| request.uncertain_error().is_none())?;
+        if lateness.0 <= request.objective_ms? {
+            return None;
+        }
+        let flow = self.flows.entry(request.pool.clone()).or_default();
+        Some(flow.book(millis_to_f64(lateness), 1.0, now))
+    }
+
     /// Longest wait at which a request of `priority` is sent, in milliseconds.
     fn limit_ms(&self, pool: &str, priority: i32) -> Option<f64> {
         let applies = self.settings.path.monitors_upstreams() && self.settings.mechanisms.admission;
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -62,6 +62,13 @@
     },
     /// A new list of hosts from the platform; replaces the previous one.
     Hosts(Vec<Host>),
+    /// A probe of the router's own lateness was started.
+    ProbeStarted {
+        /// The time at which it ends on a host that is not late.
+        due: Millis,
+    },
+    /// The current probe has ended.
+    ProbeEnded,
     /// Periodic timer: opens missing connections to sidecars.
     Tick,
     /// A connection to an upstream's sidecar was established.
--- a/components/routing/src/recovery/retry.rs
+++ b/components/routing/src/recovery/retry.rs
@@ -27,6 +27,8 @@
     /// `kind`. If so, the retry is taken from its budget.
     pub(crate) fn acquire_retry(&mut self, id: u64, kind: Kind, now: Millis) -> bool {
         self.rerank(id, now);
+        // The time at which an attempt that is sent now leaves this router.
+        let leaves_at = now + self.own_lateness(now);
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
@@ -39,7 +41,7 @@
         };
         let is_allowed = request.attempt_number() < self.settings.max_attempts
             && request.reached_count() < request.max_attempts
-            && request.deadline > now
+            && request.deadline > leaves_at
             && !request.candidates.is_empty();
         is_safe && is_allowed && self.settings.mechanisms.retries && self.spend_budget(id, kind)
     }
--- a/components/routing/src/recovery/silence.rs
+++ b/components/routing/src/recovery/silence.rs
@@ -58,10 +58,13 @@
     /// safe and within the budget, and otherwise keeps waiting. An upstream that is silent for all
     /// requests becomes suspect.
     pub(crate) fn handle_silence(&mut self, id: u64, now: Millis) -> Vec<Effect> {
+        // What has arrived may not have been read yet.
+        let lateness = self.own_lateness(now);
         let Some(request) = self.requests.get_mut(&id) else {
             return Vec::new();
         };
-        let (timeout, is_answering) = (request.silence_timeout(), request.is_answering());
+        let (timeout, is_answering) =
+            (request.silence_timeout() + lateness, request.is_answering());
         if request.idle_time(now) < timeout {
             return Vec::new();
         }
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -14,6 +14,9 @@
 use crate::upstreams::upstream::{BACKING_OFF, COLD, EVACUATED, OVER_BOUND};
 use crate::{Attempt, Effect, Part, Try};
 
+/// Detail of a refusal because this router is late itself.
+const BEHIND: &str = "this router is late";
+
 /// Upper bound of the random addition to a retry delay after a backoff. Spreads the callers that
 /// return when a backoff ends.
 const RETRY_SPREAD: Millis = Millis(500);
@@ -35,6 +38,9 @@
             let after = self.retry_delay_ms(id, detail, now);
             return self.fail(id, kind, after, detail, now);
         };
+        if let Some(after) = self.reject_if_behind(id, now) {
+            return self.fail(id, Kind::WouldMiss, after, BEHIND, now);
+        }
         if let Some(claim) = self.claim(id, &upstream, now) {
             return vec![claim];
         }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use streams::{Builds, Ledger};
 
-use crate::admission::{Flow, Shares};
+use crate::admission::{Flow, Lateness, Shares};
 use crate::recovery::draining::{Drain, Durations};
 use crate::recovery::quarantine::Quarantine;
 use crate::requests::permits::Saturation;
@@ -39,6 +39,8 @@
     pub(crate) mean_loads: HashMap<Arc<str>, f64>,
     /// Wait estimates and retry bookings, by pool.
     pub(crate) flows: BTreeMap<Arc<str>, Flow>,
+    /// How late this router carries out its own work.
+    pub(crate) lateness: Lateness,
     /// Demand by pool and workspace.
     pub(crate) shares: Shares,
     /// Routers that share the retry budgets.
@@ -87,6 +89,7 @@
             hop_budget,
             mean_loads: HashMap::new(),
             flows: BTreeMap::new(),
+            lateness: Lateness::default(),
             shares,
             router_count: 1,
             evacuated: BTreeSet::new(),
@@ -178,6 +181,14 @@
             Event::Cancel { id } => self.cancel(id, now),
             Event::Expire { id } => self.expire(id, now),
             Event::Hosts(hosts) => self.set_hosts(hosts, now),
+            Event::ProbeStarted { due } => {
+                self.lateness.start_probe(due);
+                Vec::new()
+            }
+            Event::ProbeEnded => {
+                self.lateness.end_probe(now);
+                Vec::new()
+            }
             Event::Tick => self.connect(now),
             Event::Connected(welcome) => self.record_connected(&welcome, now),
             Event::Alive { upstream } => self.record_alive(&upstream),
--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod fixture;
 mod health;
+mod lateness;
 mod loads;
 mod notices;
 mod pace;
