Let the mean load of a pool follow a falling load

Trace, rebuilt from the routers' decisions (2,334 requests, 110 over): after the surge the mean falls from 14.5 at 31.0 s to 8.2 at 32.0 and 5.1 at 33.0. An upstream's load is known only from the last answer that began there, 0.15 s before at the median and 1.2 to 2 s at p90, and some 0.3 s later at the other routers, and counts in full for a second. So the mean that the bound goes by is 24 to 39 in 100 too high, above the margin of 10 in 100: requests went to upstreams with an estimate of 30 where twice the mean and 3 was 32, and with 22 where it was 24; the true loads were 5 higher on average.

Change: consecutive observations of the same upstream give the rate at which the pool's load falls; what has ended since an observation by this rate no longer counts in the mean.

Tests: routing, direct/loads.rs; the one of a falling load failed before.

--- a/components/routing/src/selection/ranking.rs
+++ b/components/routing/src/selection/ranking.rs
@@ -113,7 +113,9 @@
 
     /// Load estimates for the pool of an intent.
     pub(crate) fn estimate(&self, intent: &Intent, now: Millis) -> Estimate {
-        let mean_load = self.mean_loads.get(&named_pool(intent)).copied().unwrap_or_default();
+        let pool = named_pool(intent);
+        let mean_load = self.mean_loads.get(&pool).copied().unwrap_or_default();
+        let decline = self.trends.get(&pool).map_or(0.0, |trend| trend.decline(now));
         #[expect(clippy::cast_precision_loss, reason = "router counts are exact in f64")]
         let routers = self.router_count as f64;
         let loads_known = self.settings.mechanisms.loads && self.peers.has_loads(now);
@@ -126,6 +128,7 @@
             routers,
             router_key,
             mean_load,
+            decline,
             loads_known,
             observations_shared,
             quota_valid,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -20,6 +20,7 @@
 use crate::upstreams::loads::Peers;
 use crate::upstreams::notices::Notices;
 use crate::upstreams::prefix_index::PrefixIndex;
+use crate::upstreams::trend::Trend;
 use crate::upstreams::updates::labels;
 use crate::{Budget, Effect, Event, Settings, Upstream};
 
@@ -37,6 +38,8 @@
     pub(crate) hop_budget: Budget,
     /// Mean observed load of an upstream, by pool.
     pub(crate) mean_loads: HashMap<Arc<str>, f64>,
+    /// How fast the load falls, by pool.
+    pub(crate) trends: HashMap<Arc<str>, Trend>,
     /// Wait estimates and retry bookings, by pool.
     pub(crate) flows: BTreeMap<Arc<str>, Flow>,
     /// How late this router carries out its own work.
@@ -88,6 +91,7 @@
             retry_budgets: HashMap::new(),
             hop_budget,
             mean_loads: HashMap::new(),
+            trends: HashMap::new(),
             flows: BTreeMap::new(),
             lateness: Lateness::default(),
             shares,
--- a/components/routing/src/upstreams.rs
+++ b/components/routing/src/upstreams.rs
@@ -11,5 +11,6 @@
 pub(crate) mod notices;
 pub(crate) mod pace;
 pub(crate) mod prefix_index;
+pub(crate) mod trend;
 pub(crate) mod updates;
 pub(crate) mod upstream;
--- a/components/routing/src/upstreams/estimate.rs
+++ b/components/routing/src/upstreams/estimate.rs
@@ -31,6 +31,8 @@
     pub router_key: Option<u64>,
     /// The mean load of the pool's upstreams, as answers report it.
     pub mean_load: f64,
+    /// The part of the pool's load that ends per millisecond while it falls.
+    pub decline: f64,
     /// Whether any other router has recently sent its loads.
     pub loads_known: bool,
     /// Whether any other router has recently sent load observations.
@@ -71,10 +73,12 @@
     }
 
     /// The load of other routers that enters the mean of a pool: the observation counts in full
-    /// for a while and then decays to zero. The expected load of idle upstreams would raise the
-    /// mean and with it the load bound.
+    /// for a while, less what has ended since if the pool's load falls, and then decays to zero.
+    /// The expected load of idle upstreams would raise the mean and with it the load bound.
     pub(crate) fn load_for_mean(&self, observed: f64, observed_at: Millis) -> f64 {
-        self.weight(observed_at + MEAN_FULL_WEIGHT) * observed
+        let age_ms = millis_to_f64(observed_at.until(self.now));
+        let remaining = observed * (-self.decline * age_ms).exp();
+        self.weight(observed_at + MEAN_FULL_WEIGHT) * remaining
     }
 
     /// The weight of an observation by its age.
--- a/components/routing/src/upstreams/loads.rs
+++ b/components/routing/src/upstreams/loads.rs
@@ -97,7 +97,10 @@
         self.peers.observations_at = Some(now);
         for entry in &observations.upstreams {
             let Some(upstream) = self.upstreams.get_mut(&entry.upstream) else { continue };
-            if upstream.record_load(entry.requests, entry.waiting, now - Millis(entry.age_ms)) {
+            let at = now - Millis(entry.age_ms);
+            let trend = self.trends.entry(upstream.pool()).or_default();
+            upstream.record_change(entry.requests, at, now, trend);
+            if upstream.record_load(entry.requests, entry.waiting, at) {
                 let mean = self.mean_loads.entry(upstream.pool()).or_default();
                 *mean = estimate::update_mean(*mean, entry.requests);
             }
--- a/components/routing/src/upstreams/updates.rs
+++ b/components/routing/src/upstreams/updates.rs
@@ -89,6 +89,8 @@
         let Some(upstream) = self.upstreams.get_mut(upstream) else {
             return Vec::new();
         };
+        let trend = self.trends.entry(upstream.pool()).or_default();
+        upstream.record_change(requests, now, now, trend);
         upstream.record_load(requests, waiting, now);
         upstream.unreported_load = Some((requests, waiting, now));
         let mean = self.mean_loads.entry(upstream.pool()).or_default();
--- a/components/routing/src/upstreams/upstream.rs
+++ b/components/routing/src/upstreams/upstream.rs
@@ -13,6 +13,7 @@
 use crate::upstreams::estimate::{Estimate, to_f64};
 use crate::upstreams::health::{Health, Outcomes};
 use crate::upstreams::notices::Notice;
+use crate::upstreams::trend::Trend;
 use crate::{Effect, Host, Settings};
 
 /// Upper bound for the exponent of the backoff after failures.
@@ -228,6 +229,16 @@
         self.estimated_load(estimate)
     }
 
+    /// Records the change from the latest observation to one of `requests` at `at` in `trend`.
+    /// Must be called before [`Self::record_load`].
+    pub(crate) fn record_change(&self, requests: u64, at: Millis, now: Millis, trend: &mut Trend) {
+        let (before, observed_at) = self.observed_load;
+        if observed_at > Millis::ZERO && at > observed_at {
+            let after = requests.saturating_sub(self.own_load);
+            trend.record(before, after, observed_at.until(at), now);
+        }
+    }
+
     /// Records the load that an answer reported at `at`, unless a later one is known. Returns
     /// whether it was recorded.
     pub(crate) fn record_load(&mut self, requests: u64, waiting: u64, at: Millis) -> bool {
--- a/components/routing/tests/direct/loads.rs
+++ b/components/routing/tests/direct/loads.rs
@@ -153,3 +153,41 @@
     }
     assert_ne!(target(&mut state, 1, NOW + Millis(3_900)), first);
 }
+
+/// Receives an observation of `requests` at each of `upstreams`, made at `at`.
+fn observe(state: &mut State, upstreams: &[&str], requests: u64, at: Millis) {
+    let observation = |upstream: &&str| Observation {
+        upstream: (*upstream).into(),
+        requests,
+        waiting: 0,
+        age_ms: 0,
+    };
+    let upstreams = upstreams.iter().map(observation).collect();
+    state.apply(Event::Observations(Observations { current: true, upstreams }), at);
+}
+
+/// Whether a chat goes to its first upstream in rank, with 40 requests there, 900 ms after the
+/// others were observed with 20, and with `before` 500 ms earlier.
+fn keeps_first_upstream(before: u64) -> bool {
+    let first = first_ranked();
+    let others: Vec<_> = ["engine-0", "engine-1", "engine-2", "engine-3"]
+        .into_iter()
+        .filter(|name| **name != *first)
+        .collect();
+    let mut state = router(settings());
+    observe(&mut state, &others, before, NOW);
+    observe(&mut state, &others, 20, NOW + Millis(500));
+    observe(&mut state, &[&first], 40, NOW + Millis(1_400));
+    target(&mut state, 1, NOW + Millis(1_400)) == first
+}
+
+#[test]
+fn falling_loads_lower_the_mean_before_they_are_observed_again() {
+    assert!(keeps_first_upstream(20));
+    assert!(!keeps_first_upstream(28));
+}
+
+#[test]
+fn rising_loads_do_not_raise_the_mean_before_they_are_observed_again() {
+    assert!(keeps_first_upstream(12));
+}
