--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,7 +18,7 @@
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::persistence::Saver;
-use crate::{announcement, crashes, feed, hints, permits, persistence, query_server};
+use crate::{announcement, crashes, feed, hints, lateness, permits, persistence, query_server};
 
 /// How often the intents file is checked for changes.
 const INTENTS_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,6 +45,7 @@
         tasks.spawn_local(query_server::serve(core.clone()));
         tasks.spawn_local(crashes::run_checks(core.clone()));
         tasks.spawn_local(crashes::run_reports(core.clone()));
+        tasks.spawn_local(lateness::run(core.clone()));
     } else {
         tasks.spawn_local(poll_hosts(core.clone()));
         tasks.spawn_local(watch_intents(core.clone()));
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use streams::{Builds, Ledger};
 
-use crate::admission::{Flow, Shares};
+use crate::admission::{Flow, Lateness, Shares};
 use crate::recovery::draining::Drain;
 use crate::recovery::quarantine::Quarantine;
 use crate::requests::permits::Saturation;
@@ -20,6 +20,7 @@
 use crate::upstreams::loads::Peers;
 use crate::upstreams::notices::Notices;
 use crate::upstreams::prefix_index::PrefixIndex;
+use crate::upstreams::trend::Trend;
 use crate::upstreams::updates::labels;
 use crate::{Budget, Effect, Event, Settings, Upstream};
 
@@ -37,8 +38,12 @@
     pub(crate) hop_budget: Budget,
     /// Mean observed load of an upstream, by pool.
     pub(crate) mean_loads: HashMap<Arc<str>, f64>,
+    /// How fast the load falls, by pool.
+    pub(crate) trends: HashMap<Arc<str>, Trend>,
     /// Wait estimates and retry bookings, by pool.
     pub(crate) flows: BTreeMap<Arc<str>, Flow>,
+    /// How late this router carries out its own work.
+    pub(crate) lateness: Lateness,
     /// Demand by pool and workspace.
     pub(crate) shares: Shares,
     /// Routers that share the retry budgets.
@@ -84,7 +89,9 @@
             retry_budgets: HashMap::new(),
             hop_budget,
             mean_loads: HashMap::new(),
+            trends: HashMap::new(),
             flows: BTreeMap::new(),
+            lateness: Lateness::default(),
             shares,
             router_count: 1,
             evacuated: BTreeSet::new(),
@@ -176,6 +183,14 @@
             Event::Expire { id } => self.expire(id, now),
             Event::Interrupt { id } => self.interrupt(id, now),
             Event::Hosts(hosts) => self.set_hosts(hosts, now),
+            Event::ProbeStarted { due } => {
+                self.lateness.start_probe(due);
+                Vec::new()
+            }
+            Event::ProbeEnded => {
+                self.lateness.end_probe(now);
+                Vec::new()
+            }
             Event::Tick => self.connect(now),
             Event::Connected(welcome) => self.record_connected(&welcome, now),
             Event::Alive { upstream } => self.record_alive(&upstream),
