Bound what an upstream may send before the head of an answer

Interim heads at full speed kept 12 connections reading without end, in a debug build enough to keep the router from its poll of the store. A connection ends after 64 KiB without a head, and yields after each 16 KiB.

--- a/components/outbound/src/client.rs
+++ b/components/outbound/src/client.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use snafu::ResultExt;
 
 use crate::Answer;
@@ -121,7 +122,7 @@
         let mut request = request.build()?;
         let take_idle = || if new_connection { None } else { self.pool.take(&address) };
         while let Some(mut connection) = take_idle() {
-            match connection.sender.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => return Ok(self.answer(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     // The connection ended before anything was written.
@@ -131,7 +132,7 @@
             }
         }
         let mut connection = Connection::open(&address, self.connect_timeout).await?;
-        let sent = connection.sender.send_request(request).await;
+        let sent = connection.send(request).await.map_err(TrySendError::into_error);
         Ok(self.answer(address, connection, sent.context(InterruptedSnafu)?))
     }
 
--- a/components/outbound/src/connection.rs
+++ b/components/outbound/src/connection.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
@@ -12,7 +14,7 @@
 
 use crate::Error;
 use crate::error::{ConnectSnafu, InterruptedSnafu};
-use crate::stream::Stream;
+use crate::stream::{HeadLimit, Stream};
 
 /// Upper bound of a connection's read buffer, which limits the memory that the answer to a slow
 /// caller can use. Heads of answers have a few hundred bytes; the library's default of 400 KB would
@@ -23,7 +25,8 @@
 /// cancels a request in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     task: JoinHandle<()>,
 }
 
@@ -33,15 +36,30 @@
         let opened = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
         let stream = opened.map_err(|_| Error::Timeout)?.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
+        let head_limit = HeadLimit::default();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
-        let (sender, driver) =
-            builder.handshake(TokioIo::new(Stream::new(stream))).await.context(InterruptedSnafu)?;
+        let (sender, driver) = builder
+            .handshake(TokioIo::new(Stream::new(stream, head_limit.clone())))
+            .await
+            .context(InterruptedSnafu)?;
         let task = tokio::task::spawn_local(async move {
             // An error is returned by the request in flight.
             let _ = driver.await;
         });
-        Ok(Self { sender, task })
+        Ok(Self { sender, head_limit, task })
+    }
+
+    /// Sends a request and waits for the head of its answer. The error has the request if nothing
+    /// of it was written.
+    pub(crate) async fn send(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<http::Request<Full<Bytes>>>> {
+        self.head_limit.start();
+        let response = self.sender.try_send_request(request).await?;
+        self.head_limit.end();
+        Ok(response)
     }
 
     /// Whether a request can be sent now.
