--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -11,5 +11,5 @@
 pub use bind::{Error, bind};
 pub use client::{CONNECT_TIMEOUT, client};
 pub use hangup::Hangup;
-pub use listener::{Listener, Unfinished};
+pub use listener::{ClosedEarly, Listener};
 pub use shutdown::Shutdown;
--- a/components/process/src/listener.rs
+++ b/components/process/src/listener.rs
@@ -30,7 +30,7 @@
 
 /// Number of connections that were closed before all was written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Unfinished(pub usize);
+pub struct ClosedEarly(pub usize);
 
 impl Listener {
     /// Creates a listener whose connections use `config`.
@@ -45,7 +45,7 @@
 
     /// Serves connections until `stop` is finished. Then it stops listening, closes idle
     /// connections, and waits for the others until `grace` after the stop was requested.
-    pub async fn serve<S>(self, service: S, stop: Shutdown, grace: Duration) -> Unfinished
+    pub async fn serve<S>(self, service: S, stop: Shutdown, grace: Duration) -> ClosedEarly
     where
         S: Service<Io, Response = ()> + 'static,
     {
@@ -75,8 +75,13 @@
         S: Service<Io, Response = ()> + 'static,
     {
         let Ok(socket) = self.socket.into_std() else { return };
-        while let Ok((stream, _)) = socket.accept() {
-            connections.start(stream);
+        loop {
+            match socket.accept() {
+                Ok((stream, _)) => connections.start(stream),
+                // The caller has closed it meanwhile.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(_) => return,
+            }
         }
     }
 }
@@ -105,6 +110,7 @@
     async fn handle(&mut self, accepted: io::Result<TcpStream>) {
         match accepted {
             Ok(stream) => self.start(stream),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(error) => {
                 warn!("connection not accepted", kv: { reason = error.to_string() });
                 sleep(ACCEPT_RETRY_INTERVAL).await;
@@ -136,7 +142,7 @@
     }
 
     /// Closes the connections once their answers are written, or at `deadline`.
-    async fn finish(mut self, deadline: Instant) -> Unfinished {
+    async fn finish(mut self, deadline: Instant) -> ClosedEarly {
         while !self.tasks.is_empty() && Instant::now() < self.read_until {
             tokio::select! {
                 () = sleep_until(self.read_until) => {}
@@ -154,8 +160,8 @@
             }
         })
         .await;
-        let unfinished = Unfinished(self.tasks.len());
+        let closed_early = ClosedEarly(self.tasks.len());
         self.tasks.shutdown().await;
-        unfinished
+        closed_early
     }
 }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -89,6 +89,7 @@
     /// End of the backoff before the next attempt.
     backoff_until: Option<Instant>,
     is_done: bool,
+    is_interrupted: bool,
 }
 
 impl Relay {
@@ -116,6 +117,7 @@
             silence_limit: None,
             backoff_until: None,
             is_done: false,
+            is_interrupted: false,
             core,
         };
         relay.apply(Event::Arrival(arrival));
@@ -125,16 +127,33 @@
     /// The next step. Must not be called after [`Step::Finished`], [`Step::Failed`] or
     /// [`Step::Aborted`].
     pub(crate) async fn next(&mut self) -> Step {
+        let stop = self.core.stop.clone();
         loop {
-            while let Some(effect) = self.effects.pop_front() {
-                if let Some(step) = self.carry_out(effect).await {
+            tokio::select! {
+                biased;
+                () = stop.interrupted(), if !self.is_interrupted => self.interrupt(),
+                step = self.advance() => if let Some(step) = step {
                     return step;
                 }
             }
-            self.wait().await;
         }
     }
 
+    /// Carries out the next effect, or waits for the next event if there is none.
+    async fn advance(&mut self) -> Option<Step> {
+        if let Some(effect) = self.effects.pop_front() {
+            return self.carry_out(effect).await;
+        }
+        self.wait().await;
+        None
+    }
+
+    /// Ends the request, as the router stops.
+    fn interrupt(&mut self) {
+        self.is_interrupted = true;
+        self.apply(Event::Interrupt { id: self.id });
+    }
+
     /// Ends the request, whose response is too long to be collected; the next step is
     /// [`Step::Failed`] or [`Step::Aborted`].
     pub(crate) fn refuse_long_response(&mut self, collected: usize) {
@@ -335,22 +354,9 @@
         }
     }
 
-    /// Waits for the next event of the request, or until the router stops.
-    async fn wait(&mut self) {
-        let stop = self.core.stop.clone();
-        tokio::select! {
-            biased;
-            () = stop.interrupted() => {
-                let id = self.id;
-                self.apply(Event::Interrupt { id });
-            }
-            () = self.wait_for_event() => {}
-        }
-    }
-
     /// Waits for the end of the backoff, or for the next reply, the loss of the connection, the
     /// timeout or the deadline.
-    async fn wait_for_event(&mut self) {
+    async fn wait(&mut self) {
         let (id, attempt) = (self.id, self.attempt);
         if let Some(until) = self.backoff_until.take() {
             tokio::time::sleep_until(until).await;
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -64,9 +64,9 @@
     info!("drain ended", kv: { in_flight, ms = since.0 });
 }
 
-/// Logs that all connections are closed; `unfinished` of them before all was written.
-pub(crate) fn log_closed(unfinished: usize) {
-    info!("connections closed", kv: { unfinished });
+/// Logs that all connections are closed; `early` of them before all was written.
+pub(crate) fn log_closed(early: usize) {
+    info!("connections closed", kv: { early });
 }
 
 /// Logs a request that the end of a drain interrupts.
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -10,11 +10,11 @@
 use intents::Plan;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig};
-use ntex::io::Io;
+use ntex::io::{Io, IoConfig};
 use ntex::service::ServiceFactory;
 use ntex::time::Seconds;
 use ntex::web;
-use process::{Listener, Unfinished};
+use process::{ClosedEarly, Listener};
 use routing::Effect;
 use snafu::ResultExt;
 use spdlog::error;
@@ -129,7 +129,10 @@
                 run(&core, updates, callers).await
             }
             Source::Platform { connect, operators } => {
-                let clients = Some(connect_clients(&connect, &settings).await);
+                let clients = tokio::select! {
+                    clients = connect_clients(&connect, &settings) => Some(clients),
+                    () = stop.requested() => return Ok(true),
+                };
                 let (core, updates) =
                     Core::new(settings, None, clients, stop, reload.subscribe()).await;
                 let listeners = serve_platform(&core, callers, operators);
@@ -154,17 +157,14 @@
 async fn run(
     core: &Rc<Core>,
     directory_updates: Receiver<Effect>,
-    listeners: impl Future<Output = Result<Unfinished, Error>>,
+    listeners: impl Future<Output = Result<ClosedEarly, Error>>,
 ) -> Result<bool, Error> {
     let mut tasks = background::spawn(core, directory_updates);
-    let drain = async {
-        let is_complete = stop::run(core).await;
-        tasks.shutdown().await;
-        Ok(is_complete)
-    };
-    let (is_complete, unfinished) = try_join(drain, listeners).await?;
-    report::log_closed(unfinished.0);
-    Ok(is_complete && unfinished.0 == 0)
+    let drain = async { Ok(stop::run(core).await) };
+    let (is_complete, closed_early) = try_join(drain, listeners).await?;
+    tasks.shutdown().await;
+    report::log_closed(closed_early.0);
+    Ok(is_complete && closed_early.0 == 0)
 }
 
 /// Limits on requests.
@@ -177,7 +177,7 @@
     core: &Rc<Core>,
     callers: TcpListener,
     operators: TcpListener,
-) -> Result<Unfinished, Error> {
+) -> Result<ClosedEarly, Error> {
     let limits = || limits().set_keepalive(IDLE_TIMEOUT);
     let app = web::App::new().state(core.clone()).default_service(web::to(ingress::serve));
     let callers = serve(core, callers, HttpService::new(app), limits());
@@ -186,7 +186,7 @@
     let app = web::App::new().state(core.clone()).configure(routes);
     let operators = serve(core, operators, HttpService::new(app), limits());
     let (callers, operators) = try_join(callers, operators).await?;
-    Ok(Unfinished(callers.0 + operators.0))
+    Ok(ClosedEarly(callers.0 + operators.0))
 }
 
 /// Serves a listening socket until the router has stopped.
@@ -195,14 +195,17 @@
     socket: TcpListener,
     factory: F,
     limits: HttpServiceConfig,
-) -> Result<Unfinished, Error>
+) -> Result<ClosedEarly, Error>
 where
     F: ServiceFactory<Io, SharedCfg, Response = (), InitError = ()>,
     F::Service: 'static,
 {
     let settings = &core.settings;
     let grace = Duration::from_millis(settings.drain_notice_ms + settings.drain_ms) + FLUSH_TIMEOUT;
-    let config: SharedCfg = SharedCfg::new("router").add(limits).into();
+    // The library's own limit for the last bytes would end before the stop's.
+    let seconds = usize::try_from(grace.as_secs() + 1).unwrap_or(usize::MAX);
+    let closing = IoConfig::new().set_disconnect_timeout(Seconds::checked_new(seconds));
+    let config: SharedCfg = SharedCfg::new("router").add(limits).add(closing).into();
     let service = factory.create(config.clone()).await.map_err(|()| Error::Service)?;
     let listener = Listener::new(socket, config).context(SocketSnafu)?;
     Ok(listener.serve(service, core.stop.clone(), grace).await)
--- a/components/router/src/stop.rs
+++ b/components/router/src/stop.rs
@@ -16,7 +16,7 @@
 const INTERRUPT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Waits for a stop, for its notice, and for the requests in flight, which are interrupted when the
-/// drain's time is up. Returns whether none was.
+/// drain's time is up. Returns whether all ended by themselves.
 pub(crate) async fn run(core: &Core) -> bool {
     core.stop.requested().await;
     let requested_at = core.clock.now();
