--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -127,11 +127,11 @@
     /// The next step. Must not be called after [`Step::Finished`], [`Step::Failed`] or
     /// [`Step::Aborted`].
     pub(crate) async fn next(&mut self) -> Step {
-        let stop = self.core.stop.clone();
+        let shutdown = self.core.stop.clone();
         loop {
             tokio::select! {
                 biased;
-                () = stop.interrupted(), if !self.is_interrupted => self.interrupt(),
+                () = shutdown.interrupted(), if !self.is_interrupted => self.interrupt(),
                 step = self.advance() => if let Some(step) = step {
                     return step;
                 }
