Soak: a router that runs or stops as planned answers what it has passed on

The soak passed over answers that are missing or not whole. A request that reached an upstream and has no answer, or a call whose answer is cut, fails it now unless its router was killed or suspended meanwhile.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -132,12 +132,25 @@
             ran == 0 || !seen.revoked || !late,
             "{seen:?} ran with a key taken away: {context}"
         );
+        check_answered(fleet, seen, ran, context);
         if let Some(answer) = &seen.answer {
             check_answer(seen, answer, ran, context);
         }
     }
 }
 
+/// Checks that a router which runs, or stops as planned, ends no request that it has sent to an
+/// upstream without a whole answer. Streams may break off with their upstream.
+fn check_answered(fleet: &Fleet, seen: &Seen, ran: usize, context: &str) {
+    let is_call = matches!(seen.kind, Kind::Safe | Kind::Unsafe);
+    let is_lost = match &seen.answer {
+        None => ran > 0,
+        Some(answer) => is_call && !answer.whole,
+    };
+    let is_excused = || fleet.was_disturbed(seen.router, seen.sent, seen.ended);
+    assert!(!is_lost || is_excused(), "{seen:?} ran {ran} times: {context}");
+}
+
 /// Checks that all events of a stream come from one version of the software, over all requests by
 /// which its caller continued it.
 fn check_versions(exchanges: &[Seen], context: &str) {
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -71,6 +71,10 @@
     /// Whether it was sent with the key that is revoked.
     pub revoked: bool,
     pub sent: Instant,
+    /// When its answer or its connection ended.
+    pub ended: Instant,
+    /// Index of the router.
+    pub router: usize,
     /// The stream that the request continues, if any.
     pub continued: Option<Continued>,
     /// `None` if the connection ended before an answer.
@@ -104,8 +108,10 @@
         let revoked = random.random_bool(0.3);
         let id = format!("id-{}", next.fetch_add(1, Ordering::Relaxed));
         let sent = Instant::now();
-        let request = Seen { id, kind, revoked, sent, continued, answer: None };
+        let request =
+            Seen { id, kind, revoked, sent, ended: sent, router: index, continued, answer: None };
         let answer = send(&mut caller, &request, &index.to_string());
+        let ended = Instant::now();
         if answer.as_ref().is_some_and(|answer| answer.status != 200) {
             std::thread::sleep(REFUSAL_BACKOFF);
         }
@@ -115,7 +121,7 @@
         if answer.as_ref().is_some_and(|answer| answer.whole && !is_closing(answer)) {
             connection = Some((index, caller));
         }
-        exchanges.push(Seen { answer, ..request });
+        exchanges.push(Seen { answer, ended, ..request });
     }
     exchanges
 }
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -72,6 +72,22 @@
     Actions(usize),
 }
 
+/// A time in which a router was stopped, killed or suspended.
+pub struct Outage {
+    /// Index of the router.
+    router: usize,
+    from: Instant,
+    to: Instant,
+    /// Whether the router was asked to stop.
+    is_planned: bool,
+}
+
+impl Outage {
+    fn overlaps(&self, from: Instant, to: Instant) -> bool {
+        self.from <= to && self.to >= from
+    }
+}
+
 /// Routers, their store and their upstreams.
 pub struct Fleet {
     pub routers: Vec<Router>,
@@ -89,8 +105,7 @@
     undo: Vec<(Instant, Undo)>,
     /// Indices of routers that are stopped, killed or suspended.
     unavailable: Vec<usize>,
-    /// Router index, start and end of each unavailability.
-    pub outages: Vec<(usize, Instant, Instant)>,
+    pub outages: Vec<Outage>,
     pub log: Vec<String>,
 }
 
@@ -136,20 +151,20 @@
         let store = self.routers[0].store.clone();
         match fault {
             Fault::KillRouter => {
-                if self.mark_unavailable(router) {
+                if self.mark_unavailable(router, false) {
                     self.routers[router].kill();
                     self.undo.push((until, Undo::StartRouter(router)));
                 }
             }
             Fault::StopRouter => {
-                if self.mark_unavailable(router) {
+                if self.mark_unavailable(router, true) {
                     self.routers[router].signal(Signal::SIGTERM);
                     // Callers keep using their connections until the process ends.
                     self.undo.push((until, Undo::StartRouter(router)));
                 }
             }
             Fault::FreezeRouter => {
-                if self.mark_unavailable(router) {
+                if self.mark_unavailable(router, false) {
                     self.routers[router].signal(Signal::SIGSTOP);
                     self.undo.push((until, Undo::WakeRouter(router)));
                 }
@@ -258,12 +273,13 @@
     }
 
     /// Marks a router as unavailable; returns whether it was available.
-    fn mark_unavailable(&mut self, router: usize) -> bool {
+    fn mark_unavailable(&mut self, router: usize, is_planned: bool) -> bool {
         let is_unavailable = self.unavailable.contains(&router);
         if !is_unavailable {
             self.unavailable.push(router);
             // The end is set when the router is available again.
-            self.outages.push((router, Instant::now(), Instant::now()));
+            let now = Instant::now();
+            self.outages.push(Outage { router, from: now, to: now, is_planned });
         }
         !is_unavailable
     }
@@ -271,14 +287,20 @@
     /// Marks a router as available and records the end of its unavailability.
     fn mark_available(&mut self, router: usize) {
         self.unavailable.retain(|unavailable| *unavailable != router);
-        let last = self.outages.iter_mut().rev().find(|entry| entry.0 == router);
-        last.expect("the router was unavailable").2 = Instant::now();
+        let last = self.outages.iter_mut().rev().find(|outage| outage.router == router);
+        last.expect("the router was unavailable").to = Instant::now();
     }
 
     /// Whether a router was stopped, killed or suspended between two times.
     pub fn was_unavailable(&self, router: &str, from: Instant, to: Instant) -> bool {
-        let is_of_router = |entry: &&(usize, Instant, Instant)| entry.0.to_string() == router;
-        self.outages.iter().filter(is_of_router).any(|entry| entry.1 <= to && entry.2 >= from)
+        let is_of_router = |outage: &&Outage| outage.router.to_string() == router;
+        self.outages.iter().filter(is_of_router).any(|outage| outage.overlaps(from, to))
+    }
+
+    /// Whether a router was killed or suspended between two times.
+    pub fn was_disturbed(&self, router: usize, from: Instant, to: Instant) -> bool {
+        let unplanned = |outage: &&Outage| outage.router == router && !outage.is_planned;
+        self.outages.iter().filter(unplanned).any(|outage| outage.overlaps(from, to))
     }
 
     fn set_store_mode(&mut self, mode: Mode, until: Instant) {
