--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -6,7 +6,7 @@
 mod fleet;
 mod notices;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::time::{Duration, Instant};
 
@@ -117,6 +117,8 @@
         let id = request.header("attempt-identifier").unwrap_or("").to_owned();
         *runs.entry(id).or_default() += 1;
     }
+    let abandoned: BTreeSet<String> =
+        fleet.all_instances.iter().flat_map(crate::standin::Upstream::abandoned).collect();
     let served = exchanges
         .iter()
         .filter(|seen| seen.answer.as_ref().is_some_and(|answer| answer.status == 200));
@@ -132,7 +134,7 @@
             ran == 0 || !seen.revoked || !late,
             "{seen:?} ran with a key taken away: {context}"
         );
-        check_answered(fleet, seen, ran, context);
+        check_answered(fleet, seen, ran, abandoned.contains(&seen.id), context);
         if let Some(answer) = &seen.answer {
             check_answer(seen, answer, ran, context);
         }
@@ -140,12 +142,13 @@
 }
 
 /// Checks that a router which runs, or stops as planned, ends no request that it has sent to an
-/// upstream without a whole answer. Streams may break off with their upstream.
-fn check_answered(fleet: &Fleet, seen: &Seen, ran: usize, context: &str) {
+/// upstream without a whole answer. Streams may break off with their upstream, but not be
+/// `abandoned` there.
+fn check_answered(fleet: &Fleet, seen: &Seen, ran: usize, abandoned: bool, context: &str) {
     let is_call = matches!(seen.kind, Kind::Safe | Kind::Unsafe);
     let is_lost = match &seen.answer {
         None => ran > 0,
-        Some(answer) => is_call && !answer.whole,
+        Some(answer) => !answer.whole && (is_call || abandoned),
     };
     let is_excused = || fleet.was_disturbed(seen.router, seen.sent, seen.ended);
     assert!(!is_lost || is_excused(), "{seen:?} ran {ran} times: {context}");
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -74,6 +74,8 @@
     over_capacity: usize,
     /// Connections that ended during an answer.
     disconnects: usize,
+    /// Ids of the requests whose stream the client left.
+    abandoned: Vec<String>,
     /// Connections with a lower number get no answers.
     first_answered: usize,
     connections: usize,
@@ -189,6 +191,11 @@
         self.state.lock().expect("the lock is not poisoned").disconnects
     }
 
+    /// Ids of the requests whose stream the client left.
+    pub fn abandoned(&self) -> Vec<String> {
+        self.state.lock().expect("the lock is not poisoned").abandoned.clone()
+    }
+
     /// The key of the upstream's entry in the store.
     pub fn key(&self) -> String {
         format!("servers/{}", self.name)
@@ -395,7 +402,12 @@
             let (name, version) = (&self.name, self.version);
             let event = format!("id: {number}\ndata: piece {number} of {name} at {version}\n\n");
             if !send(writer, &format!("{:x}\r\n{event}\r\n", event.len())) {
-                self.state.lock().expect("the lock is not poisoned").disconnects += 1;
+                let mut state = self.state.lock().expect("the lock is not poisoned");
+                state.disconnects += 1;
+                // A connection that the upstream's own crash has closed was not left by the client.
+                if state.listener.is_some() {
+                    state.abandoned.extend(request.header("attempt-identifier").map(str::to_owned));
+                }
                 return false;
             }
             std::thread::sleep(Duration::from_millis(gap_ms));
