--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -121,7 +121,7 @@
         if answer.as_ref().is_some_and(|answer| answer.whole && !is_closing(answer)) {
             connection = Some((index, caller));
         }
-        exchanges.push(Seen { answer, ended, ..request });
+        exchanges.push(Seen { ended, answer, ..request });
     }
     exchanges
 }
