Log the prompt parts of requests and of those that a crash interrupts

The logs could not tell which part of a prompt is common to the requests under which upstreams crash, nor whether an answer had begun. Requests now carry the hashes of their shared parts; one line for each request that a crash interrupted has them. No decision depends on them yet.

--- a/components/experiment/src/overload/fleet/callers.rs
+++ b/components/experiment/src/overload/fleet/callers.rs
@@ -65,6 +65,7 @@
                 hash: prefix_hash(&caller),
                 tokens: caller.kind.prefix_tokens,
             }],
+            parts: Vec::new(),
             idempotency_key: None,
             weight: 1,
             deadline: Some(self.now.until(deadline)),
--- a/components/experiment/src/simulation.rs
+++ b/components/experiment/src/simulation.rs
@@ -275,6 +275,7 @@
             model: Some("model-0".into()),
             fingerprint: self.next_id,
             chat: format!("chat-{chat}").into(),
+            parts: Vec::new(),
             idempotency_key: None,
             prefixes: Vec::new(),
             weight: self.rng.random_range(load.min_weight..=load.max_weight),
--- a/components/experiment/src/slopes.rs
+++ b/components/experiment/src/slopes.rs
@@ -213,6 +213,7 @@
         model: Some(format!("model-{}", id % MODELS as u64).into()),
         fingerprint: id,
         chat: format!("chat-{id}").into(),
+        parts: Vec::new(),
         idempotency_key: None,
         prefixes: Vec::new(),
         weight: 1_000,
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -173,6 +173,10 @@
                 self.crashes.check(upstream, address);
                 false
             }
+            Effect::Interrupted(interruption) => {
+                report::log_interruption(interruption);
+                false
+            }
             Effect::ReportCrashes(crashes) => {
                 report::log_crashes(crashes);
                 self.broadcast_crash(crashes);
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -23,6 +23,9 @@
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
 
+/// Maximum number of parts of a prompt to which crashes of upstreams are attributed.
+const MAX_PARTS: usize = 16;
+
 /// How long after its deadline a stream may still be written to a caller that does not read.
 const WRITE_GRACE: Duration = Duration::from_millis(500);
 
@@ -96,6 +99,7 @@
         fingerprint,
         chat: chat_id(&metadata.prefixes).unwrap_or_else(|| id.clone()),
         prefixes: shareable_prefixes(&metadata.prefixes),
+        parts: shareable_parts(&metadata.prefixes),
         request: id,
         workspace: target.workspace,
         kind: target.kind,
@@ -121,16 +125,26 @@
     Some(prompt[last_shared].id.clone())
 }
 
+/// The parts of the prompt that other requests may share: all but the last.
+fn shareable(prompt: &[Prefix]) -> &[Prefix] {
+    prompt.split_last().map_or(prompt, |(_, shared)| shared)
+}
+
+/// Hashes of the shareable parts, each by itself.
+fn shareable_parts(prompt: &[Prefix]) -> Vec<u64> {
+    let hash = |part: &Prefix| placement::key("part", &part.id);
+    shareable(prompt).iter().take(MAX_PARTS).map(hash).collect()
+}
+
 /// The shareable prefixes of the prompt, each including all before it.
 fn shareable_prefixes(prompt: &[Prefix]) -> Vec<routing::Prefix> {
-    let shareable = prompt.split_last().map_or(prompt, |(_, shared)| shared);
     let start = routing::Prefix { hash: 0, tokens: 0 };
     let join = |joined: &mut routing::Prefix, prefix: &Prefix| {
         let hash = placement::key(&joined.hash.to_string(), &prefix.id);
         *joined = routing::Prefix { hash, tokens: joined.tokens.saturating_add(prefix.tokens) };
         Some(*joined)
     };
-    shareable.iter().scan(start, join).collect()
+    shareable(prompt).iter().scan(start, join).collect()
 }
 
 fn refuse(core: &Core, kind: Kind, id: &str) -> HttpResponse {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -220,6 +220,7 @@
             | Effect::Leaving { .. }
             | Effect::Backoff { .. }
             | Effect::Check { .. }
+            | Effect::Interrupted(_)
             | Effect::ReportCrashes(_)
             | Effect::ReportCleared(_)
             | Effect::Quarantine { .. }
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -1,7 +1,9 @@
 //! Log lines on requests and upstreams.
 
 use clock::Millis;
-use routing::{Binding, Continuation, Crash, Decision, Part, Standing, Try, Unfinished};
+use routing::{
+    Binding, Continuation, Crash, Decision, Interruption, Part, Standing, Try, Unfinished,
+};
 use spdlog::{info, warn};
 
 /// Logs the decision on a completed request.
@@ -29,6 +31,7 @@
         passed = format_exclusion(decision),
         tries = format_tries(decision),
         prompt = decision.shared.map_or_else(String::new, |prefix| format!("{:x}", prefix.hash)),
+        parts = format_hashes(&decision.parts),
         shared = decision.shared.map_or(0, |prefix| prefix.tokens),
         first_ms = or_none(decision.answered.map(|answered| decision.came.until(answered).0)),
         pause_ms = decision.pause.0,
@@ -103,12 +106,24 @@
     info!("upstream is leaving", kv: { upstream });
 }
 
+/// Logs that a request was interrupted at an upstream that has crashed.
+pub(crate) fn log_interruption(interruption: &Interruption) {
+    let Interruption { sent, began, at, .. } = interruption;
+    info!("request interrupted by a crash", kv: {
+        request = &*interruption.request,
+        upstream = &*interruption.upstream,
+        content = format!("{:016x}", interruption.fingerprint),
+        parts = format_hashes(&interruption.parts),
+        ran_ms = sent.until(*at).0,
+        began_ms = or_none(began.map(|began| sent.until(began).0)),
+    });
+}
+
 /// Logs that an upstream crashed under requests of this router.
 pub(crate) fn log_crashes(crashes: &[Crash]) {
     let Some(first) = crashes.first() else { return };
-    let contents: Vec<_> =
-        crashes.iter().map(|crash| format!("{:016x}", crash.fingerprint)).collect();
-    let contents = contents.join(" ");
+    let contents: Vec<_> = crashes.iter().map(|crash| crash.fingerprint).collect();
+    let contents = format_hashes(&contents);
     info!("upstream crashed under requests", kv: { upstream = &*first.upstream, contents });
 }
 
@@ -122,6 +137,11 @@
     info!("work is cleared", kv: { content = format!("{fingerprint:016x}") });
 }
 
+/// Hashes in hexadecimal, separated by spaces.
+fn format_hashes(hashes: &[u64]) -> String {
+    hashes.iter().map(|hash| format!("{hash:016x}")).collect::<Vec<_>>().join(" ")
+}
+
 /// A number for the log, or the word `none`.
 fn or_none(number: Option<impl Into<u64>>) -> String {
     number.map_or_else(|| "none".to_owned(), |number| number.into().to_string())
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -6,7 +6,7 @@
 use errors::{Answer, Kind};
 use wire::{Beginning, Claim, DirectoryUpdate, Finish, Head, WarmPrefixes};
 
-use crate::{Crash, Decision, Owner};
+use crate::{Crash, Decision, Interruption, Owner};
 
 /// An action for the router process to carry out.
 #[derive(Clone, Debug)]
@@ -89,6 +89,8 @@
         /// Address to connect to.
         address: Arc<str>,
     },
+    /// A request was interrupted at an upstream that has crashed; for the log.
+    Interrupted(Interruption),
     /// Report crashes to all routers, including those that start later.
     ReportCrashes(Vec<Crash>),
     /// Report to all routers, including those that start later, that work is cleared: it was
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -252,6 +252,9 @@
     pub chat: Arc<str>,
     /// Prefixes of the prompt that other requests may share, the shortest first.
     pub prefixes: Vec<Prefix>,
+    /// Hashes of the parts of the prompt that other requests may share, in order. Unlike a prefix,
+    /// a part has the same hash in every prompt.
+    pub parts: Vec<u64>,
     /// Idempotency key, if any.
     pub idempotency_key: Option<IdempotencyKey>,
     /// Load of the request, in tokens.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -21,7 +21,7 @@
 pub use path::Path;
 pub use placement::Bound;
 pub use recovery::budget::Budget;
-pub use recovery::quarantine::{Crash, Liveness};
+pub use recovery::quarantine::{Crash, Interruption, Liveness};
 pub use requests::continuation::{Binding, Source};
 pub use requests::decision::{Decision, Exclusion, Part, Try};
 pub use requests::unfinished::Unfinished;
--- a/components/routing/src/recovery/quarantine.rs
+++ b/components/routing/src/recovery/quarantine.rs
@@ -55,6 +55,25 @@
     }
 }
 
+/// A request that was interrupted at an upstream, which may have crashed under it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Interruption {
+    /// Public id of the request.
+    pub request: Arc<str>,
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// The fingerprint of the requested work.
+    pub fingerprint: u64,
+    /// Hashes of the parts of the prompt that other requests may share.
+    pub parts: Vec<u64>,
+    /// When the request was sent to the upstream.
+    pub sent: Millis,
+    /// When the first part of the answer's body was received, if it was.
+    pub began: Option<Millis>,
+    /// When the request was interrupted.
+    pub at: Millis,
+}
+
 /// Whether an upstream still accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -69,8 +88,8 @@
 /// Crashes of upstreams, and requests that may have caused them.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
-    /// By upstream: fingerprints of its interrupted requests, and the times of the interruptions.
-    interrupted: HashMap<Arc<str>, Vec<(u64, Millis)>>,
+    /// Interrupted requests by upstream.
+    interrupted: HashMap<Arc<str>, Vec<Interruption>>,
     /// Upstreams with a liveness check under way.
     checking: BTreeSet<Arc<str>>,
     /// Crashes by fingerprint.
@@ -108,21 +127,28 @@
     }
 }
 
+impl Interruption {
+    fn is_recent(&self, now: Millis) -> bool {
+        self.at.until(now) < INTERRUPTED_TTL
+    }
+}
+
 impl Quarantine {
-    /// Records that a request was interrupted at `upstream`.
-    fn record_interrupted(&mut self, fingerprint: u64, upstream: &Arc<str>, now: Millis) {
-        let interrupted = self.interrupted.entry(upstream.clone()).or_default();
-        interrupted.retain(|(known, at)| *known != fingerprint && at.until(now) < INTERRUPTED_TTL);
+    /// Records that a request was interrupted.
+    fn record_interrupted(&mut self, interruption: Interruption) {
+        let now = interruption.at;
+        let interrupted = self.interrupted.entry(interruption.upstream.clone()).or_default();
+        interrupted
+            .retain(|known| known.fingerprint != interruption.fingerprint && known.is_recent(now));
         if interrupted.len() < MAX_INTERRUPTED {
-            interrupted.push((fingerprint, now));
+            interrupted.push(interruption);
         }
     }
 
-    /// Takes the fingerprints of requests that were recently interrupted at `upstream`.
-    fn take_interrupted(&mut self, upstream: &str, now: Millis) -> Vec<u64> {
+    /// Takes the requests that were recently interrupted at `upstream`.
+    fn take_interrupted(&mut self, upstream: &str, now: Millis) -> Vec<Interruption> {
         let interrupted = self.interrupted.remove(upstream).unwrap_or_default();
-        let recent = interrupted.into_iter().filter(|(_, at)| at.until(now) < INTERRUPTED_TTL);
-        recent.map(|(fingerprint, _)| fingerprint).collect()
+        interrupted.into_iter().filter(|interruption| interruption.is_recent(now)).collect()
     }
 
     /// Inserts a crash. Returns the number of crashes of the work if this one is new.
@@ -154,7 +180,7 @@
         self.cleared.insert(fingerprint, MAX_CLEARED);
         self.crashes.remove(&fingerprint);
         for interrupted in self.interrupted.values_mut() {
-            interrupted.retain(|(known, _)| *known != fingerprint);
+            interrupted.retain(|interruption| interruption.fingerprint != fingerprint);
         }
     }
 
@@ -186,8 +212,18 @@
             return None;
         }
         let request = self.requests.get(&id)?;
-        let (fingerprint, upstream) = (request.arrival.fingerprint, request.upstream()?.clone());
-        self.quarantine.record_interrupted(fingerprint, &upstream, now);
+        let last = request.tries.last()?;
+        let upstream = last.upstream.clone();
+        let interruption = Interruption {
+            request: request.arrival.request.clone(),
+            upstream: upstream.clone(),
+            fingerprint: request.arrival.fingerprint,
+            parts: request.arrival.parts.clone(),
+            sent: last.sent,
+            began: last.began,
+            at: now,
+        };
+        self.quarantine.record_interrupted(interruption);
         Some(upstream)
     }
 
@@ -212,14 +248,15 @@
     /// Attributes the crash of an upstream to the requests that were interrupted there, and reports
     /// that.
     pub(crate) fn record_crash(&mut self, upstream: &Arc<str>, now: Millis) {
-        let crash = |fingerprint| Crash {
-            fingerprint,
+        let interrupted = self.quarantine.take_interrupted(upstream, now);
+        let crash = |interruption: &Interruption| Crash {
+            fingerprint: interruption.fingerprint,
             upstream: upstream.clone(),
             at: now,
             cleared: false,
         };
-        let mut crashes: Vec<_> =
-            self.quarantine.take_interrupted(upstream, now).into_iter().map(crash).collect();
+        let mut crashes: Vec<_> = interrupted.iter().map(crash).collect();
+        self.pending_effects.extend(interrupted.into_iter().map(Effect::Interrupted));
         crashes.retain(|crash| !self.clear_if_answered(crash.fingerprint, now));
         if crashes.is_empty() {
             return;
@@ -271,7 +308,7 @@
             self.clear(fingerprint, now);
         }
         for interrupted in self.quarantine.interrupted.values_mut() {
-            interrupted.retain(|(known, _)| *known != fingerprint);
+            interrupted.retain(|interruption| interruption.fingerprint != fingerprint);
         }
     }
 
--- a/components/routing/src/requests/decision.rs
+++ b/components/routing/src/requests/decision.rs
@@ -43,6 +43,8 @@
     pub ended: Millis,
     /// The longest shared prefix, if any.
     pub shared: Option<Prefix>,
+    /// Hashes of the parts of the prompt that other requests may share.
+    pub parts: Vec<u64>,
     /// Exclusions of the best excluded upstreams.
     pub passed: Vec<Exclusion>,
     /// The attempts, in order.
@@ -122,6 +124,9 @@
     /// Whether the answer has not begun.
     #[serde(skip)]
     pub(crate) is_queued: bool,
+    /// When the first part of the answer's body was received, if it was.
+    #[serde(skip)]
+    pub(crate) began: Option<Millis>,
     /// Whether the attempt exceeded the silence timeout.
     #[serde(skip)]
     pub(crate) is_silent: bool,
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -159,6 +159,7 @@
             warm: prefill.source,
             error: None,
             is_queued: true,
+            began: None,
             is_silent: false,
             recorded_outcome: None,
             is_released: false,
--- a/components/routing/src/requests/ownership.rs
+++ b/components/routing/src/requests/ownership.rs
@@ -69,6 +69,7 @@
             model: None,
             fingerprint: 0,
             chat: seed.into(),
+            parts: Vec::new(),
             idempotency_key: None,
             prefixes: Vec::new(),
             weight: 1,
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -117,6 +117,9 @@
         let gap = self.relayed_at.map_or(Millis::ZERO, |relayed_at| relayed_at.until(now));
         self.longest_gap = self.longest_gap.max(gap);
         self.relayed_at = Some(now);
+        if let Some(last) = self.tries.last_mut() {
+            last.began.get_or_insert(now);
+        }
     }
 
     pub(crate) fn idempotency_key(&self) -> Option<&IdempotencyKey> {
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -162,8 +162,8 @@
     /// Applies an event and returns the resulting effects.
     ///
     /// Effects of an event about one request concern that request, except `Drained`,
-    /// `PublishPrefixes`, `Suspect`, `Recovered`, `Leaving`, `Backoff`, `Check`, `ReportCrashes`,
-    /// `ReportCleared`, `Quarantine`, `Release`, `ReportSaturation` and `PublishBeginning`.
+    /// `PublishPrefixes`, `Suspect`, `Recovered`, `Leaving`, `Backoff`, `Check`, `Interrupted`,
+    /// `ReportCrashes`, `ReportCleared`, `Quarantine`, `Release`, `ReportSaturation` and `PublishBeginning`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.handle(event, now);
         effects.append(&mut self.pending_effects);
--- a/components/routing/tests/direct/fixture.rs
+++ b/components/routing/tests/direct/fixture.rs
@@ -141,6 +141,7 @@
         fingerprint: id,
         chat: chat.into(),
         prefixes: prefixes(hashes),
+        parts: Vec::new(),
         idempotency_key: None,
         weight: 1,
         deadline: None,
@@ -148,6 +149,15 @@
     })
 }
 
+/// Like [`arrival`], with these parts of the prompt.
+pub fn arrival_with_parts(id: u64, kind: &str, parts: &[u64]) -> Event {
+    let Event::Arrival(arrival) = arrival_with_prefixes(id, kind, &format!("chat-{id}"), &[])
+    else {
+        unreachable!("an arrival")
+    };
+    Event::Arrival(Arrival { parts: parts.to_vec(), ..arrival })
+}
+
 /// The arrival of a stream with one shared prefix of `tokens` tokens.
 pub fn arrival_with_long_prefix(id: u64, chat: &str, hash: u64, tokens: u64) -> Event {
     let Event::Arrival(arrival) = arrival_with_prefixes(id, "stream", chat, &[]) else {
--- a/components/routing/tests/hints.rs
+++ b/components/routing/tests/hints.rs
@@ -56,6 +56,7 @@
         model: Some("m".into()),
         fingerprint: 1,
         chat: "c".into(),
+        parts: Vec::new(),
         idempotency_key: None,
         prefixes: Vec::new(),
         weight: 1,
--- a/components/routing/tests/sidecars.rs
+++ b/components/routing/tests/sidecars.rs
@@ -60,6 +60,7 @@
         model: Some("m".into()),
         fingerprint: id,
         chat: "c".into(),
+        parts: Vec::new(),
         idempotency_key: None,
         prefixes: Vec::new(),
         weight: 1,
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -301,6 +301,7 @@
             model: (!once).then(|| "m".into()),
             fingerprint: id,
             chat: format!("c{chat}").into(),
+            parts: Vec::new(),
             idempotency_key: once.then_some(key),
             prefixes: Vec::new(),
             weight: 100,
@@ -445,6 +446,7 @@
                 | Effect::Leaving { .. }
                 | Effect::Backoff { .. }
                 | Effect::Check { .. }
+                | Effect::Interrupted(_)
                 | Effect::ReportCrashes(_)
                 | Effect::ReportCleared(_)
                 | Effect::Quarantine { .. }
