--- a/components/routing/tests/direct/main.rs
+++ b/components/routing/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod permits;
 mod prefixes;
+mod prompt_parts;
 mod quarantine;
 mod refusals;
 mod shares;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod hints;
 mod path;
 mod permits;
+mod prompt_parts;
 mod quarantine;
 mod restarts;
 mod restore;
--- a/tests/platform/standin/http.rs
+++ b/tests/platform/standin/http.rs
@@ -19,6 +19,13 @@
 }
 
 impl Request {
+    /// Whether the prompt has this part before its last one.
+    pub fn has_shared_part(&self, part: &str) -> bool {
+        let prompt = self.header("prompt-prefix").unwrap_or("");
+        let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+        shared.split(',').any(|entry| entry.split(':').next() == Some(part))
+    }
+
     /// Reads the next request; `None` at the end of the connection.
     pub fn read(stream: &mut BufReader<TcpStream>) -> Option<Self> {
         let mut line = String::new();
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -81,6 +81,8 @@
     connections: usize,
     /// Body of requests that crash the upstream.
     fatal: Option<&'static str>,
+    /// Part of prompts that crashes the upstream, if it is not the last one.
+    fatal_part: Option<&'static str>,
     /// Notices sent with answers.
     feedback: Feedback,
     /// `None` once the upstream has crashed.
@@ -139,6 +141,11 @@
         self.state.lock().expect("the lock is not poisoned").fatal = Some(body);
     }
 
+    /// Makes requests whose prompt has this part before the last one crash the upstream.
+    pub fn set_fatal_part(&self, part: &'static str) {
+        self.state.lock().expect("the lock is not poisoned").fatal_part = Some(part);
+    }
+
     /// Refuses every request with this backoff, or none.
     pub fn set_backoff(&self, backoff: Option<Duration>) {
         self.state.lock().expect("the lock is not poisoned").feedback.backoff = backoff;
@@ -248,7 +255,8 @@
 
     fn next_action(&self, request: &Request) -> Action {
         let mut state = self.state.lock().expect("the lock is not poisoned");
-        let fatal = state.fatal.is_some_and(|body| request.body == body.as_bytes());
+        let fatal = state.fatal.is_some_and(|body| request.body == body.as_bytes())
+            || state.fatal_part.is_some_and(|part| request.has_shared_part(part));
         let backoff = state.feedback.backoff.filter(|_| !fatal);
         state.requests.push(Request { refused: backoff.is_some(), ..request.clone() });
         if fatal {
