Quarantine parts of prompts under which upstreams crash

Cause: crashes were counted by the fingerprint of the whole work (workspace, method, path, body). Requests with the deadly part are all different, so that no count reached three. The class: harm is attributed to a unit that its sender varies freely, not to the unit that does it.

Now each crash counts also against the parts of the prompts whose answers had hardly begun, except parts that some router has answered lately. Three crashes under runs that don't overlap quarantine a part; where several parts share these crashes, only prompts with all of them are refused, until answers or crashes tell them apart. Reports go the same way as before, by datagrams and the store.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -16,7 +16,8 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{Notify, watch};
 use wire::{
-    Build, Delay, Demands, Frame, Hello, Loads, Observations, Outcome, UpstreamCrash, WarmPrefixes,
+    Build, Delay, Demands, Frame, Hello, Loads, Observations, Outcome, PartCrash, PartRun,
+    UpstreamCrash, WarmPrefixes,
 };
 
 use crate::clients::Clients;
@@ -35,6 +36,9 @@
 
 const MAX_QUEUED_UPDATES: usize = 1_024;
 
+/// Maximum number of prompt parts in one datagram about a crash.
+const MAX_PART_RUNS: usize = 48;
+
 /// How long a request waits for the first configuration after a start.
 const FIRST_PLAN_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -185,8 +189,8 @@
             }
             Effect::ReportCleared(clearing) => {
                 self.metrics.record_change("work_cleared");
-                report::log_cleared(clearing.fingerprint);
-                self.broadcast_cleared(clearing.fingerprint);
+                report::log_cleared(clearing);
+                self.broadcast_cleared(clearing);
                 self.crashes.clear(clearing);
                 false
             }
@@ -207,6 +211,15 @@
                 report::log_quarantine(*fingerprint, *duration);
                 false
             }
+            Effect::QuarantineParts { parts, duration } => {
+                self.metrics.record_change("parts_held_back");
+                report::log_part_quarantine(parts, *duration);
+                false
+            }
+            Effect::ReleaseParts { parts } => {
+                report::log_part_release(parts);
+                false
+            }
             _ => true,
         });
         effects
@@ -255,18 +268,36 @@
     /// Broadcasts crashes of an upstream, in addition to the report in the store, which may be
     /// unavailable.
     fn broadcast_crash(&self, crashes: &[Crash]) {
-        if let (Some(peers), Some(first)) = (self.peers(), crashes.first()) {
-            let fingerprints = crashes.iter().map(|crash| crash.fingerprint).collect();
-            let crash = UpstreamCrash { upstream: first.upstream.clone(), fingerprints };
-            let bytes = peers.broadcast(Frame::UpstreamCrash(crash), self.clock.now());
+        let (Some(peers), Some(first)) = (self.peers(), crashes.first()) else { return };
+        let upstream = &first.upstream;
+        let works = crashes.iter().filter(|crash| !crash.is_of_part());
+        let fingerprints: Vec<_> = works.map(|crash| crash.fingerprint).collect();
+        let parts: Vec<_> = crashes.iter().filter_map(part_run).collect();
+        let mut frames = Vec::new();
+        if !fingerprints.is_empty() {
+            let crash = UpstreamCrash { upstream: upstream.clone(), fingerprints };
+            frames.push(Frame::UpstreamCrash(crash));
+        }
+        for runs in parts.chunks(MAX_PART_RUNS) {
+            let crash = PartCrash { upstream: upstream.clone(), runs: runs.to_vec() };
+            frames.push(Frame::PartCrash(crash));
+        }
+        for frame in frames {
+            let bytes = peers.broadcast(frame, self.clock.now());
             self.metrics.record_control("ended", bytes);
         }
     }
 
     /// Broadcasts that work is cleared, in addition to the report in the store.
-    fn broadcast_cleared(&self, fingerprint: u64) {
+    fn broadcast_cleared(&self, clearing: &Crash) {
         if let Some(peers) = self.peers() {
-            let bytes = peers.broadcast(Frame::Cleared(vec![fingerprint]), self.clock.now());
+            let cleared = vec![clearing.fingerprint];
+            let frame = if clearing.is_of_part() {
+                Frame::ClearedParts(cleared)
+            } else {
+                Frame::Cleared(cleared)
+            };
+            let bytes = peers.broadcast(frame, self.clock.now());
             self.metrics.record_control("cleared", bytes);
         }
     }
@@ -466,3 +497,9 @@
         None => Tracer::disabled(),
     }
 }
+
+/// The prompt part of a crash and the run with it; `None` for a crash under work as a whole.
+fn part_run(crash: &Crash) -> Option<PartRun> {
+    let ran = crash.ran?;
+    Some(PartRun { part: crash.fingerprint, ran_ms: ran.0 })
+}
--- a/components/router/src/hints.rs
+++ b/components/router/src/hints.rs
@@ -8,7 +8,7 @@
 use clock::Millis;
 use routing::{Crash, Event};
 use spdlog::{debug, info};
-use wire::{Frame, Loads, Reader, UpstreamCrash, WarmPrefixes};
+use wire::{Frame, Loads, PartCrash, PartRun, Reader, UpstreamCrash, WarmPrefixes};
 
 use crate::core::Core;
 use crate::peers::{Peers, Tally};
@@ -198,7 +198,9 @@
             core.apply(Event::Paces(paces));
         }
         Frame::UpstreamCrash(report) => receive_crash(core, &report, from),
-        Frame::Cleared(fingerprints) => receive_cleared(core, &fingerprints, from),
+        Frame::Cleared(fingerprints) => receive_cleared(core, &fingerprints, Crash::cleared, from),
+        Frame::PartCrash(report) => receive_part_crash(core, &report, from),
+        Frame::ClearedParts(parts) => receive_cleared(core, &parts, Crash::cleared_part, from),
         Frame::Claims(claims) => core.permits.receive_claims(core, &claims, from),
         Frame::Verdicts(verdicts) => core.permits.receive_verdicts(core, &verdicts),
         Frame::Saturated(report) => core.permits.receive_saturation(core, &report),
@@ -225,6 +227,7 @@
         upstream: report.upstream.clone(),
         at,
         cleared: false,
+        ran: None,
     };
     let crashes: Vec<_> = report.fingerprints.iter().map(crash).collect();
     info!("another router reported crashes", kv: {
@@ -235,18 +238,37 @@
     core.apply(Event::Crashes(crashes));
 }
 
-/// Handles cleared work reported by another router, and withdraws this router's reports of crashes
-/// during that work.
-fn receive_cleared(core: &Core, fingerprints: &[u64], from: SocketAddr) {
+/// Handles a crash that another router reported with the prompt parts of its requests.
+fn receive_part_crash(core: &Core, report: &PartCrash, from: SocketAddr) {
     let at = core.clock.now();
-    info!("another router cleared work", kv: {
-        works = fingerprints.len(),
+    let crash = |run: &PartRun| Crash {
+        fingerprint: run.part,
+        upstream: report.upstream.clone(),
+        at,
+        cleared: false,
+        ran: Some(Millis(run.ran_ms)),
+    };
+    let crashes: Vec<_> = report.runs.iter().map(crash).collect();
+    info!("another router reported a crash under prompt parts", kv: {
+        upstream = &*report.upstream,
+        parts = crashes.len(),
         from = from.to_string(),
     });
-    core.crashes.withdraw(fingerprints);
-    core.apply(Event::Crashes(
-        fingerprints.iter().map(|fingerprint| Crash::cleared(*fingerprint, at)).collect(),
-    ));
+    core.apply(Event::Crashes(crashes));
+}
+
+/// Handles work or prompt parts that another router reported as cleared, and withdraws this
+/// router's reports of crashes under them. `clearing` makes the record of one.
+fn receive_cleared(
+    core: &Core,
+    hashes: &[u64],
+    clearing: fn(u64, Millis) -> Crash,
+    from: SocketAddr,
+) {
+    let at = core.clock.now();
+    info!("another router cleared work", kv: { works = hashes.len(), from = from.to_string() });
+    core.crashes.withdraw(hashes);
+    core.apply(Event::Crashes(hashes.iter().map(|hash| clearing(*hash, at)).collect()));
 }
 
 /// Logs a summary of the warm prefixes received in the last interval, as one line per hint would be
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -224,6 +224,8 @@
             | Effect::ReportCrashes(_)
             | Effect::ReportCleared(_)
             | Effect::Quarantine { .. }
+            | Effect::QuarantineParts { .. }
+            | Effect::ReleaseParts { .. }
             | Effect::Release { .. }
             | Effect::ReportSaturation { .. }
             | Effect::PublishBeginning(_)
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -122,9 +122,13 @@
 /// Logs that an upstream crashed under requests of this router.
 pub(crate) fn log_crashes(crashes: &[Crash]) {
     let Some(first) = crashes.first() else { return };
-    let contents: Vec<_> = crashes.iter().map(|crash| crash.fingerprint).collect();
-    let contents = format_hashes(&contents);
-    info!("upstream crashed under requests", kv: { upstream = &*first.upstream, contents });
+    let (parts, contents): (Vec<_>, Vec<_>) = crashes.iter().partition(|crash| crash.is_of_part());
+    let format = |crashes: &[&Crash]| {
+        format_hashes(&crashes.iter().map(|crash| crash.fingerprint).collect::<Vec<_>>())
+    };
+    info!("upstream crashed under requests", kv: {
+        upstream = &*first.upstream, contents = format(&contents), parts = format(&parts),
+    });
 }
 
 /// Logs that work is quarantined for `duration`.
@@ -132,9 +136,24 @@
     info!("work is quarantined", kv: { content = format!("{fingerprint:016x}"), ms = duration.0 });
 }
 
-/// Logs that work was completed and is no longer quarantined.
-pub(crate) fn log_cleared(fingerprint: u64) {
-    info!("work is cleared", kv: { content = format!("{fingerprint:016x}") });
+/// Logs that requests whose prompts have all of these parts are quarantined for `duration`.
+pub(crate) fn log_part_quarantine(parts: &[u64], duration: Millis) {
+    info!("prompt parts are quarantined", kv: { parts = format_hashes(parts), ms = duration.0 });
+}
+
+/// Logs that a set of prompt parts is no longer quarantined.
+pub(crate) fn log_part_release(parts: &[u64]) {
+    info!("prompt parts are no longer quarantined", kv: { parts = format_hashes(parts) });
+}
+
+/// Logs that work or a prompt part was answered in full, and so is not the cause of crashes.
+pub(crate) fn log_cleared(clearing: &Crash) {
+    let hash = format!("{:016x}", clearing.fingerprint);
+    if clearing.is_of_part() {
+        info!("prompt part is cleared", kv: { part = hash });
+    } else {
+        info!("work is cleared", kv: { content = hash });
+    }
 }
 
 /// Hashes in hexadecimal, separated by spaces.
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -103,6 +103,18 @@
         /// How long it stays quarantined.
         duration: Millis,
     },
+    /// Requests whose prompts have all of these parts are quarantined; for the log.
+    QuarantineParts {
+        /// Hashes of the parts.
+        parts: Vec<u64>,
+        /// How long they stay quarantined.
+        duration: Millis,
+    },
+    /// A set of prompt parts is no longer quarantined; for the log.
+    ReleaseParts {
+        /// Hashes of the parts.
+        parts: Vec<u64>,
+    },
     /// Connect to an upstream's sidecar.
     Connect {
         /// Name of the upstream.
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -370,7 +370,9 @@
             | Frame::Saturated(_)
             | Frame::Begun(_)
             | Frame::Find(_)
-            | Frame::Found(_) => Self::Unexpected,
+            | Frame::Found(_)
+            | Frame::PartCrash(_)
+            | Frame::ClearedParts(_) => Self::Unexpected,
         }
     }
 }
--- a/components/routing/src/recovery.rs
+++ b/components/routing/src/recovery.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod budget;
 pub(crate) mod draining;
+pub(crate) mod parts;
 pub(crate) mod quarantine;
 pub(crate) mod retry;
 pub(crate) mod silence;
--- a/components/routing/src/recovery/quarantine.rs
+++ b/components/routing/src/recovery/quarantine.rs
@@ -33,10 +33,11 @@
 /// quarantined again.
 const MAX_CLEARED: usize = 4_096;
 
-/// A crash of an upstream while it ran a request, or the clearing of a request's work.
+/// A crash of an upstream while it ran a request, or the clearing of a request's work. Both are of
+/// the work as a whole, or of one part of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// The fingerprint of the requested work.
+    /// The fingerprint of the requested work, or the hash of the prompt part.
     #[serde(rename = "content")]
     pub fingerprint: u64,
     /// The name of the upstream, which is unique to each of its starts; empty in a clearing.
@@ -46,12 +47,25 @@
     /// Whether this is a clearing: the work was answered in full.
     #[serde(default)]
     pub cleared: bool,
+    /// For a prompt part: time since a request with it was sent. `None` for the work as a whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ran: Option<Millis>,
 }
 
 impl Crash {
+    /// A clearing of a prompt part.
+    pub fn cleared_part(part: u64, at: Millis) -> Self {
+        Self { ran: Some(Millis::ZERO), ..Self::cleared(part, at) }
+    }
+
+    /// Whether it is of a prompt part, not of the work as a whole.
+    pub fn is_of_part(&self) -> bool {
+        self.ran.is_some()
+    }
+
     /// A clearing of work that was answered in full.
     pub fn cleared(fingerprint: u64, at: Millis) -> Self {
-        Self { fingerprint, upstream: "".into(), at, cleared: true }
+        Self { fingerprint, upstream: "".into(), at, cleared: true, ran: None }
     }
 }
 
@@ -254,10 +268,12 @@
             upstream: upstream.clone(),
             at: now,
             cleared: false,
+            ran: None,
         };
         let mut crashes: Vec<_> = interrupted.iter().map(crash).collect();
-        self.pending_effects.extend(interrupted.into_iter().map(Effect::Interrupted));
         crashes.retain(|crash| !self.clear_if_answered(crash.fingerprint, now));
+        crashes.extend(self.attribute_to_parts(&interrupted));
+        self.pending_effects.extend(interrupted.into_iter().map(Effect::Interrupted));
         if crashes.is_empty() {
             return;
         }
@@ -270,7 +286,13 @@
     pub(crate) fn record_crashes(&mut self, crashes: Vec<Crash>, now: Millis) {
         let duration = Millis(self.settings.quarantine_ms);
         self.quarantine.expire(duration, now);
+        let has_parts = crashes.iter().any(Crash::is_of_part);
         for mut crash in crashes {
+            crash.at = crash.at.min(now);
+            if crash.is_of_part() {
+                self.record_part_crash(crash, now);
+                continue;
+            }
             let fingerprint = crash.fingerprint;
             if crash.cleared {
                 self.quarantine.clear(fingerprint);
@@ -278,13 +300,15 @@
             if crash.cleared || self.clear_if_answered(fingerprint, now) {
                 continue;
             }
-            crash.at = crash.at.min(now);
             let expired = crash.at.until(now) >= duration;
             let count = if expired { None } else { self.quarantine.insert(crash) };
             if count == Some(self.settings.quarantine_ends) {
                 self.pending_effects.push(Effect::Quarantine { fingerprint, duration });
             }
         }
+        if has_parts {
+            self.update_quarantined_parts(now);
+        }
     }
 
     /// Clears work that this router has answered in full, and reports that to the other routers.
--- a/components/routing/src/requests/arrival.rs
+++ b/components/routing/src/requests/arrival.rs
@@ -61,8 +61,8 @@
         if !target.kind.anonymous && !self.is_confirmed_within(self.settings.current_ms, now) {
             return Err((Kind::StaleConfiguration, String::new()));
         }
-        // Callers resend quarantined work under new ids and to any router.
-        if self.quarantine_left(arrival.fingerprint, now).is_some() {
+        // Callers resend quarantined work under new ids and to any router, or with other work.
+        if self.held_back_for(arrival, now).is_some() {
             return Err((Kind::HeldBack, String::new()));
         }
         Ok(target)
--- a/components/routing/src/requests/completion.rs
+++ b/components/routing/src/requests/completion.rs
@@ -18,8 +18,7 @@
         detail: &str,
         now: Millis,
     ) -> Vec<Effect> {
-        let quarantine =
-            self.quarantine_left(arrival.fingerprint, now).filter(|_| kind == Kind::HeldBack);
+        let quarantine = self.held_back_for(arrival, now).filter(|_| kind == Kind::HeldBack);
         let after = quarantine.map_or_else(|| self.retry_after_ms(kind, now), |left| left.0);
         let decision = Decision {
             request: arrival.request.clone(),
@@ -147,6 +146,9 @@
         if error.is_none() {
             self.record_completion(&request, now);
             self.mark_answered(request.arrival.fingerprint, now);
+            if request.is_success() {
+                self.mark_parts_answered(&request.arrival.parts, now);
+            }
         }
         let shared = request.arrival.prefixes.last().copied();
         let decision = Decision {
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -25,10 +25,8 @@
     /// Sends the request to the next candidate, or fails it.
     pub(crate) fn send_next(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         // The work may have been quarantined since the last attempt.
-        let fingerprint = self.requests.get(&id).map(|request| request.arrival.fingerprint);
-        if let Some(left) =
-            fingerprint.and_then(|fingerprint| self.quarantine_left(fingerprint, now))
-        {
+        let arrival = self.requests.get(&id).map(|request| &request.arrival);
+        if let Some(left) = arrival.and_then(|arrival| self.held_back_for(arrival, now)) {
             return self.fail(id, Kind::HeldBack, left.0, "", now);
         }
         let Some(upstream) = self.next_candidate(id, now) else {
--- a/components/routing/src/requests/request.rs
+++ b/components/routing/src/requests/request.rs
@@ -10,6 +10,9 @@
 use crate::upstreams::estimate::Estimate;
 use crate::{Arrival, Exclusion, IdempotencyKey, Try};
 
+/// The statuses of success.
+const SUCCESS: std::ops::Range<u16> = 200..300;
+
 /// Progress of the current attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -137,6 +140,11 @@
         errors.find(|kind| kind.row().outcome != Outcome::NotRun)
     }
 
+    /// Whether the answer has a status of success.
+    pub(crate) fn is_success(&self) -> bool {
+        self.status.is_some_and(|status| SUCCESS.contains(&status))
+    }
+
     pub(crate) fn is_answering(&self) -> bool {
         matches!(self.phase, Phase::Answering { .. })
     }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -77,6 +77,9 @@
     pub suspect_max_ms: u64,
     /// Number of crashed upstreams after which work is quarantined.
     pub quarantine_ends: usize,
+    /// Number of crashed upstreams, one after the other, after which a prompt part is quarantined;
+    /// zero disables that.
+    pub quarantine_part_crashes: usize,
     /// Duration of the quarantine after the last crash, in milliseconds.
     pub quarantine_ms: u64,
     /// Maximum number of connections opened at a time in the background.
@@ -121,6 +124,7 @@
             suspect_ms: 250,
             suspect_max_ms: 10_000,
             quarantine_ends: 3,
+            quarantine_part_crashes: 3,
             quarantine_ms: 600_000,
             connects: 64,
             decisions: 4_096,
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::admission::{Flow, Lateness, Shares};
 use crate::recovery::draining::Drain;
+use crate::recovery::parts::Parts;
 use crate::recovery::quarantine::Quarantine;
 use crate::requests::permits::Saturation;
 use crate::requests::request::Request;
@@ -60,6 +61,8 @@
     pub(crate) confirmed_at: Option<Millis>,
     /// Work under which upstreams crashed.
     pub(crate) quarantine: Quarantine,
+    /// Prompt parts under which upstreams crashed.
+    pub(crate) parts: Parts,
     /// Notices of upstreams that are leaving or asked for a backoff.
     pub(crate) upstream_notices: Notices,
     /// Loads reported by other routers.
@@ -100,6 +103,7 @@
             prefix_index: PrefixIndex::default(),
             confirmed_at: None,
             quarantine: Quarantine::default(),
+            parts: Parts::default(),
             upstream_notices: Notices::default(),
             peers: Peers::default(),
             builds: Builds::default(),
@@ -163,7 +167,8 @@
     ///
     /// Effects of an event about one request concern that request, except `Drained`,
     /// `PublishPrefixes`, `Suspect`, `Recovered`, `Leaving`, `Backoff`, `Check`, `Interrupted`,
-    /// `ReportCrashes`, `ReportCleared`, `Quarantine`, `Release`, `ReportSaturation` and `PublishBeginning`.
+    /// `ReportCrashes`, `ReportCleared`, `Quarantine`, `QuarantineParts`, `ReleaseParts`, `Release`,
+    /// `ReportSaturation` and `PublishBeginning`.
     pub fn apply(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         let mut effects = self.handle(event, now);
         effects.append(&mut self.pending_effects);
--- a/components/routing/tests/direct/cleared_work.rs
+++ b/components/routing/tests/direct/cleared_work.rs
@@ -23,6 +23,7 @@
         upstream: (*name).into(),
         at: NOW,
         cleared: false,
+        ran: None,
     };
     Event::Crashes(upstreams.iter().map(crash).collect())
 }
--- a/components/routing/tests/direct/quarantine.rs
+++ b/components/routing/tests/direct/quarantine.rs
@@ -20,7 +20,7 @@
 }
 
 fn crash(upstream: &str, at: Millis) -> Crash {
-    Crash { fingerprint: WORK, upstream: upstream.into(), at, cleared: false }
+    Crash { fingerprint: WORK, upstream: upstream.into(), at, cleared: false, ran: None }
 }
 
 /// A report of another router that the work has crashed these upstreams.
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -450,6 +450,8 @@
                 | Effect::ReportCrashes(_)
                 | Effect::ReportCleared(_)
                 | Effect::Quarantine { .. }
+                | Effect::QuarantineParts { .. }
+                | Effect::ReleaseParts { .. }
                 | Effect::Drained => {}
             }
             assert!(record.ended <= 1, "request {id} got two final answers");
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -86,6 +86,11 @@
     Find(u64),
     /// The record of a stream, or that there is none.
     Found(Record),
+    /// Between routers: an upstream has crashed while requests with these prompt parts ran.
+    PartCrash(PartCrash),
+    /// Between routers: prompt parts of requests that were answered in full, and so are not the
+    /// cause of crashes.
+    ClearedParts(Vec<u64>),
 }
 
 /// A query for the content of the platform's store.
@@ -157,6 +162,24 @@
     pub fingerprints: Vec<u64>,
 }
 
+/// An upstream has crashed while requests ran whose answers had hardly begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The upstream, by the name of one start.
+    pub upstream: Arc<str>,
+    /// The parts of the requests' prompts.
+    pub runs: Vec<PartRun>,
+}
+
+/// The longest run of a request with a prompt part until its upstream crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRun {
+    /// The hash of the part.
+    pub part: u64,
+    /// Time since the request was sent, in milliseconds.
+    pub ran_ms: u64,
+}
+
 /// Identifies and authenticates the side that connects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -16,8 +16,8 @@
 pub use demands::Demands;
 pub use frame::{
     Admitted, Broken, Changes, Chunk, Delay, DirectoryUpdate, End, Frame, Head, Hello, Load, Loads,
-    Observation, Observations, Open, Outcome, Pace, Peer, Query, Referral, Refused, Report,
-    Revision, Stage, Status, UpstreamCrash, WarmPrefixes, Welcome,
+    Observation, Observations, Open, Outcome, Pace, PartCrash, PartRun, Peer, Query, Referral,
+    Refused, Report, Revision, Stage, Status, UpstreamCrash, WarmPrefixes, Welcome,
 };
 pub use pack::{pack, unpack};
 pub use permits::{Claim, ClaimState, Claims, Finish, Held, Release, Saturated, Verdict, Verdicts};
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -7,8 +7,8 @@
 use shares::{Demand, MAX_DEMANDS, Remainder, Summary};
 use wire::{
     Chunk, Delay, Demands, End, Error, Frame, Load, Loads, MAX_FRAME_BYTES, Observation,
-    Observations, Open, Outcome, Pace, Reader, Report, Stage, Status, UpstreamCrash, WarmPrefixes,
-    encode,
+    Observations, Open, Outcome, Pace, PartCrash, PartRun, Reader, Report, Stage, Status,
+    UpstreamCrash, WarmPrefixes, encode,
 };
 
 const SEED: u64 = 20_261_202;
@@ -122,6 +122,14 @@
             Frame::Paces(paces.into_iter().map(pace).collect())
         }),
         prop::collection::vec(any::<u64>(), 0..40).prop_map(Frame::Cleared),
+        prop::collection::vec(any::<u64>(), 0..40).prop_map(Frame::ClearedParts),
+        (any::<String>(), prop::collection::vec(any::<(u64, u64)>(), 0..40)).prop_map(
+            |(upstream, runs)| {
+                let run = |(part, ran_ms)| PartRun { part, ran_ms };
+                let runs = runs.into_iter().map(run).collect();
+                Frame::PartCrash(PartCrash { upstream: upstream.into(), runs })
+            }
+        ),
         (any::<String>(), any::<u64>()).prop_map(|(name, load)| {
             Frame::Report(Report {
                 name: name.into(),
