--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -126,3 +126,37 @@
     drop(caller);
     router.wait_until("closing the upstream's stream", || engine.disconnects() == 1);
 }
+
+#[test]
+fn a_stream_without_a_length_that_ends_inside_an_event_is_broken_off() {
+    let (one, two) = (engine("i-1"), engine("i-2"));
+    for upstream in [&one, &two] {
+        upstream.set_actions(&[Action::Unframed("id: 1\ndata: a\n\nid: 2\nda")]);
+    }
+    let router = Router::start(&configuration(1), &[&one, &two]);
+    let answer = router.request("POST /stream/x", &[], "b").expect("an answer");
+    assert_eq!((answer.status, answer.whole), (200, false));
+    assert_eq!(event_ids(&answer.body), [1]);
+    // Where streams go on, the rest comes from the other upstream.
+    two.set_actions(&[Action::Rest(1, 3, 1)]);
+    for number in 0..8 {
+        let id = format!("id-{number}");
+        let headers = [("Attempt-Identifier", &*id)];
+        let answer = router.request("POST /resumed/x", &headers, "b").expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(event_ids(&answer.body), [1, 2, 3]);
+    }
+    assert!(one.requests().iter().any(|request| request.target == "/resumed/x"));
+}
+
+#[test]
+fn a_stream_without_a_length_is_complete_when_the_connection_closes_after_an_event() {
+    let engine = engine("i-1");
+    engine.set_actions(&[Action::Unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")]);
+    let router = Router::start(&configuration(1), &[&engine]);
+    for path in ["stream", "resumed"] {
+        let answer = router.request(&format!("POST /{path}/x"), &[], "b").expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(event_ids(&answer.body), [1, 2]);
+    }
+}
