Streams go on after all routers crashed at once

Cause: which version began a stream is known to the router that began it and to three others, in memory only. All go at once.

Each router now saves the records of the streams that it begins, while a pool has several versions, in entries of its own in the platform's store, one a second; at its start it reads them and passes them to the routers that keep them. A stream that no router knows, or whose version has left, is refused with a minute as Retry-After: callers asked for it three times more, in vain.

Tests: five of killed_fleet failed before (none of 16 went on). The test of the full read counted any read of a range but that of announcements as a page of it; the read of saved records is none either.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -194,6 +194,22 @@
     /// Saves encoded warm prefixes for routers that start later.
     fn save_prefixes(&self, prefixes: Bytes) -> LocalBoxFuture<'_, Result<(), Error>>;
 
+    /// Saves encoded records of streams that `router` began, replacing those in the same `slot`.
+    /// They are removed with the lease.
+    fn save_streams(
+        &self,
+        router: Arc<str>,
+        slot: u32,
+        records: Bytes,
+        lease: Lease,
+    ) -> LocalBoxFuture<'_, Result<(), Error>>;
+
+    /// Reads the saved records of streams that `router` began, by slot.
+    fn load_streams(
+        &self,
+        router: Arc<str>,
+    ) -> LocalBoxFuture<'_, Result<Vec<(u32, Bytes)>, Error>>;
+
     /// Grants a lease that ends `ttl` after its last renewal.
     fn grant_lease(&self, ttl: Millis) -> LocalBoxFuture<'_, Result<Lease, Error>>;
 
--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -140,7 +140,7 @@
     /// The answer is too large to be stored.
     AnswerTooLarge: 502 Ran false false "the answer is larger than may be kept";
     /// The caller continues a stream, and it is unknown which software version began it.
-    StreamLost: 503 NotRun false false "the stream can't be continued: its beginning is not known";
+    StreamLost: 503 NotRun false true "the stream can't be continued: its beginning is not known";
     /// The router stopped while the request may have been running.
     Interrupted: 502 Unknown false false "the router stopped before the upstream answered";
     /// The router stopped before the answer was complete.
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -18,7 +18,10 @@
 use crate::core::Core;
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::persistence::Saver;
-use crate::{announcement, crashes, feed, hints, lateness, permits, persistence, query_server};
+use crate::{
+    announcement, crashes, feed, hints, lateness, permits, persistence, query_server,
+    stream_records,
+};
 
 /// How often the intents file is checked for changes.
 const INTENTS_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,6 +49,7 @@
         tasks.spawn_local(crashes::run_checks(core.clone()));
         tasks.spawn_local(crashes::run_reports(core.clone()));
         tasks.spawn_local(lateness::run(core.clone()));
+        tasks.spawn_local(stream_records::run(core.clone()));
     } else {
         tasks.spawn_local(poll_hosts(core.clone()));
         tasks.spawn_local(watch_intents(core.clone()));
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -28,6 +28,7 @@
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::query_client::QueryClient;
+use crate::stream_records::StreamRecords;
 use crate::streams::Streams;
 use crate::{report, saturation, streams};
 
@@ -67,6 +68,8 @@
     pub permits: Permits,
     /// Lookups of streams at other routers.
     pub streams: Streams,
+    /// Records of the streams that this router began.
+    pub stream_records: StreamRecords,
     /// Notified when the platform's store was restored from an older copy.
     pub store_restored: Notify,
     pub metrics: Metrics,
@@ -116,6 +119,7 @@
             crashes: Crashes::default(),
             permits: Permits::default(),
             streams: Streams::default(),
+            stream_records: StreamRecords::default(),
             store_restored: Notify::new(),
             metrics: Metrics::new(SERVICE),
             tracer: tracer(&settings),
@@ -200,6 +204,7 @@
             }
             Effect::PublishBeginning(beginning) => {
                 streams::publish(self, beginning);
+                self.stream_records.add(beginning, self.clock.now());
                 false
             }
             Effect::ReportSaturation { pool } => {
@@ -251,6 +256,16 @@
         self.state.borrow().recent_builds(self.clock.now())
     }
 
+    /// Time since this router's start.
+    pub(crate) fn uptime(&self) -> Millis {
+        self.started_at.until(self.clock.now())
+    }
+
+    /// Whether several builds of one pool may have begun streams that are still continued.
+    pub(crate) fn has_mixed_builds(&self) -> bool {
+        self.state.borrow().has_mixed_builds(self.clock.now())
+    }
+
     /// Time since the configuration in force was last confirmed to be the newest.
     pub(crate) fn confirmation_age_ms(&self) -> Option<u64> {
         self.state.borrow().confirmation_age_ms(self.clock.now())
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -33,6 +33,7 @@
 mod saturation;
 mod server;
 mod stop;
+mod stream_records;
 mod streams;
 mod target;
 mod template;
--- a/components/router/src/streams.rs
+++ b/components/router/src/streams.rs
@@ -24,6 +24,15 @@
 /// How many times a lookup is sent, as datagrams may be lost.
 const SENDS: u32 = 2;
 
+/// How long after a start other routers may still be restoring their records.
+const RESTORE_TIME: Millis = Millis(3_000);
+
+/// How many lookups are repeated in that time.
+const RESTORE_LOOKUPS: u32 = 3;
+
+/// The pause before a lookup is repeated.
+const RESTORE_PAUSE: Duration = Duration::from_millis(150);
+
 /// The most answers that are buffered for one lookup.
 const MAX_ANSWERS: usize = 8;
 
@@ -77,8 +86,25 @@
     }
 }
 
-/// Asks the routers that keep the record of a stream, until one has it.
+/// Asks the routers that keep the record of a stream, until one has it. Asks again for some time
+/// after this router's start, as others that crashed with it may still be restoring their records.
 pub(crate) async fn find(core: &Rc<Core>, stream: u64) -> routing::Lookup {
+    core.stream_records.wait_until_restored().await;
+    for _ in 0..RESTORE_LOOKUPS {
+        if let Some(build) = core.find_stream(stream) {
+            return routing::Lookup::Found(build);
+        }
+        let lookup = find_once(core, stream).await;
+        let may_be_restoring = core.uptime() < RESTORE_TIME && core.has_mixed_builds();
+        if matches!(lookup, routing::Lookup::Found(_)) || !may_be_restoring {
+            return lookup;
+        }
+        tokio::time::sleep(RESTORE_PAUSE).await;
+    }
+    find_once(core, stream).await
+}
+
+async fn find_once(core: &Rc<Core>, stream: u64) -> routing::Lookup {
     let keepers = keepers(core, stream);
     let started = core.clock.now();
     let mut lookup = core.streams.begin(stream);
--- a/components/routing/src/event.rs
+++ b/components/routing/src/event.rs
@@ -372,7 +372,8 @@
             | Frame::Find(_)
             | Frame::Found(_)
             | Frame::PartCrash(_)
-            | Frame::ClearedParts(_) => Self::Unexpected,
+            | Frame::ClearedParts(_)
+            | Frame::SavedStreams(_) => Self::Unexpected,
         }
     }
 }
--- a/components/routing/src/mechanisms.rs
+++ b/components/routing/src/mechanisms.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Mechanisms that can be switched off, to rule one out when diagnosing or to measure its effect.
-/// Guarantees to callers depend on none of them. All but `shares` are on by default.
+/// Guarantees to callers depend on none of them. All but `shares` and `saved_streams` are on by
+/// default.
 #[expect(clippy::struct_excessive_bools, reason = "independent switches")]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -47,6 +48,9 @@
     /// Keep records of streams for other routers, and ask those for them. Without it, only streams
     /// of this router and of pools with one version are continued for callers.
     pub streams: bool,
+    /// Save the records of streams in the platform's store while a pool has several versions, so that
+    /// they outlast a crash of all routers.
+    pub saved_streams: bool,
 }
 
 impl Default for Mechanisms {
@@ -71,6 +75,7 @@
             dealt_room: true,
             places: true,
             streams: true,
+            saved_streams: false,
         }
     }
 }
--- a/components/routing/src/requests/continuation.rs
+++ b/components/routing/src/requests/continuation.rs
@@ -80,6 +80,11 @@
         self.builds.is_complete(now).then(|| self.builds.recent(now).cloned().collect())
     }
 
+    /// Whether several builds of one pool may have begun streams that are still continued.
+    pub fn has_mixed_builds(&self, now: Millis) -> bool {
+        self.builds.is_mixed(now)
+    }
+
     /// Finds the build of a stream that the caller continues, or fails the request. Other routers
     /// are asked before the build is concluded from the list, which may be outdated.
     pub(crate) fn start_continuation(&mut self, id: u64, now: Millis) -> Vec<Effect> {
@@ -119,6 +124,14 @@
         self.ledger.record(*stream, build, Millis(*ttl_ms), now);
     }
 
+    /// Whether no listed upstream runs the build that began the request's stream.
+    pub(crate) fn is_build_gone(&self, id: u64) -> bool {
+        let binding = self.requests.get(&id).and_then(|request| request.binding.as_ref());
+        binding.is_some_and(|binding| {
+            !self.upstreams.values().any(|upstream| binding.allows(upstream))
+        })
+    }
+
     /// The build that began a stream, if this router keeps its record.
     pub fn find_stream(&self, stream: u64, now: Millis) -> Option<Build> {
         self.ledger.find(stream, now).map(|build| (**build).clone())
@@ -165,7 +178,8 @@
     fn continue_at_sole_build(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         match self.sole_build(id, now) {
             Some(build) => self.continue_at(id, build, Source::Sole, now),
-            None => self.fail(id, Kind::StreamLost, 0, "", now),
+            // No router has the record, so that only time can leave one build.
+            None => self.fail(id, Kind::StreamLost, MAX_STREAM_AGE.0, "", now),
         }
     }
 
--- a/components/routing/src/requests/dispatch.rs
+++ b/components/routing/src/requests/dispatch.rs
@@ -6,6 +6,7 @@
 use errors::Kind;
 use placement::key;
 use rand::Rng;
+use streams::MAX_STREAM_AGE;
 
 use crate::requests::request::{Phase, Request};
 use crate::selection::prefill::Prefill;
@@ -51,10 +52,13 @@
         self.send(id, &upstream, 0, now)
     }
 
-    /// Retry delay for a request without an open upstream, in milliseconds, by the reason `why` of
-    /// the first exclusion: until a cold upstream has quota, until a backoff ends, or a fixed time
+    /// Retry delay for a request without an open upstream, in milliseconds: the longest if its
+    /// stream can't go on, otherwise by the reason `why` of the first exclusion: until a cold upstream has quota, until a backoff ends, or a fixed time
     /// for evacuated domains.
     fn retry_delay_ms(&mut self, id: u64, why: &str, now: Millis) -> u64 {
+        if self.is_build_gone(id) {
+            return MAX_STREAM_AGE.0;
+        }
         let pool = self.requests.get(&id).map(|request| request.pool.clone()).unwrap_or_default();
         match why {
             COLD => {
--- a/components/routing/tests/direct/versions.rs
+++ b/components/routing/tests/direct/versions.rs
@@ -10,7 +10,7 @@
 use streams::MAX_STREAM_AGE;
 use wire::{Build, Chunk, Head};
 
-use crate::fixture::{NOW, arrival, engines_of, failure, router, sent_to, settings};
+use crate::fixture::{NOW, arrival, engines_of, failure, retry_after, router, sent_to, settings};
 
 const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 
@@ -139,3 +139,24 @@
         assert_eq!(sent_to(&effects).is_some(), is_continued, "{versions:?}: {effects:?}");
     }
 }
+
+#[test]
+fn a_stream_that_no_router_knows_is_not_worth_a_return() {
+    let delay = |lookup| {
+        let mut state = mixed_router();
+        state.apply(take_up(7, "stream", 3), NOW);
+        retry_after(&state.apply(Event::Found { id: 7, lookup }, NOW))
+    };
+    assert_eq!(delay(Lookup::Nowhere), Some(MAX_STREAM_AGE.0));
+    // A router that does not answer may answer soon.
+    assert!(delay(Lookup::Unanswered).is_some_and(|after| after < 1_000));
+}
+
+#[test]
+fn a_stream_whose_version_has_left_is_not_worth_a_return() {
+    let mut state = mixed_router();
+    begin(&mut state, 3);
+    state.apply(engines_of(&["v3", "v3"]), NOW);
+    let effects = state.apply(take_up(7, "stream", 3), NOW);
+    assert_eq!((failure(&effects), retry_after(&effects)), (Some(Kind::NoUpstream), Some(60_000)));
+}
--- a/components/streams/src/builds.rs
+++ b/components/streams/src/builds.rs
@@ -49,6 +49,12 @@
         self.listed.iter().chain(gone)
     }
 
+    /// Whether several builds of one pool may have begun streams that are still continued.
+    pub fn is_mixed(&self, now: Millis) -> bool {
+        let mut pools = BTreeSet::new();
+        self.recent(now).any(|build| !pools.insert(&build.pool))
+    }
+
     /// The build of a pool, if no other one can have begun a stream there.
     pub fn sole(&self, pool: &str, now: Millis) -> Option<&Build> {
         let mut recent = self.recent(now).filter(|build| &*build.pool == pool);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -10,7 +10,7 @@
 
 use crate::demands::Demands;
 use crate::permits::{Claims, Saturated, Verdicts};
-use crate::streams::{Beginning, Record};
+use crate::streams::{Beginning, Build, Record};
 
 /// A message of a stream, or of a datagram between routers.
 ///
@@ -91,6 +91,8 @@
     /// Between routers: prompt parts of requests that were answered in full, and so are not the
     /// cause of crashes.
     ClearedParts(Vec<u64>),
+    /// In the platform's store: records of streams.
+    SavedStreams(SavedStreams),
 }
 
 /// A query for the content of the platform's store.
@@ -180,6 +182,26 @@
     pub ran_ms: u64,
 }
 
+/// Records of streams that one build began, as saved for a router that restarts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedStreams {
+    /// When they were saved, in milliseconds since the Unix epoch.
+    pub at: u64,
+    /// The build that began the streams.
+    pub build: Build,
+    /// The streams.
+    pub streams: Vec<SavedStream>,
+}
+
+/// One stream in a [`SavedStreams`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedStream {
+    /// The hash of the stream.
+    pub stream: u64,
+    /// How long its caller may still continue it after the save, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// Identifies and authenticates the side that connects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -17,7 +17,8 @@
 pub use frame::{
     Admitted, Broken, Changes, Chunk, Delay, DirectoryUpdate, End, Frame, Head, Hello, Load, Loads,
     Observation, Observations, Open, Outcome, Pace, PartCrash, PartRun, Peer, Query, Referral,
-    Refused, Report, Revision, Stage, Status, UpstreamCrash, WarmPrefixes, Welcome,
+    Refused, Report, Revision, SavedStream, SavedStreams, Stage, Status, UpstreamCrash,
+    WarmPrefixes, Welcome,
 };
 pub use pack::{pack, unpack};
 pub use permits::{Claim, ClaimState, Claims, Finish, Held, Release, Saturated, Verdict, Verdicts};
--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -6,9 +6,9 @@
 use proptest::test_runner::{Config, RngSeed};
 use shares::{Demand, MAX_DEMANDS, Remainder, Summary};
 use wire::{
-    Chunk, Delay, Demands, End, Error, Frame, Load, Loads, MAX_FRAME_BYTES, Observation,
-    Observations, Open, Outcome, Pace, PartCrash, PartRun, Reader, Report, Stage, Status,
-    UpstreamCrash, WarmPrefixes, encode,
+    Build, Chunk, Delay, Demands, End, Error, Frame, Load, Loads, MAX_FRAME_BYTES, Observation,
+    Observations, Open, Outcome, Pace, PartCrash, PartRun, Reader, Report, SavedStream,
+    SavedStreams, Stage, Status, UpstreamCrash, WarmPrefixes, encode,
 };
 
 const SEED: u64 = 20_261_202;
@@ -123,6 +123,13 @@
         }),
         prop::collection::vec(any::<u64>(), 0..40).prop_map(Frame::Cleared),
         prop::collection::vec(any::<u64>(), 0..40).prop_map(Frame::ClearedParts),
+        (any::<(u64, String, String)>(), prop::collection::vec(any::<(u64, u64)>(), 0..40))
+            .prop_map(|((at, pool, version), streams)| {
+                let build = Build { pool: pool.into(), version: version.into() };
+                let saved = |(stream, left_ms)| SavedStream { stream, left_ms };
+                let streams = streams.into_iter().map(saved).collect();
+                Frame::SavedStreams(SavedStreams { at, build, streams })
+            }),
         (any::<String>(), prop::collection::vec(any::<(u64, u64)>(), 0..40)).prop_map(
             |(upstream, runs)| {
                 let run = |(part, ran_ms)| PartRun { part, ran_ms };
--- a/tests/platform/discovery.rs
+++ b/tests/platform/discovery.rs
@@ -169,10 +169,14 @@
     });
     router.wait_until("ready", || router.is_ready());
     let targets = router.store.targets();
-    // Reads of the other routers' announcements come before the full read.
-    let is_page = |target: &&String| {
-        target.starts_with("/v1/kv-range?") && !target.contains("pathPrefix=silverstack/routers/")
+    // Reads of the other routers' announcements, and of this router's saved records, are no pages of
+    // the full read.
+    let is_other = |target: &str| {
+        ["routers/", "streams/"]
+            .iter()
+            .any(|keys| target.contains(&format!("pathPrefix=silverstack/{keys}")))
     };
+    let is_page = |target: &&String| target.starts_with("/v1/kv-range?") && !is_other(target);
     let pages: Vec<_> = targets.iter().filter(is_page).collect();
     // One per item, plus one if the router has announced itself by then.
     assert!(pages.len() >= 3, "{pages:?}");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod fleet;
 mod hints;
+mod killed_fleet;
 mod path;
 mod permits;
 mod prompt_parts;
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -7,13 +7,13 @@
 use crate::router::{Router, configuration, unused_host};
 use crate::standin::{Action, Mode, Upstream};
 
-const STREAMS: usize = 16;
+pub const STREAMS: usize = 16;
 
 /// How many engines go while streams that they began wait to be continued.
 const LEAVING: usize = 4;
 
 /// Four engines of each version; the first [`LEAVING`] are of both.
-fn engines() -> Vec<Upstream> {
+pub fn engines() -> Vec<Upstream> {
     let host = unused_host();
     let start = |number: usize| {
         let version = if number.is_multiple_of(2) { "v1" } else { "v2" };
@@ -33,7 +33,7 @@
 }
 
 /// Waits until a router lists only the engines that stay.
-fn wait_until_removed(router: &Router) {
+pub fn wait_until_removed(router: &Router) {
     let listed = || {
         let status: Value = serde_json::from_str(&router.page("/status")).expect("JSON");
         status["upstreams"].as_array().map(Vec::len)
@@ -42,12 +42,12 @@
 }
 
 /// Begins all streams at a router; returns the versions of their engines.
-fn begin_all(router: &Router, engines: &[Upstream]) -> Vec<&'static str> {
+pub fn begin_all(router: &Router, engines: &[Upstream]) -> Vec<&'static str> {
     (0..STREAMS).map(|number| begin(router, engines, number)).collect()
 }
 
 /// Continues all streams at a router, and asserts that each goes to its end at its version.
-fn continue_all(router: &Router, engines: &[Upstream], began: &[&str]) {
+pub fn continue_all(router: &Router, engines: &[Upstream], began: &[&str]) {
     for (number, began) in began.iter().enumerate() {
         let answer = take_up(router, engines, number);
         assert_eq!((answer.status, answer.whole), (200, true), "stream {number}: {answer:?}");
@@ -70,7 +70,7 @@
 }
 
 /// The version of the engine that received request `id`.
-fn version_of(engines: &[Upstream], id: &str) -> Option<&'static str> {
+pub fn version_of(engines: &[Upstream], id: &str) -> Option<&'static str> {
     let received = |engine: &&Upstream| {
         engine.requests().iter().any(|request| request.header("attempt-identifier") == Some(id))
     };
@@ -82,14 +82,20 @@
 fn begin(router: &Router, engines: &[Upstream], number: usize) -> &'static str {
     set_all(engines, &Action::Broken(1, 3));
     let (id, prompt) = (format!("begun-{number}"), format!("c{number}:9,bb:1"));
-    let further = [("Attempt-Identifier", &*id), ("Model", "m"), ("Prompt-Prefix", &prompt)];
+    // The caller may continue it for some time.
+    let further = [
+        ("Attempt-Identifier", &*id),
+        ("Deadline-Remaining", "30000"),
+        ("Model", "m"),
+        ("Prompt-Prefix", &prompt),
+    ];
     let answer = router.request("POST /resumed/x", &further, "b").expect("an answer");
     assert_eq!((answer.status, answer.whole), (200, false), "{answer:?}");
     version_of(engines, &id).expect("an engine received the request")
 }
 
 /// Continues stream `number` at a router, after its third event.
-fn take_up(router: &Router, engines: &[Upstream], number: usize) -> Answer {
+pub fn take_up(router: &Router, engines: &[Upstream], number: usize) -> Answer {
     let begun = format!("begun-{number}");
     take_up_with(router, engines, number, &[("Resumes", &begun)])
 }
@@ -118,14 +124,14 @@
 }
 
 /// Starts a killed router again, and waits until it is ready.
-fn restart(router: &mut Router) {
+pub fn restart(router: &mut Router) {
     router.restart();
     router.wait_until("listening again", || router.is_listening());
     router.wait_until("ready again", || router.is_ready());
 }
 
 /// Two routers of one fleet that know each other.
-fn pair(engines: &[Upstream]) -> (Router, Router) {
+pub fn pair(engines: &[Upstream]) -> (Router, Router) {
     let upstreams: Vec<_> = engines.iter().collect();
     let one = Router::start(&without_retries(), &upstreams);
     let two = Router::join(&one.store, "front-2");
