Stream records: after a failed write go on with another entry

The store may carry out a write without an answer seconds later, over a newer content of the same entry. Records are kept only where they are saved.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -204,7 +204,9 @@
             }
             Effect::PublishBeginning(beginning) => {
                 streams::publish(self, beginning);
-                self.stream_records.add(beginning, self.clock.now());
+                if self.settings.routing.mechanisms.saved_streams {
+                    self.stream_records.add(beginning, self.clock.now());
+                }
                 false
             }
             Effect::ReportSaturation { pool } => {
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -123,13 +123,16 @@
 }
 
 impl Slot {
-    /// Adds new records, or begins the next slot with them if this one has lasted its time. Records
-    /// that were not written stay.
+    /// Adds new records, or begins the next slot with them if this one has lasted its time. After a
+    /// failed write all records go to the next slot, as the store may carry out that write later.
     fn add(&mut self, new: Vec<(Beginning, Millis)>, is_written: bool, now: Millis) {
-        if is_written && self.begun.until(now) >= SLOT_TIME {
+        let is_full = is_written && self.begun.until(now) >= SLOT_TIME;
+        if is_full {
+            self.records.clear();
+        }
+        if is_full || !is_written {
             self.number = (self.number + 1) % SLOTS;
             self.begun = now;
-            self.records.clear();
         }
         self.records.extend(new);
         self.records.retain(|(_, until)| *until > now);
