Soak: prompt parts that crash engines are quarantined under faults, too

After the faults three engines are crashed by requests that share one prompt part and nothing else; each router is then sent four more, of which three in all may reach engines.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -97,9 +97,21 @@
     }
     fleet.undo_faults(true);
     crash_three(fleet);
+    fleet.restart_engines();
+    crash_three_by_part(fleet);
+    fleet.restart_engines();
     std::thread::sleep(PROPAGATION_TIMEOUT);
 }
 
+/// Sends requests with the fatal prompt part until they have crashed at least three engines.
+fn crash_three_by_part(fleet: &Fleet) {
+    let begun = Instant::now();
+    while fleet.fatal_part_counts().1 < 3 && begun.elapsed() < CRASH_TIMEOUT {
+        fleet.send_fatal_part(0, 1);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// Sends fatal work until it has crashed at least three engines.
 fn crash_three(fleet: &Fleet) {
     let begun = Instant::now();
@@ -220,4 +232,16 @@
     let (after, _) = fleet.fatal_counts();
     let sent = after - before;
     assert!(sent <= MAX_RETRIES, "{FATAL:?} was sent {sent} times more: {context}");
+    check_fatal_part(fleet, context);
+}
+
+/// Checks that all routers quarantine the fatal prompt part.
+fn check_fatal_part(fleet: &Fleet, context: &str) {
+    let (before, crashed) = fleet.fatal_part_counts();
+    assert!(crashed >= 3, "{crashed} engines have ended under the prompt part: {context}");
+    for index in 0..fleet.routers.len() {
+        fleet.send_fatal_part(index, 4);
+    }
+    let sent = fleet.fatal_part_counts().0 - before;
+    assert!(sent <= MAX_RETRIES, "the prompt part was sent {sent} times more: {context}");
 }
--- a/tests/platform/soak/fleet.rs
+++ b/tests/platform/soak/fleet.rs
@@ -17,6 +17,9 @@
 /// Body of requests that crash engines.
 pub const FATAL: &str = "the work under which engines end";
 
+/// The prompt part that crashes engines.
+const FATAL_PART: &str = "fa7a1";
+
 /// A fault to inject. Several may be active at once.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -272,6 +275,39 @@
         (counts.iter().sum(), counts.iter().filter(|count| **count > 0).count())
     }
 
+    /// Sends requests with the fatal prompt part to a router, no two alike.
+    pub fn send_fatal_part(&self, router: usize, times: usize) {
+        for _ in 0..times {
+            let number = self.fatal_part_counts().0;
+            let callers = self.routers[router].caller_address();
+            let limit = Duration::from_secs(2);
+            let Some(mut caller) = crate::caller::Caller::try_connect(&callers, limit) else {
+                continue;
+            };
+            let id = format!("part-{router}-{number}");
+            let prompt = format!("5157:10,{FATAL_PART}:5,{number:x}:1");
+            let headers = [("Attempt-Identifier", &*id), ("Prompt-Prefix", &prompt)];
+            caller.try_request("POST /stream/x", &crate::router::headers(&headers), &id);
+        }
+    }
+
+    /// Like [`Self::fatal_counts`], for requests with the fatal prompt part.
+    pub fn fatal_part_counts(&self) -> (usize, usize) {
+        let count = |upstream: &Upstream| {
+            let requests = upstream.requests();
+            requests.iter().filter(|request| request.has_shared_part(FATAL_PART)).count()
+        };
+        let counts: Vec<_> = self.all_instances.iter().map(count).collect();
+        (counts.iter().sum(), counts.iter().filter(|count| **count > 0).count())
+    }
+
+    /// Starts all engines again.
+    pub fn restart_engines(&mut self) {
+        for index in PLAIN..self.upstreams.len() {
+            self.start_upstream(index);
+        }
+    }
+
     /// Marks a router as unavailable; returns whether it was available.
     fn mark_unavailable(&mut self, router: usize, is_planned: bool) -> bool {
         let is_unavailable = self.unavailable.contains(&router);
@@ -355,6 +391,7 @@
     upstream.set_actions(&[default_action(index)]);
     if index >= PLAIN {
         upstream.set_fatal(FATAL);
+        upstream.set_fatal_part(FATAL_PART);
     }
     upstream
 }
