Pass crash reports between routers again

Cause: since the run of a crash report is omitted where there is none. Routers pass what they read from the store to each other in bincode, which can't decode omitted fields. From the first crash on, routers that ask others got nothing more from them.

The field is always written.

--- a/components/routing/src/recovery/quarantine.rs
+++ b/components/routing/src/recovery/quarantine.rs
@@ -48,7 +48,7 @@
     #[serde(default)]
     pub cleared: bool,
     /// For a prompt part: time since a request with it was sent. `None` for the work as a whole.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub ran: Option<Millis>,
 }
 
