Keep later crashes of a prompt part when an earlier clearing is read again

A router's report holds its clearings for ten minutes and is read again with each change. Each time it dropped all crashes of the part, also those after the answer that cleared it, so that a part which had been harmless could not be quarantined while its router reported anything. Found while reading; the test failed before.

--- a/components/routing/src/recovery/parts.rs
+++ b/components/routing/src/recovery/parts.rs
@@ -109,6 +109,17 @@
         self.crashes.retain(|_, crashes| !crashes.is_empty());
     }
 
+    /// Drops the crashes that an answer shows not to be of the part. Clearings are read again with
+    /// each change of their router's report, so that later crashes stay.
+    fn drop_excluded(&mut self, part: u64) {
+        let (answered, cleared) = (&self.answered, &self.cleared);
+        if let Some(crashes) = self.crashes.get_mut(&part) {
+            crashes.retain(|crash| {
+                !answered.excludes(part, crash.at) && !cleared.excludes(part, crash.at)
+            });
+        }
+    }
+
     /// Whether an answer of any router shows that the part did not cause a crash at `at`.
     fn is_harmless(&self, part: u64, at: Millis) -> bool {
         self.answered.excludes(part, at) || self.cleared.excludes(part, at)
@@ -257,7 +268,7 @@
         let part = crash.fingerprint;
         if crash.cleared {
             self.parts.cleared.record(part, crash.at);
-            self.parts.crashes.remove(&part);
+            self.parts.drop_excluded(part);
         } else if self.parts.insert(crash) {
             self.clear_part_if_answered(part, now);
         }
@@ -279,7 +290,7 @@
         if !is_several || !self.parts.answered.excludes(part, now) {
             return;
         }
-        self.parts.crashes.remove(&part);
+        self.parts.drop_excluded(part);
         let clearing = Crash::cleared_part(part, now);
         self.pending_effects.push(Effect::ReportCleared(clearing));
         self.update_quarantined_parts(now);
--- a/components/routing/tests/direct/prompt_parts.rs
+++ b/components/routing/tests/direct/prompt_parts.rs
@@ -201,6 +201,18 @@
     assert!(is_sent(&mut state, 2, &[SYSTEM], NOW));
 }
 
+#[test]
+fn a_clearing_that_is_read_again_does_not_drop_later_crashes() {
+    let mut state = router_without_retries();
+    let clearing = Crash::cleared_part(SYSTEM, NOW);
+    state.apply(Event::Crashes(vec![clearing.clone()]), NOW);
+    let later = NOW + Millis(60_000);
+    state.apply(Event::Crashes(reports(SYSTEM, later)), later);
+    assert!(!is_sent(&mut state, 1, &[SYSTEM], later));
+    state.apply(Event::Crashes(vec![clearing]), later);
+    assert!(!is_sent(&mut state, 2, &[SYSTEM], later));
+}
+
 #[test]
 fn an_answer_that_has_gone_on_does_not_blame_its_prompt() {
     let mut state = router_without_retries();
