Review, case 2: streams on a split route are lost when all routers crash at once

Claim (LOST): of 12 or more streams taken up again at machines in touch, fewer than half as many go on as new ones begin.

The earlier cases 2, 3 and 4 are now 3, 4 and 5.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/lab ] || exit 2
-exec target/review/lab older-copy "$folder"
+exec target/review/lab long-timeout "$folder"
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -81,6 +81,7 @@
         "long-timeout" => long_timeout(lab),
         "older-copy" => older_copy(lab),
         "anonymous" => anonymous(lab),
+        "split-resume" => split_resume(lab),
         _ => give_up("no such case"),
     }
 }
@@ -311,3 +312,157 @@
     }
     run_late(lab, &sent, "key-one", confirmed, ms(5_000)) > 0
 }
+
+// ------------------------------------------------------------------------------- streams taken up
+
+/// One stream of a consumer, with its tries.
+#[derive(Default)]
+struct Taken {
+    first: String,
+    /// The number of the last event that arrived.
+    last: u64,
+    whole: bool,
+    /// Whether it went on, if it was taken up again at a router in touch.
+    in_touch: Option<bool>,
+}
+
+/// The number of the last whole event in a body, or `before`.
+fn last_event(body: &str, before: u64) -> u64 {
+    let whole = body.rfind("\n\n").map_or("", |end| &body[..end]);
+    let numbers = whole.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    numbers.last().unwrap_or(before)
+}
+
+/// After such a gap a consumer gives a stream up: the longest of 2 s, four times the objective of 1.2 s
+/// and eight times the pause of 0.4 s.
+const GAP: Duration = Duration::from_millis(4_800);
+
+/// A consumer: sends a request for a stream, and takes it up again once if nothing comes for [`GAP`].
+fn consume(lab: &Lab, id: &str, lines: [SocketAddr; 2], in_touch_from: &Mutex<Option<Instant>>) -> Taken {
+    let until = Instant::now() + ms(12_000);
+    let mut taken = Taken { first: id.to_owned(), ..Taken::default() };
+    for (number, line) in lines.iter().enumerate() {
+        let left = until.saturating_duration_since(Instant::now());
+        let attempt = format!("{id}.{number}");
+        let (last, remaining, began) = (taken.last.to_string(), left.as_millis().to_string(), format!("{id}.0"));
+        let mut headers = vec![
+            ("Host", HOST),
+            ("Attempt-Identifier", attempt.as_str()),
+            ("Deadline-Remaining", remaining.as_str()),
+            ("Authorization", "Bearer key-one"),
+        ];
+        if number > 0 {
+            headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", began.as_str())]);
+        }
+        let touch = in_touch_from.lock().unwrap().is_some_and(|at| Instant::now() >= at);
+        let at = Instant::now();
+        let answer = send(*line, "POST /s/x", &headers, id.as_bytes(), GAP.min(left)).unwrap_or_default();
+        let goes_on = answer.status == 200 && !answer.body.is_empty();
+        let from = taken.last;
+        if answer.status == 200 {
+            taken.last = last_event(&answer.text(), taken.last);
+            taken.whole = answer.whole;
+        }
+        lab.log.line(&format!(
+            "sent at {:>6}: {attempt}{} in touch={touch} -> {} events {}..{} whole={} retry-after={}",
+            lab.elapsed(at),
+            if number > 0 { format!(" resumes {began} after {from}") } else { String::new() },
+            answer.status,
+            from + 1,
+            taken.last,
+            answer.whole,
+            answer.header("retry-after").unwrap_or("-")
+        ));
+        if number > 0 && touch && answer.status != 0 {
+            taken.in_touch = Some(goes_on);
+        }
+        if taken.whole || taken.last == 0 {
+            break;
+        }
+    }
+    taken
+}
+
+/// Streams on a route that is split between two services. All routers lose power at once and are back
+/// after a second; consumers take their streams up again once they have heard nothing for a while.
+/// Without the disruption only the consumers' channels go silent.
+fn split_resume(lab: &Lab) -> bool {
+    let work = Work { begin: ms(30), events: 54, pause: ms(70) };
+    let split = ",\"trafficSplit\":[{\"service\":\"llm\",\"weight\":90},{\"service\":\"llm-b\",\"weight\":10}]";
+    let split = route("s", "streaming", "llm", &format!("{STREAM}{split}")).replace("\"service\":\"llm\",\"attempts\"", "\"attempts\"");
+    let split = split.replace("\"timeoutMs\":10000,\"fullValueMs\":500", "\"timeoutMs\":12000,\"fullValueMs\":1200");
+    let services = "{\"name\":\"llm-b\",\"healthPath\":\"/health\",\"connectionLimit\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"cacheTokens\":423882,\"models\":[{\"name\":\"m\"}]}},";
+    let text = config(1, &[split], &tenant("t1", &["key-one"])).replace("\"services\":[", &format!("\"services\":[{services}"));
+    lab.log.line(&format!("the manifest: {text}"));
+    lab.store.put("op/config", &text);
+    let _runners: Vec<_> = [("i-0", "llm"), ("i-1", "llm"), ("i-2", "llm"), ("i-3", "llm-b"), ("i-4", "llm-b")]
+        .iter()
+        .map(|(name, service)| Runner::start(name, service, "v1", 0, 64, work, &lab.store, &lab.runs))
+        .collect();
+    let names = [("front-1", "poa-a"), ("front-2", "poa-a"), ("front-3", "poa-b"), ("front-4", "caxias")];
+    let mut routers: Vec<_> =
+        names.iter().map(|(name, zone)| Router::start(name, zone, &lab.folder, &lab.store, true)).collect();
+    routers.iter().for_each(Router::wait_until_ready);
+    sleep(ms(6_000));
+    let lines: Vec<_> = routers.iter().map(|router| Line::start(router.front)).collect();
+    let addresses: Vec<_> = lines.iter().map(|line| line.address).collect();
+    let in_touch_from = Mutex::new(None);
+    let taken = Mutex::new(Vec::new());
+    let (mut new, mut new_begun) = (0, 0);
+    std::thread::scope(|scope| {
+        let breaks_at = Instant::now() + ms(2_500);
+        for number in 0..40 {
+            let (addresses, taken, in_touch_from) = (&addresses, &taken, &in_touch_from);
+            scope.spawn(move || {
+                sleep(ms(number * 40));
+                // Retries reach other routers.
+                let number = number as usize;
+                let lines = [addresses[number % 4], addresses[(number + 1) % 4]];
+                let one = consume(lab, &format!("s{number}"), lines, in_touch_from);
+                taken.lock().unwrap().push(one);
+            });
+        }
+        sleep(breaks_at.saturating_duration_since(Instant::now()));
+        lines.iter().for_each(Line::go_silent);
+        if lab.trouble {
+            lab.log.say("all routers lose power");
+            routers.iter_mut().for_each(Router::kill);
+            sleep(ms(1_000));
+            for (router, (name, zone)) in routers.iter_mut().zip(names) {
+                router.start_again(name, zone, &lab.folder, &lab.store);
+            }
+            lab.log.say("all routers are started again");
+        } else {
+            lab.log.say("the consumers' channels go silent");
+            sleep(ms(1_000));
+        }
+        *in_touch_from.lock().unwrap() = Some(Instant::now() + ms(3_000));
+        sleep(ms(3_300));
+        let asked: Vec<_> = (0..20)
+            .map(|number| {
+                sleep(ms(100));
+                let front = addresses[number % 4];
+                scope.spawn(move || ask(lab, front, "POST /s/x", &format!("n{number}"), "key-one", b"new", ms(9_000)))
+            })
+            .collect();
+        new = asked.len();
+        let begun = asked.into_iter().map(|one| one.join().unwrap());
+        new_begun = begun.filter(|one| one.status == 200 && !one.body.is_empty()).count();
+    });
+    lab.record_runs();
+    let taken = taken.into_inner().unwrap();
+    let again: Vec<_> = taken.iter().filter(|one| one.in_touch.is_some()).collect();
+    let went_on = again.iter().filter(|one| one.in_touch == Some(true)).count();
+    for one in &again {
+        let word = if one.in_touch == Some(true) { "went on" } else { "BROKEN: didn't go on" };
+        lab.log.line(&format!("{}: up to event {}, whole={}, {word}", one.first, one.last, one.whole));
+    }
+    let whole = taken.iter().filter(|one| one.whole).count();
+    lab.log.say(&format!(
+        "{} streams, {whole} whole; {} taken up again at routers in touch, {went_on} of them went on; {new_begun} of {new} new ones began",
+        taken.len(),
+        again.len()
+    ));
+    // Under half of the share of new streams that begin, of 12 or more.
+    again.len() >= 12 && 2 * went_on * new < again.len() * new_begun
+}
--- a/review/lab.rs
+++ b/review/lab.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs::File;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -870,12 +870,29 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub child: Child,
+    ports: [u16; 3],
 }
 
 impl Router {
     /// Starts a router with the settings of `front` machines on the users' pages.
     pub fn start(name: &str, zone: &str, folder: &Path, store: &Store, first: bool) -> Self {
-        let (front, ready, internal) = (free_port(), free_port(), free_port());
+        Self::start_at([free_port(), free_port(), free_port()], name, zone, folder, store, first)
+    }
+
+    /// Starts it again after it was killed, at the same addresses.
+    pub fn start_again(&mut self, name: &str, zone: &str, folder: &Path, store: &Store) {
+        *self = Self::start_at(self.ports, name, zone, folder, store, false);
+    }
+
+    fn start_at(
+        ports: [u16; 3],
+        name: &str,
+        zone: &str,
+        folder: &Path,
+        store: &Store,
+        first: bool,
+    ) -> Self {
+        let [front, ready, internal] = ports;
         let text = format!(
             r#"nodeName = "{name}"
 role = "router"
@@ -944,7 +961,8 @@
         );
         let settings = folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).unwrap_or_else(|error| give_up(&format!("{error}")));
-        let log = File::create(folder.join(format!("{name}.log"))).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).unwrap();
         let mut command = Command::new(COMMAND);
         command.env_clear().env("SILVERSTACK_SETTINGS", &settings);
         for variable in ["PATH", "HOME", "LANG"] {
@@ -960,6 +978,7 @@
             front: SocketAddr::from(([127, 0, 0, 1], front)),
             ready: SocketAddr::from(([127, 0, 0, 1], ready)),
             child,
+            ports,
         }
     }
 
@@ -991,6 +1010,55 @@
     }
 }
 
+/// A link between consumers and a router. Channels that are open when it goes silent stay open, and
+/// nothing comes through any more, as when the machine behind them loses power.
+pub struct Line {
+    pub address: SocketAddr,
+    /// Counts how often it went silent.
+    silences: Arc<AtomicUsize>,
+}
+
+impl Line {
+    pub fn start(front: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
+        let line = Self { address: listener.local_addr().unwrap(), silences: Arc::default() };
+        let silences = line.silences.clone();
+        spawn(move || {
+            for consumer in listener.incoming().flatten() {
+                let Ok(router) = TcpStream::connect_timeout(&front, ms(1_000)) else { continue };
+                let opened = silences.load(Ordering::SeqCst);
+                for (from, to) in [(&consumer, &router), (&router, &consumer)] {
+                    let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                    let silences = silences.clone();
+                    spawn(move || pass_on(from, to, || silences.load(Ordering::SeqCst) == opened));
+                }
+            }
+        });
+        line
+    }
+
+    pub fn go_silent(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Passes bytes on until the end; once the link is silent nothing more, not even the end.
+fn pass_on(mut from: TcpStream, mut to: TcpStream, is_open: impl Fn() -> bool) {
+    let mut buffer = [0; 16 * 1024];
+    loop {
+        let read = from.read(&mut buffer);
+        if !is_open() {
+            // The sockets stay open.
+            sleep(MAX_CASE);
+        }
+        let read = read.unwrap_or(0);
+        if read == 0 || to.write_all(&buffer[..read]).is_err() {
+            let _ = to.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
+
 /// Ends all processes that this one has started, then this one.
 fn finish(code: i32) -> ! {
     for id in CHILDREN.lock().unwrap().iter() {
