--- a/review/cases.rs
+++ b/review/cases.rs
@@ -38,11 +38,20 @@
 }
 
 /// Sends a request with a key, and writes it into the record.
-fn ask(lab: &Lab, front: SocketAddr, line: &str, id: &str, key: &str, body: &[u8], wait: Duration) -> Sent {
+fn ask(
+    lab: &Lab,
+    front: SocketAddr,
+    line: &str,
+    id: &str,
+    key: &str,
+    body: &[u8],
+    wait: Duration,
+) -> Sent {
     let at = Instant::now();
     let authorization = format!("Bearer {key}");
     let remaining = wait.as_millis().to_string();
-    let mut headers = vec![("Host", HOST), ("Attempt-Identifier", id), ("Deadline-Remaining", &remaining)];
+    let mut headers =
+        vec![("Host", HOST), ("Attempt-Identifier", id), ("Deadline-Remaining", &remaining)];
     if !key.is_empty() {
         headers.push(("Authorization", &authorization));
     }
@@ -55,14 +64,22 @@
         answer.body.len(),
         if answer.whole { "" } else { ", not whole" }
     ));
-    Sent { id: id.to_owned(), at, key: key.to_owned(), status: answer.status, body: answer.text(), whole: answer.whole }
+    Sent {
+        id: id.to_owned(),
+        at,
+        key: key.to_owned(),
+        status: answer.status,
+        body: answer.text(),
+        whole: answer.whole,
+    }
 }
 
 /// The requests with `key`, sent more than `bound` after `confirmed`, that a runner has run.
 fn run_late(lab: &Lab, sent: &[Sent], key: &str, confirmed: Instant, bound: Duration) -> usize {
     let ran: BTreeSet<_> = lab.runs.lock().unwrap().iter().map(|run| run.id.clone()).collect();
     let late = sent.iter().filter(|one| one.key == key && one.at > confirmed + bound);
-    let (late, run): (Vec<_>, Vec<_>) = (late.clone().collect(), late.filter(|one| ran.contains(&one.id)).collect());
+    let (late, run): (Vec<_>, Vec<_>) =
+        (late.clone().collect(), late.filter(|one| ran.contains(&one.id)).collect());
     for one in &run {
         lab.log.line(&format!(
             "BROKEN {} sent {} ms after the confirmation was run",
@@ -70,7 +87,12 @@
             (one.at - confirmed).as_millis()
         ));
     }
-    lab.log.say(&format!("with {key}, over {} ms after the confirmation: {} sent, {} run", bound.as_millis(), late.len(), run.len()));
+    lab.log.say(&format!(
+        "with {key}, over {} ms after the confirmation: {} sent, {} run",
+        bound.as_millis(),
+        late.len(),
+        run.len()
+    ));
     run.len()
 }
 
@@ -92,15 +114,19 @@
 /// its software; three times in all.
 fn upgrade(lab: &Lab) -> bool {
     let work = Work { begin: ms(30), events: 42, pause: ms(60) };
-    lab.store.put("op/config", &config(1, &[route("s", "streaming", "llm", STREAM)], &tenant("t1", &["key-one"])));
+    lab.store.put(
+        "op/config",
+        &config(1, &[route("s", "streaming", "llm", STREAM)], &tenant("t1", &["key-one"])),
+    );
     let start = |name: &str, version: &str, port| {
         Runner::start(name, "llm", version, port, 64, work, &lab.store, &lab.runs)
     };
     let mut runners: Vec<_> = (0..9).map(|number| start(&format!("i-{number}"), "v1", 0)).collect();
-    let routers: Vec<_> = [("front-1", "poa-a"), ("front-2", "poa-a"), ("front-3", "poa-b"), ("front-4", "caxias")]
-        .iter()
-        .map(|(name, zone)| Router::start(name, zone, &lab.folder, &lab.store, true))
-        .collect();
+    let routers: Vec<_> =
+        [("front-1", "poa-a"), ("front-2", "poa-a"), ("front-3", "poa-b"), ("front-4", "caxias")]
+            .iter()
+            .map(|(name, zone)| Router::start(name, zone, &lab.folder, &lab.store, true))
+            .collect();
     routers.iter().for_each(Router::wait_until_ready);
     let sent = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -112,7 +138,15 @@
                 let (sent, front) = (&sent, routers[number % routers.len()].front);
                 scope.spawn(move || {
                     let id = format!("s{number}");
-                    let one = ask(lab, front, "POST /s/x", &id, "key-one", format!("p{number}").as_bytes(), ms(9_000));
+                    let one = ask(
+                        lab,
+                        front,
+                        "POST /s/x",
+                        &id,
+                        "key-one",
+                        format!("p{number}").as_bytes(),
+                        ms(9_000),
+                    );
                     sent.lock().unwrap().push(one);
                 });
                 sleep(ms(60));
@@ -139,23 +173,42 @@
     lab.record_runs();
     let sent = sent.into_inner().unwrap();
     let versions = |one: &&Sent| {
-        let written = one.body.lines().filter_map(|line| line.strip_prefix("data: ")?.split(' ').next());
+        let written =
+            one.body.lines().filter_map(|line| line.strip_prefix("data: ")?.split(' ').next());
         written.collect::<BTreeSet<_>>().len()
     };
     let mixed: Vec<_> = sent.iter().filter(|one| versions(one) > 1).collect();
     for one in &mixed {
-        let order: Vec<_> = one.body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-        lab.log.line(&format!("BROKEN {} status={} whole={}: {}", one.id, one.status, one.whole, order.join(", ")));
+        let order: Vec<_> =
+            one.body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+        lab.log.line(&format!(
+            "BROKEN {} status={} whole={}: {}",
+            one.id,
+            one.status,
+            one.whole,
+            order.join(", ")
+        ));
     }
     let whole = sent.iter().filter(|one| one.status == 200 && one.whole).count();
-    lab.log.say(&format!("{} streams, {whole} whole, {} with events of two versions", sent.len(), mixed.len()));
+    lab.log.say(&format!(
+        "{} streams, {whole} whole, {} with events of two versions",
+        sent.len(),
+        mixed.len()
+    ));
     mixed.len() > 2
 }
 
 // ------------------------------------------------------------------------------------- keys
 
 /// Sends requests with `key` at a steady rate until `stop`.
-fn keep_asking(lab: &Lab, front: SocketAddr, line: &str, prefix: &str, key: &str, stop: &AtomicBool) -> Vec<Sent> {
+fn keep_asking(
+    lab: &Lab,
+    front: SocketAddr,
+    line: &str,
+    prefix: &str,
+    key: &str,
+    stop: &AtomicBool,
+) -> Vec<Sent> {
     let mut sent = Vec::new();
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
@@ -177,8 +230,10 @@
     router.wait_until_ready();
     let stop = AtomicBool::new(false);
     let (sent, confirmed) = std::thread::scope(|scope| {
-        let first = scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "k", "key-one", &stop));
-        let second = scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "m", "key-two", &stop));
+        let first =
+            scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "k", "key-one", &stop));
+        let second =
+            scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "m", "key-two", &stop));
         sleep(ms(3_000));
         lab.store.put("op/config", &config(4, &routes, &one));
         let mut confirmed = vec![("key-two", Instant::now())];
@@ -198,10 +253,16 @@
     lab.record_runs();
     if lab.trouble {
         let at = confirmed[1].1;
-        let late = sent.iter().filter(|one| one.key == "key-two" && one.at > at + ms(2_000) && one.status == 200);
-        lab.log.say(&format!("with key-two, gone since version 4: {} answered with 200 after version 7", late.count()));
+        let late = sent
+            .iter()
+            .filter(|one| one.key == "key-two" && one.at > at + ms(2_000) && one.status == 200);
+        lab.log.say(&format!(
+            "with key-two, gone since version 4: {} answered with 200 after version 7",
+            late.count()
+        ));
     }
-    let broken = confirmed.iter().map(|(key, at)| run_late(lab, &sent, key, *at, ms(5_000))).sum::<usize>();
+    let broken =
+        confirmed.iter().map(|(key, at)| run_late(lab, &sent, key, *at, ms(5_000))).sum::<usize>();
     broken > 0
 }
 
@@ -214,10 +275,14 @@
     router.wait_until_ready();
     let stop = AtomicBool::new(false);
     let (sent, confirmed) = std::thread::scope(|scope| {
-        let asking = scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "k", "key-one", &stop));
+        let asking =
+            scope.spawn(|| keep_asking(lab, router.front, "GET /a/x", "k", "key-one", &stop));
         sleep(ms(3_000));
         let timeout = if lab.trouble { 172_800_000 } else { 12_000 };
-        routes.push(route("batch", "unsafe", "app", "").replace("\"timeoutMs\":10000", &format!("\"timeoutMs\":{timeout}")));
+        routes.push(
+            route("batch", "unsafe", "app", "")
+                .replace("\"timeoutMs\":10000", &format!("\"timeoutMs\":{timeout}")),
+        );
         lab.store.put("op/config", &config(4, &routes, &tenant("t1", &["key-two"])));
         let confirmed = Instant::now();
         lab.log.say("version 4 is confirmed: key-one is gone, and a route is new");
@@ -241,7 +306,8 @@
     first.wait_until_ready();
     let stop = AtomicBool::new(false);
     let (sent, confirmed) = std::thread::scope(|scope| {
-        let asking = scope.spawn(|| keep_asking(lab, first.front, "GET /a/x", "k", "key-one", &stop));
+        let asking =
+            scope.spawn(|| keep_asking(lab, first.front, "GET /a/x", "k", "key-one", &stop));
         sleep(ms(4_000));
         lab.store.take_copy();
         sleep(ms(500));
@@ -286,7 +352,8 @@
 
 /// A key is taken away; its consumers use a route that needs none.
 fn anonymous(lab: &Lab) -> bool {
-    let open = route("o", "safe", "app", "").replace("\"allowAnonymous\":false", "\"allowAnonymous\":true");
+    let open = route("o", "safe", "app", "")
+        .replace("\"allowAnonymous\":false", "\"allowAnonymous\":true");
     let routes = [open, route("a", "safe", "app", "")];
     lab.store.put("op/config", &config(1, &routes, &tenant("t1", &["key-one", "key-two"])));
     let _runner = Runner::start("i-a", "app", "v1", 0, 6, PLAIN, &lab.store, &lab.runs);
@@ -294,13 +361,18 @@
     router.wait_until_ready();
     let stop = AtomicBool::new(false);
     let (sent, confirmed) = std::thread::scope(|scope| {
-        let asking = scope.spawn(|| keep_asking(lab, router.front, "GET /o/x", "k", "key-one", &stop));
+        let asking =
+            scope.spawn(|| keep_asking(lab, router.front, "GET /o/x", "k", "key-one", &stop));
         sleep(ms(3_000));
         if lab.trouble {
             lab.store.put("op/config", &config(4, &routes, &tenant("t1", &["key-two"])));
         }
         let confirmed = Instant::now();
-        lab.log.say(if lab.trouble { "version 4 is confirmed: key-one is gone" } else { "nothing changes" });
+        lab.log.say(if lab.trouble {
+            "version 4 is confirmed: key-one is gone"
+        } else {
+            "nothing changes"
+        });
         sleep(ms(10_000));
         stop.store(true, Ordering::SeqCst);
         (asking.join().unwrap(), confirmed)
@@ -338,13 +410,19 @@
 const GAP: Duration = Duration::from_millis(4_800);
 
 /// A consumer: sends a request for a stream, and takes it up again once if nothing comes for [`GAP`].
-fn consume(lab: &Lab, id: &str, lines: [SocketAddr; 2], in_touch_from: &Mutex<Option<Instant>>) -> Taken {
+fn consume(
+    lab: &Lab,
+    id: &str,
+    lines: [SocketAddr; 2],
+    in_touch_from: &Mutex<Option<Instant>>,
+) -> Taken {
     let until = Instant::now() + ms(12_000);
     let mut taken = Taken { first: id.to_owned(), ..Taken::default() };
     for (number, line) in lines.iter().enumerate() {
         let left = until.saturating_duration_since(Instant::now());
         let attempt = format!("{id}.{number}");
-        let (last, remaining, began) = (taken.last.to_string(), left.as_millis().to_string(), format!("{id}.0"));
+        let (last, remaining, began) =
+            (taken.last.to_string(), left.as_millis().to_string(), format!("{id}.0"));
         let mut headers = vec![
             ("Host", HOST),
             ("Attempt-Identifier", attempt.as_str()),
@@ -356,7 +434,8 @@
         }
         let touch = in_touch_from.lock().unwrap().is_some_and(|at| Instant::now() >= at);
         let at = Instant::now();
-        let answer = send(*line, "POST /s/x", &headers, id.as_bytes(), GAP.min(left)).unwrap_or_default();
+        let answer =
+            send(*line, "POST /s/x", &headers, id.as_bytes(), GAP.min(left)).unwrap_or_default();
         let goes_on = answer.status == 200 && !answer.body.is_empty();
         let from = taken.last;
         if answer.status == 200 {
@@ -389,19 +468,30 @@
 fn split_resume(lab: &Lab) -> bool {
     let work = Work { begin: ms(30), events: 54, pause: ms(70) };
     let split = ",\"trafficSplit\":[{\"service\":\"llm\",\"weight\":90},{\"service\":\"llm-b\",\"weight\":10}]";
-    let split = route("s", "streaming", "llm", &format!("{STREAM}{split}")).replace("\"service\":\"llm\",\"attempts\"", "\"attempts\"");
-    let split = split.replace("\"timeoutMs\":10000,\"fullValueMs\":500", "\"timeoutMs\":12000,\"fullValueMs\":1200");
+    let split = route("s", "streaming", "llm", &format!("{STREAM}{split}"))
+        .replace("\"service\":\"llm\",\"attempts\"", "\"attempts\"");
+    let split = split.replace(
+        "\"timeoutMs\":10000,\"fullValueMs\":500",
+        "\"timeoutMs\":12000,\"fullValueMs\":1200",
+    );
     let services = "{\"name\":\"llm-b\",\"healthPath\":\"/health\",\"connectionLimit\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"cacheTokens\":423882,\"models\":[{\"name\":\"m\"}]}},";
-    let text = config(1, &[split], &tenant("t1", &["key-one"])).replace("\"services\":[", &format!("\"services\":[{services}"));
+    let text = config(1, &[split], &tenant("t1", &["key-one"]))
+        .replace("\"services\":[", &format!("\"services\":[{services}"));
     lab.log.line(&format!("the manifest: {text}"));
     lab.store.put("op/config", &text);
-    let _runners: Vec<_> = [("i-0", "llm"), ("i-1", "llm"), ("i-2", "llm"), ("i-3", "llm-b"), ("i-4", "llm-b")]
+    let _runners: Vec<_> =
+        [("i-0", "llm"), ("i-1", "llm"), ("i-2", "llm"), ("i-3", "llm-b"), ("i-4", "llm-b")]
+            .iter()
+            .map(|(name, service)| {
+                Runner::start(name, service, "v1", 0, 64, work, &lab.store, &lab.runs)
+            })
+            .collect();
+    let names =
+        [("front-1", "poa-a"), ("front-2", "poa-a"), ("front-3", "poa-b"), ("front-4", "caxias")];
+    let mut routers: Vec<_> = names
         .iter()
-        .map(|(name, service)| Runner::start(name, service, "v1", 0, 64, work, &lab.store, &lab.runs))
+        .map(|(name, zone)| Router::start(name, zone, &lab.folder, &lab.store, true))
         .collect();
-    let names = [("front-1", "poa-a"), ("front-2", "poa-a"), ("front-3", "poa-b"), ("front-4", "caxias")];
-    let mut routers: Vec<_> =
-        names.iter().map(|(name, zone)| Router::start(name, zone, &lab.folder, &lab.store, true)).collect();
     routers.iter().for_each(Router::wait_until_ready);
     sleep(ms(6_000));
     let lines: Vec<_> = routers.iter().map(|router| Line::start(router.front)).collect();
@@ -442,7 +532,17 @@
             .map(|number| {
                 sleep(ms(100));
                 let front = addresses[number % 4];
-                scope.spawn(move || ask(lab, front, "POST /s/x", &format!("n{number}"), "key-one", b"new", ms(9_000)))
+                scope.spawn(move || {
+                    ask(
+                        lab,
+                        front,
+                        "POST /s/x",
+                        &format!("n{number}"),
+                        "key-one",
+                        b"new",
+                        ms(9_000),
+                    )
+                })
             })
             .collect();
         new = asked.len();
@@ -455,7 +555,8 @@
     let went_on = again.iter().filter(|one| one.in_touch == Some(true)).count();
     for one in &again {
         let word = if one.in_touch == Some(true) { "went on" } else { "BROKEN: didn't go on" };
-        lab.log.line(&format!("{}: up to event {}, whole={}, {word}", one.first, one.last, one.whole));
+        lab.log
+            .line(&format!("{}: up to event {}, whole={}, {word}", one.first, one.last, one.whole));
     }
     let whole = taken.iter().filter(|one| one.whole).count();
     lab.log.say(&format!(
--- a/review/lab.rs
+++ b/review/lab.rs
@@ -266,7 +266,8 @@
             }
             body.extend(chunk);
         }
-    } else if let Some(length) = find(&headers, "content-length").and_then(|text| text.parse().ok()) {
+    } else if let Some(length) = find(&headers, "content-length").and_then(|text| text.parse().ok())
+    {
         body = vec![0; length];
         reader.read_exact(&mut body).ok()?;
     }
@@ -306,7 +307,8 @@
             }
             answer.body.extend(chunk);
         }
-    } else if let Some(length) = answer.header("content-length").and_then(|text| text.parse().ok()) {
+    } else if let Some(length) = answer.header("content-length").and_then(|text| text.parse().ok())
+    {
         let mut body = vec![0; length];
         answer.whole = reader.read_exact(&mut body).is_ok();
         answer.body = body;
@@ -416,7 +418,8 @@
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
         let contents = Contents { revision: 100, ..Contents::default() };
         let state = StoreState { contents, copy: None, era: 1, away: false };
         let store = Self {
@@ -788,7 +791,8 @@
 
     fn answer(&self, request: &Received, writer: &mut TcpStream, work: Work, runs: &Runs) -> bool {
         if request.target == "/health" {
-            let head = format!("HTTP/1.1 200 OK\r\nInstance: {}\r\nContent-Length: 0\r\n\r\n", self.name);
+            let head =
+                format!("HTTP/1.1 200 OK\r\nInstance: {}\r\nContent-Length: 0\r\n\r\n", self.name);
             return writer.write_all(head.as_bytes()).is_ok();
         }
         let id = request.header("attempt-identifier").unwrap_or("").to_owned();
@@ -833,11 +837,13 @@
             let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
             return self.alive.load(Ordering::SeqCst) && writer.write_all(text.as_bytes()).is_ok();
         }
-        let text = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let text =
+            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         if writer.write_all(text.as_bytes()).is_err() {
             return false;
         }
-        let had = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let had =
+            request.header("last-event-id").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         for number in had + 1..=work.events {
             if !self.alive.load(Ordering::SeqCst) {
                 return false;
@@ -855,7 +861,8 @@
 // --------------------------------------------------------------------------------------- routers
 
 fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
+    let listener =
+        TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
     listener.local_addr().unwrap().port()
 }
 
@@ -1020,7 +1027,8 @@
 
 impl Line {
     pub fn start(front: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&format!("{error}")));
         let line = Self { address: listener.local_addr().unwrap(), silences: Arc::default() };
         let silences = line.silences.clone();
         spawn(move || {
@@ -1117,7 +1125,13 @@
     let log = Log::create(&Path::new(folder).join("record.txt"));
     let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).unwrap_or_else(|error| give_up(&format!("{error}")));
-    let lab = Lab { log, folder: temporary.clone(), trouble, store: Store::start(), runs: Runs::default() };
+    let lab = Lab {
+        log,
+        folder: temporary.clone(),
+        trouble,
+        store: Store::start(),
+        runs: Runs::default(),
+    };
     lab.log.say(&format!("case {case}, disruption: {trouble}"));
     let broken = cases::play(case, &lab);
     lab.log.say(if broken { "the rule was broken" } else { "the rule held" });
