--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,15 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/lab ] || exit 2
-exec target/review/lab split-resume "$folder"
+target/review/lab split-resume "$folder" &
+lab=$!
+# The routers are children of the stand-ins' process: none is left behind if this script is ended.
+end() {
+    children=$(cat "/proc/$lab/task/"*/children 2>/dev/null)
+    kill -9 $lab $children 2>/dev/null
+    exit 2
+}
+trap end INT TERM
+wait $lab
+code=$?
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
