Require keys while the list of workspaces is empty

Cause: platform/ read an absent list of workspaces and an empty one as the same value, which makes keys optional.

--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -123,6 +123,51 @@
     assert_eq!(status("key-two"), 200);
 }
 
+/// Guards against opening all routes when the last key is revoked: an empty list of workspaces still
+/// requires keys, also at a router that starts later.
+#[test]
+fn revoking_the_last_key_closes_all_routes_that_need_one() {
+    let upstream = plain_upstream();
+    let router = Router::start(&configuration(1), &[&upstream]);
+    let status = |router: &Router, line: &str, key: &str| {
+        router.request(line, &[("Authorization", key)], "").unwrap().status
+    };
+    assert_eq!(status(&router, "GET /safe/x", "Bearer key-one"), 200);
+    let mut changed = configuration(2);
+    changed["tenants"] = json!([]);
+    let mut open = route("open", "safe", "plain");
+    open["allowAnonymous"] = true.into();
+    changed["routes"].as_array_mut().expect("routes").push(open);
+    router.store.put("op/config", &changed);
+    let is_applied = || status(&router, "GET /open/x", "") == 200;
+    router.wait_until("using the new configuration", is_applied);
+    let later = Router::join(&router.store, "front-2");
+    let received = upstream.requests().len();
+    for router in [&router, &later] {
+        for key in ["Bearer key-one", "Bearer other", ""] {
+            assert_eq!(status(router, "GET /safe/x", key), 401, "{key:?}");
+        }
+    }
+    assert_eq!(upstream.requests().len(), received);
+    assert_eq!(status(&later, "GET /open/x", ""), 200);
+}
+
+#[test]
+fn a_configuration_without_a_list_of_workspaces_requires_no_keys() {
+    let upstream = plain_upstream();
+    let mut open = configuration(1);
+    open.as_object_mut().expect("a configuration").remove("tenants");
+    let router = Router::start(&open, &[&upstream]);
+    assert_eq!(router.request("GET /safe/x", &[("Authorization", "")], "").unwrap().status, 200);
+    // Unchanged routes are read again with the list.
+    let mut closed = configuration(2);
+    closed["tenants"] = json!([]);
+    router.store.put("op/config", &closed);
+    router.wait_until("requiring keys", || {
+        router.request("GET /safe/x", &[("Authorization", "")], "").unwrap().status == 401
+    });
+}
+
 #[test]
 fn refuses_callers_with_a_key_while_the_configuration_is_unconfirmed() {
     let upstream = plain_upstream();
