Confirm a configuration only while the store holds that one

Cause: each poll confirmed the configuration in force if the store held 'at least' its generation, so a later one that was refused counted as proof that the older one is the newest; an unreadable or removed one left the last known generation in place and did the same.

Now the feed keeps what the store holds, a generation or something unreadable, and confirms only the very one in force; routers that ask others follow, as their source's confirmation grows old.

--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -70,6 +70,11 @@
         /// Why it can't be read.
         reason: String,
     },
+    /// The store holds no configuration that can be read. Not passed on to other routers.
+    UnreadableConfiguration {
+        /// Why there is none.
+        reason: String,
+    },
 }
 
 /// The entry of a router that polls the store.
--- a/components/fleet/src/mirror.rs
+++ b/components/fleet/src/mirror.rs
@@ -245,7 +245,7 @@
         Fact::SavedHosts(_) => Some(Key::SavedHosts),
         Fact::SavedBuilds(_) => Some(Key::SavedBuilds),
         Fact::SavedPrefixes(_) => Some(Key::SavedPrefixes),
-        Fact::AllRestored | Fact::Unreadable { .. } => None,
+        Fact::AllRestored | Fact::Unreadable { .. } | Fact::UnreadableConfiguration { .. } => None,
     }
 }
 
--- a/components/router/src/feed.rs
+++ b/components/router/src/feed.rs
@@ -62,7 +62,7 @@
         revision: None,
         full_read_due: false,
         era: Era::default(),
-        stored_generation: 0,
+        stored: Stored::Generation(0),
         incomplete_until: None,
         failing_since: None,
         has_read: false,
@@ -84,6 +84,16 @@
     }
 }
 
+/// The configuration in the store, as far as it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stored {
+    /// Its generation; 0 if there is none. It may be lower than the one in force after the store was
+    /// restored from an older copy, and higher if it was refused.
+    Generation(u64),
+    /// It can't be read, or was removed.
+    Unreadable,
+}
+
 struct Feed {
     core: Rc<Core>,
     freshness: Freshness,
@@ -104,9 +114,7 @@
     full_read_due: bool,
     /// The era of the store at the last answer.
     era: Era,
-    /// The generation of the configuration in the store. It may be lower than the one in force
-    /// after the store was restored from an older copy.
-    stored_generation: u64,
+    stored: Stored,
     /// Until when a restored store may lack recent writes; a full read follows.
     incomplete_until: Option<Millis>,
     /// Start of the current series of failed polls.
@@ -236,11 +244,12 @@
         self.core.store_restored.notify_one();
     }
 
-    /// Whether the store's content confirms that the configuration in force is the newest. A
-    /// restored store does not, until the operator has had time to write a later one again.
+    /// Whether the store's content confirms that the configuration in force is the newest. A later
+    /// one that can't be used does not, as it may revoke keys. A restored store does not, until the
+    /// operator has had time to write a later one again.
     fn confirms(&self) -> bool {
         let in_force = self.core.plan().map_or(0, |plan| plan.generation());
-        self.stored_generation >= in_force && self.incomplete_until.is_none()
+        self.stored == Stored::Generation(in_force) && self.incomplete_until.is_none()
     }
 
     /// Whether the time for rewriting lost entries of a restored store has just ended.
--- a/components/router/src/feed/facts.rs
+++ b/components/router/src/feed/facts.rs
@@ -11,7 +11,7 @@
 use spdlog::{info, warn};
 use wire::Build;
 
-use super::Feed;
+use super::{Feed, Stored};
 use crate::persistence;
 
 /// The most unreadable upstream entries that are logged.
@@ -29,6 +29,8 @@
     routers: BTreeSet<Arc<str>>,
     /// The configuration of the highest generation; only this one is compiled.
     newest: Option<Box<Document>>,
+    /// The last configuration, if there is any.
+    stored: Option<Stored>,
     /// Upstreams saved by the router that writes for the fleet.
     saved_upstreams: Vec<Host>,
     /// Builds saved by the same router; `None` if there are none saved.
@@ -49,9 +51,8 @@
             self.core.fleet().roster().retain(&deferred.routers);
         }
         self.update_routers();
-        let stored_generation = deferred.newest.as_ref().map(|document| document.generation);
-        self.stored_generation =
-            stored_generation.unwrap_or(if full { 0 } else { self.stored_generation });
+        let unchanged = if full { Stored::Generation(0) } else { self.stored };
+        self.stored = deferred.stored.unwrap_or(unchanged);
         if let Some(document) = deferred.newest {
             self.configure(*document, batch.revision.number);
         }
@@ -151,10 +152,16 @@
             Fact::AllRestored => self.evacuated.clear(),
             Fact::Configuration(document) => {
                 let known = deferred.newest.as_ref().map_or(0, |document| document.generation);
+                deferred.stored = Some(Stored::Generation(document.generation.max(known)));
                 if document.generation > known {
                     deferred.newest = Some(document);
                 }
             }
+            Fact::UnreadableConfiguration { reason } => {
+                deferred.stored = Some(Stored::Unreadable);
+                self.core.metrics.record_change("configuration_unreadable");
+                warn!("configuration unreadable", kv: { reason });
+            }
             Fact::SavedHosts(hosts) => deferred.saved_upstreams = hosts,
             Fact::SavedBuilds(builds) => deferred.saved_builds = Some(builds),
             Fact::SavedPrefixes(prefixes) => deferred.saved_prefixes = prefixes,
@@ -283,6 +290,7 @@
                 self.core.apply(Event::Configure(Arc::new(plan)));
             }
             Err(error) => {
+                self.core.metrics.record_change("configuration_refused");
                 warn!("configuration refused", kv: { generation, fault = error.to_string() });
             }
         }
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::process::Command;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::router::{Router, configuration, route, unused_host};
 use crate::standin::{Framing, Mode, Upstream};
@@ -168,6 +168,42 @@
     });
 }
 
+/// What an operator may leave in place of a configuration: one that breaks a rule, one that can't be
+/// read, or nothing.
+fn unusable_configurations() -> [(&'static str, Option<Value>); 3] {
+    let mut refused = configuration(4);
+    refused["tenants"] = json!([{ "name": "twice" }, { "name": "twice" }]);
+    let mut unreadable = configuration(4);
+    unreadable["tenants"] = json!({ "apiKeys": [] });
+    [("refused", Some(refused)), ("unreadable", Some(unreadable)), ("removed", None)]
+}
+
+/// Guards against taking an older configuration, with keys that may be revoked, for the newest one
+/// because the newest one can't be used.
+#[test]
+fn an_unusable_configuration_does_not_confirm_an_older_one() {
+    let upstream = plain_upstream();
+    for (name, unusable) in unusable_configurations() {
+        let router = Router::start(&configuration(1), &[&upstream]);
+        match unusable {
+            Some(value) => router.store.put("op/config", &value),
+            None => router.store.remove("op/config"),
+        }
+        let status = |router: &Router| router.request("GET /safe/x", &[], "").unwrap().status;
+        router.wait_until(&format!("refusing keys: {name}"), || status(&router) == 503);
+        let received = upstream.requests().len();
+        // Polls that bring nothing new confirm nothing either.
+        std::thread::sleep(std::time::Duration::from_secs(1));
+        let later = Router::join_unready(&router.store, "front-2");
+        assert_eq!([status(&router), status(&later)], [503, 503], "{name}");
+        assert_eq!(upstream.requests().len(), received, "{name}");
+        router.store.put("op/config", &configuration(5));
+        for router in [&router, &later] {
+            router.wait_until("serving", || status(router) == 200);
+        }
+    }
+}
+
 #[test]
 fn refuses_callers_with_a_key_while_the_configuration_is_unconfirmed() {
     let upstream = plain_upstream();
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -99,6 +99,27 @@
     assert!(routers.iter().all(|router| status(router, "safe") == 200));
 }
 
+/// Guards against routers that ask others taking an older configuration for the newest one because
+/// the newest one can't be used.
+#[test]
+fn an_unusable_configuration_confirms_no_older_one_at_any_router() {
+    let (routers, upstream) = start_fleet();
+    let store = &routers[0].store;
+    let mut refused = with_route(2, "added");
+    refused["tenants"] = json!([{ "name": "twice" }, { "name": "twice" }]);
+    store.put("op/config", &refused);
+    for router in &routers {
+        router.wait_until("refusing keys", || status(router, "safe") == 503);
+    }
+    let received = upstream.requests().len();
+    assert!(routers.iter().all(|router| status(router, "safe") == 503));
+    assert_eq!(upstream.requests().len(), received);
+    store.put("op/config", &with_route(3, "added"));
+    for router in &routers {
+        router.wait_until("using the next configuration", || status(router, "added") == 200);
+    }
+}
+
 #[test]
 fn a_change_takes_effect_at_all_routers() {
     let (routers, upstream) = start_fleet();
--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -134,13 +134,18 @@
 
     /// Starts a further router on `store` and waits until it is ready.
     pub fn join(store: &Store, name: &str) -> Self {
-        let host = unused_host();
-        let log = std::fs::File::create(log_path(&host)).expect("the file is writable");
-        let router = Self::spawn(&host, name, log.into(), store.clone());
+        let router = Self::join_unready(store, name);
         router.wait_until("ready", || router.is_ready());
         router
     }
 
+    /// Starts a further router on `store` without waiting until it is ready.
+    pub fn join_unready(store: &Store, name: &str) -> Self {
+        let host = unused_host();
+        let log = std::fs::File::create(log_path(&host)).expect("the file is writable");
+        Self::spawn(&host, name, log.into(), store.clone())
+    }
+
     fn start_with(host: &str, out: Stdio, fill: impl FnOnce(&Store)) -> Self {
         let store = Store::start(host);
         fill(&store);
