--- a/components/intents/src/check.rs
+++ b/components/intents/src/check.rs
@@ -8,10 +8,7 @@
 use snafu::ensure;
 
 use crate::error::RuleSnafu;
-use crate::{Document, Error, Intent, Workspace, digest};
-
-/// Upper bound of an intent's deadline: a day.
-const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+use crate::{Document, Error, Intent, MAX_DEADLINE_MS, Workspace, digest};
 
 /// Checks the rules that the types do not ensure.
 ///
--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -11,6 +11,9 @@
 /// The deadline of requests whose intent sets none.
 pub const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// Upper bound of an intent's deadline: a day.
+pub const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+
 /// One generation of the operators' routing configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/intents/src/lib.rs
+++ b/components/intents/src/lib.rs
@@ -16,7 +16,8 @@
 
 pub use digest::digest;
 pub use document::{
-    DEFAULT_DEADLINE_MS, Document, Intent, Kind, Location, Pool, Share, UpstreamLabels, Workspace,
+    DEFAULT_DEADLINE_MS, Document, Intent, Kind, Location, MAX_DEADLINE_MS, Pool, Share,
+    UpstreamLabels, Workspace,
 };
 pub use error::Error;
 pub use plan::{Miss, Plan, Target};
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -168,6 +168,30 @@
     });
 }
 
+/// Guards against refusing a whole configuration, and so keeping revoked keys valid, because one
+/// route may be held for longer than the router holds any request.
+#[test]
+fn a_route_with_a_timeout_of_days_does_not_keep_a_revoked_key_valid() {
+    let upstream = plain_upstream();
+    let router = Router::start(&configuration(1), &[&upstream]);
+    let mut changed = configuration(2);
+    changed["tenants"] = json!([{ "name": "workspace-one", "apiKeys": ["key-two"] }]);
+    for (name, days) in [("batch", 2.0), ("archive", 1e9)] {
+        let mut batch = route(name, "unsafe", "plain");
+        batch["timeoutMs"] = (days * 86_400_000.0).into();
+        changed["routes"].as_array_mut().expect("routes").push(batch);
+    }
+    router.store.put("op/config", &changed);
+    let status = |line: &str, key: &str| {
+        let key = format!("Bearer {key}");
+        router.request(line, &[("Authorization", &key)], "").unwrap().status
+    };
+    router.wait_until("refusing the revoked key", || status("GET /safe/x", "key-one") == 401);
+    for line in ["GET /safe/x", "POST /batch/x", "POST /archive/x"] {
+        assert_eq!(status(line, "key-two"), 200, "{line}");
+    }
+}
+
 /// What an operator may leave in place of a configuration: one that breaks a rule, one that can't be
 /// read, or nothing.
 fn unusable_configurations() -> [(&'static str, Option<Value>); 3] {
