Save the records of streams whose pool does not follow from the configuration

Cause: records were saved only while one pool had several builds, but the only build was concluded only for intents without a split: between the two, nothing. An intent that was moved a short time ago was concluded wrongly. Now one question, State::needs_records, decides both.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -202,10 +202,10 @@
                 self.permits.release(self, pool, *number, *end, *elapsed);
                 false
             }
-            Effect::PublishBeginning(beginning) => {
+            Effect::PublishBeginning { beginning, intent } => {
                 streams::publish(self, beginning);
                 if self.settings.routing.mechanisms.saved_streams {
-                    self.stream_records.add(beginning, self.clock.now());
+                    self.stream_records.add(beginning, intent, self.clock.now());
                 }
                 false
             }
@@ -263,9 +263,15 @@
         self.started_at.until(self.clock.now())
     }
 
-    /// Whether several builds of one pool may have begun streams that are still continued.
-    pub(crate) fn has_mixed_builds(&self) -> bool {
-        self.state.borrow().has_mixed_builds(self.clock.now())
+    /// Whether the builds of some streams that are still continued can be known by records only.
+    pub(crate) fn has_recorded_streams(&self) -> bool {
+        self.state.borrow().has_recorded_streams(self.clock.now())
+    }
+
+    /// Whether the builds of streams of `intent` that are still continued can be known by records
+    /// only.
+    pub(crate) fn needs_records(&self, intent: &str) -> bool {
+        self.state.borrow().needs_records(intent, self.clock.now())
     }
 
     /// Time since the configuration in force was last confirmed to be the newest.
--- a/components/router/src/feed/facts.rs
+++ b/components/router/src/feed/facts.rs
@@ -218,6 +218,7 @@
             revision,
         });
         self.core.apply(Event::Hosts(hosts));
+        self.core.stream_records.review();
     }
 
     /// Passes changed evacuations of failure domains to the routing state.
@@ -288,6 +289,7 @@
             Ok(plan) => {
                 info!("configuration taken", kv: { generation, revision });
                 self.core.apply(Event::Configure(Arc::new(plan)));
+                self.core.stream_records.review();
             }
             Err(error) => {
                 self.core.metrics.record_change("configuration_refused");
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -206,7 +206,7 @@
             Effect::BindKey { key, owner } => self.bind(&key, &owner).await,
             Effect::Send(attempt) => self.send(attempt).await,
             Effect::Claim { pool, claim } => self.claim(&pool, claim).await,
-            Effect::FindStream { stream } => self.find_stream(stream).await,
+            Effect::FindStream { stream, intent } => self.find_stream(stream, &intent).await,
             Effect::UpdateDirectory { .. } => self.core.queue_update(effect),
             Effect::CloseIdle { address } => self.core.client().close_idle(&address),
             Effect::Postpone(backoff) => {
@@ -228,7 +228,7 @@
             | Effect::ReleaseParts { .. }
             | Effect::Release { .. }
             | Effect::ReportSaturation { .. }
-            | Effect::PublishBeginning(_)
+            | Effect::PublishBeginning { .. }
             | Effect::Drained => {}
         }
         None
@@ -265,9 +265,9 @@
     }
 
     /// Looks up which build began the stream that the caller continues.
-    async fn find_stream(&mut self, stream: u64) {
+    async fn find_stream(&mut self, stream: u64, intent: &str) {
         let core = self.core.clone();
-        let lookup = streams::find(&core, stream).await;
+        let lookup = streams::find(&core, stream, intent).await;
         self.apply(Event::Found { id: self.id, lookup });
     }
 
--- a/components/router/src/stream_records.rs
+++ b/components/router/src/stream_records.rs
@@ -1,13 +1,15 @@
 //! Saves the records of streams in the platform's store, so that they outlast a crash of all
 //! routers at once.
 //!
-//! A router saves which build began the streams that it relays, each record once, and only while a
-//! pool has several builds. After a restart it passes its saved records to the routers that keep
+//! A router saves which build began the streams that it relays, each record once, and only where
+//! nothing else will tell: while a pool has several builds, and for intents that are split between
+//! pools or were moved a short time ago. After a restart it passes its saved records to the routers that keep
 //! them. What it began since its last write is lost with it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use ::streams::MAX_STREAM_AGE;
 use bytes::Bytes;
@@ -51,13 +53,22 @@
 /// How long a lookup waits for this router's records to be restored.
 const RESTORE_WAIT: Millis = Millis(300);
 
+/// A record that is not saved.
+#[derive(Debug)]
+struct Unsaved {
+    beginning: Beginning,
+    intent: Arc<str>,
+    /// When the caller gives up, so that the record is of no more use.
+    until: Millis,
+}
+
 /// The records of streams that this router began.
 #[derive(Debug)]
 pub(crate) struct StreamRecords {
-    /// Records that are not saved, with the times of their expiry, oldest first.
-    unsaved: RefCell<VecDeque<(Beginning, Millis)>>,
-    /// Signaled for each new record.
-    added: Notify,
+    /// Records that are not saved, oldest first.
+    unsaved: RefCell<VecDeque<Unsaved>>,
+    /// Signaled for each new record, and when records may be needed that were not before.
+    changed: Notify,
     /// The slot after the last one that was restored.
     first_slot: Cell<u32>,
     /// Whether the saved records were read after the start.
@@ -68,7 +79,7 @@
     fn default() -> Self {
         Self {
             unsaved: RefCell::default(),
-            added: Notify::new(),
+            changed: Notify::new(),
             first_slot: Cell::new(0),
             restored: watch::Sender::new(false),
         }
@@ -76,23 +87,34 @@
 }
 
 impl StreamRecords {
-    /// Schedules the record of a stream for the next write.
-    pub(crate) fn add(&self, beginning: &Beginning, now: Millis) {
+    /// Schedules the record of a stream of `intent` for the next write that needs it.
+    pub(crate) fn add(&self, beginning: &Beginning, intent: &Arc<str>, now: Millis) {
+        let until = now + Millis(beginning.ttl_ms);
         let mut unsaved = self.unsaved.borrow_mut();
-        unsaved.push_back((beginning.clone(), now + Millis(beginning.ttl_ms)));
+        let (beginning, intent) = (beginning.clone(), intent.clone());
+        unsaved.push_back(Unsaved { beginning, intent, until });
         let surplus = unsaved.len().saturating_sub(MAX_UNSAVED);
         unsaved.drain(..surplus);
-        self.added.notify_one();
+        self.changed.notify_one();
     }
 
-    /// Takes the records to save.
-    fn take(&self) -> Vec<(Beginning, Millis)> {
-        self.unsaved.borrow_mut().drain(..).collect()
+    /// Writes the records that are needed since the configuration or the list of upstreams changed.
+    pub(crate) fn review(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Takes the records of the intents for which `is_needed` is true.
+    fn take(&self, is_needed: impl Fn(&str) -> bool) -> Vec<(Beginning, Millis)> {
+        let mut unsaved = self.unsaved.borrow_mut();
+        let (needed, kept): (VecDeque<_>, _) =
+            unsaved.drain(..).partition(|record: &Unsaved| is_needed(&record.intent));
+        *unsaved = kept;
+        needed.into_iter().map(|record| (record.beginning, record.until)).collect()
     }
 
     /// Drops records that need not be saved any more.
     fn expire(&self, now: Millis) {
-        self.unsaved.borrow_mut().retain(|(_, until)| *until > now);
+        self.unsaved.borrow_mut().retain(|record| record.until > now);
     }
 
     /// Waits a short time until the saved records of this router are restored.
@@ -139,19 +161,22 @@
     }
 }
 
-/// Saves the records of new streams while a pool has several builds.
+/// Saves the records of new streams as far as they are needed.
 async fn save(core: &Rc<Core>) {
     let number = core.stream_records.first_slot.get();
     let mut slot = Slot { number, begun: core.clock.now(), records: Vec::new() };
     let (mut lease, mut is_written) = (None, true);
     loop {
-        core.stream_records.added.notified().await;
+        core.stream_records.changed.notified().await;
         let now = core.clock.now();
-        if core.has_mixed_builds() {
-            slot.add(core.stream_records.take(), is_written, now);
+        core.stream_records.expire(now);
+        let mut new = Vec::new();
+        if core.has_recorded_streams() {
+            new = core.stream_records.take(|intent| core.needs_records(intent));
+        }
+        if !new.is_empty() || !is_written {
+            slot.add(new, is_written, now);
             is_written = write(core, &slot, &mut lease).await;
-        } else {
-            core.stream_records.expire(now);
         }
         tokio::time::sleep(save_interval(core).duration()).await;
     }
@@ -174,7 +199,7 @@
         Err(error) => {
             warn!("stream records not saved", kv: { records, reason = error.to_string() });
             *lease = None;
-            core.stream_records.added.notify_one();
+            core.stream_records.changed.notify_one();
             false
         }
     }
--- a/components/router/src/streams.rs
+++ b/components/router/src/streams.rs
@@ -88,14 +88,14 @@
 
 /// Asks the routers that keep the record of a stream, until one has it. Asks again for some time
 /// after this router's start, as others that crashed with it may still be restoring their records.
-pub(crate) async fn find(core: &Rc<Core>, stream: u64) -> routing::Lookup {
+pub(crate) async fn find(core: &Rc<Core>, stream: u64, intent: &str) -> routing::Lookup {
     core.stream_records.wait_until_restored().await;
     for _ in 0..RESTORE_LOOKUPS {
         if let Some(build) = core.find_stream(stream) {
             return routing::Lookup::Found(build);
         }
         let lookup = find_once(core, stream).await;
-        let may_be_restoring = core.uptime() < RESTORE_TIME && core.has_mixed_builds();
+        let may_be_restoring = core.uptime() < RESTORE_TIME && core.needs_records(intent);
         if matches!(lookup, routing::Lookup::Found(_)) || !may_be_restoring {
             return lookup;
         }
--- a/components/routing/src/effect.rs
+++ b/components/routing/src/effect.rs
@@ -150,9 +150,16 @@
     FindStream {
         /// Hash of the stream.
         stream: u64,
+        /// The intent that applies to the request.
+        intent: Arc<str>,
     },
     /// Send the record of a stream to the routers that keep it.
-    PublishBeginning(Beginning),
+    PublishBeginning {
+        /// The record.
+        beginning: Beginning,
+        /// The intent that applies to the request.
+        intent: Arc<str>,
+    },
     /// No requests are left in flight after a drain.
     Drained,
 }
--- a/components/routing/src/requests.rs
+++ b/components/routing/src/requests.rs
@@ -9,4 +9,5 @@
 pub(crate) mod permits;
 pub(crate) mod reply;
 pub(crate) mod request;
+pub(crate) mod targets;
 pub(crate) mod unfinished;
--- a/components/routing/src/requests/continuation.rs
+++ b/components/routing/src/requests/continuation.rs
@@ -80,16 +80,22 @@
         self.builds.is_complete(now).then(|| self.builds.recent(now).cloned().collect())
     }
 
-    /// Whether several builds of one pool may have begun streams that are still continued.
-    pub fn has_mixed_builds(&self, now: Millis) -> bool {
-        self.builds.is_mixed(now)
+    /// Whether the builds of some streams that are still continued can be known by records only.
+    pub fn has_recorded_streams(&self, now: Millis) -> bool {
+        self.builds.is_mixed(now) || self.targets.any_vary(now)
+    }
+
+    /// Whether the builds of streams of `intent` that are still continued can be known by records
+    /// only: several builds of one pool, or several pools, may have begun them.
+    pub fn needs_records(&self, intent: &str, now: Millis) -> bool {
+        self.builds.is_mixed(now) || self.targets.vary(intent, now)
     }
 
     /// Finds the build of a stream that the caller continues, or fails the request. Other routers
     /// are asked before the build is concluded from the list, which may be outdated.
     pub(crate) fn start_continuation(&mut self, id: u64, now: Millis) -> Vec<Effect> {
         let Some(request) = self.requests.get(&id) else { return Vec::new() };
-        let stream = request.arrival.stream_key();
+        let (stream, intent) = (request.arrival.stream_key(), request.intent.clone());
         if let Some(build) = self.ledger.find(stream, now).cloned() {
             return self.continue_at(id, build, Source::Record, now);
         }
@@ -99,7 +105,7 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.phase = Phase::Locating;
         }
-        vec![Effect::FindStream { stream }]
+        vec![Effect::FindStream { stream, intent }]
     }
 
     /// Handles the answers of the routers that may keep the record of a stream.
@@ -152,12 +158,13 @@
             request.binding = Some(Binding { build, source: Source::Relayed });
         }
         let build = (*request.binding.as_ref()?.build).clone();
-        let stream = request.arrival.stream_key();
+        let (stream, intent) = (request.arrival.stream_key(), request.intent.clone());
         let ttl = request.arrival.deadline.map_or(MAX_STREAM_AGE, |deadline| {
             (request.arrived + deadline).min(now + MAX_STREAM_AGE) - now
         });
         self.ledger.record(stream, &build, ttl, now);
-        Some(Effect::PublishBeginning(Beginning { stream, build, ttl_ms: ttl.0 }))
+        let beginning = Beginning { stream, build, ttl_ms: ttl.0 };
+        Some(Effect::PublishBeginning { beginning, intent })
     }
 
     fn continue_at(
@@ -184,12 +191,12 @@
     }
 
     /// The build of the request's pool, if it must have begun the stream. Requires a recent list of
-    /// upstreams, and that the pool of the stream can't have been another one.
+    /// upstreams, and that the pool of the stream can't have been another one, as far as this router
+    /// knows.
     fn sole_build(&self, id: u64, now: Millis) -> Option<Arc<Build>> {
         let request = self.requests.get(&id)?;
-        let target = request.arrival.target(self.plan.as_deref()?).ok()?;
-        let is_certain =
-            target.intent.split.is_empty() && self.is_confirmed_within(self.settings.ready_ms, now);
+        let is_certain = !self.targets.vary(&request.intent, now)
+            && self.is_confirmed_within(self.settings.ready_ms, now);
         let sole = self.builds.sole(&request.pool, now).filter(|_| is_certain)?;
         Some(Arc::new(sole.clone()))
     }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -16,6 +16,7 @@
 use crate::recovery::quarantine::Quarantine;
 use crate::requests::permits::Saturation;
 use crate::requests::request::Request;
+use crate::requests::targets::Targets;
 use crate::selection::candidates::{Index, Upstreams};
 use crate::upstreams::cold::Members;
 use crate::upstreams::loads::Peers;
@@ -69,6 +70,8 @@
     pub(crate) peers: Peers,
     /// The builds that may have begun a stream.
     pub(crate) builds: Builds,
+    /// The intents with streams of several pools.
+    pub(crate) targets: Targets,
     /// Which build began each recent stream.
     pub(crate) ledger: Ledger,
     /// Saturated pools.
@@ -107,6 +110,7 @@
             upstream_notices: Notices::default(),
             peers: Peers::default(),
             builds: Builds::default(),
+            targets: Targets::default(),
             ledger: Ledger::default(),
             saturation: Saturation::new(seed),
             pending_effects: Vec::new(),
@@ -289,6 +293,7 @@
         for upstream in self.upstreams.values_mut() {
             upstream.labels = labels(Some(&plan), &upstream.host, &self.settings);
         }
+        self.targets.update(self.plan.as_deref(), &plan, now);
         self.plan = Some(plan);
         self.index.clear();
         // Labels of the configuration may name the pool.
--- a/components/routing/tests/direct/continuations.rs
+++ b/components/routing/tests/direct/continuations.rs
@@ -254,7 +254,7 @@
                     self.requests.insert(id, request);
                 }
                 Effect::Relay(_) => self.deliver(id),
-                Effect::FindStream { stream: key } => {
+                Effect::FindStream { stream: key, .. } => {
                     let others = (0..ROUTERS).filter(|other| *other != router && !self.is_lossy);
                     let mut found =
                         others.map(|other| self.routers[other].find_stream(key, self.now));
@@ -262,7 +262,7 @@
                     let lookup = found.find_map(|build| build).map_or(nothing, Lookup::Found);
                     self.apply(router, id, stream, Event::Found { id, lookup });
                 }
-                Effect::PublishBeginning(beginning) if !self.is_lossy => {
+                Effect::PublishBeginning { beginning, .. } if !self.is_lossy => {
                     for other in (0..ROUTERS).filter(|other| *other != router) {
                         self.routers[other].apply(Event::Begun(beginning.clone()), self.now);
                     }
--- a/components/routing/tests/stateful.rs
+++ b/components/routing/tests/stateful.rs
@@ -407,7 +407,7 @@
                 Effect::Claim { .. } | Effect::Release { .. } | Effect::ReportSaturation { .. } => {
                     panic!("a permit was claimed on the sidecar path")
                 }
-                Effect::FindStream { .. } | Effect::PublishBeginning(_) => {
+                Effect::FindStream { .. } | Effect::PublishBeginning { .. } => {
                     panic!("no stream of this test may be continued")
                 }
                 Effect::BindKey { .. } => record.binding = true,
--- a/tests/platform/killed_fleet.rs
+++ b/tests/platform/killed_fleet.rs
@@ -3,11 +3,13 @@
 
 use std::time::Duration;
 
+use serde_json::{Value, json};
+
 use crate::router::Router;
 use crate::standin::{Mode, Upstream};
 use crate::versions::{
     STREAMS, begin_all, continue_all, engines, pair, restart, take_up, version_of,
-    wait_until_removed,
+    wait_until_removed, without_retries,
 };
 
 /// Time within which the records of all streams are saved.
@@ -165,3 +167,80 @@
     router.kill();
     restart(router);
 }
+
+/// Two services with engines of one version each. A stream that one of them began goes on there.
+fn engines_of_two_services() -> Vec<Upstream> {
+    let host = crate::router::unused_host();
+    let start = |number: usize| {
+        let name = format!("i-{number}");
+        match number % 2 {
+            0 => Upstream::start_version(&host, &name, "engine", "v1"),
+            _ => Upstream::start_version(&host, &name, "other", "v2"),
+        }
+    };
+    (0..8).map(start).collect()
+}
+
+/// The configuration with which the routers start, as a later version.
+fn without_retries_since(version: u64) -> Value {
+    let mut configuration = without_retries();
+    configuration["version"] = version.into();
+    configuration
+}
+
+/// The same with streams split between both services.
+fn split(version: u64) -> Value {
+    let mut configuration = without_retries_since(version);
+    let route = configuration["routes"][3].as_object_mut().expect("a route");
+    route.remove("service");
+    let targets = json!([
+        { "service": "engine", "weight": 50 },
+        { "service": "other", "weight": 50 },
+    ]);
+    route.insert("trafficSplit".to_owned(), targets);
+    let mut other = configuration["services"][1].clone();
+    other["name"] = "other".into();
+    configuration["services"].as_array_mut().expect("services").push(other);
+    configuration
+}
+
+/// Waits until both routers use the configuration of generation `version`.
+fn wait_until_configured(routers: [&Router; 2], version: u64) {
+    let generation = format!(r#""generation":{version}"#);
+    for router in routers {
+        router.wait_until("configured", || router.page("/status").contains(&generation));
+    }
+}
+
+/// Guards against concluding nothing about the streams of a route that is split between services:
+/// each may have begun them, so that only a saved record tells which one did.
+#[test]
+fn streams_of_a_split_route_go_on_after_all_routers_were_killed() {
+    let engines = engines_of_two_services();
+    let (mut one, mut two) = pair(&engines);
+    one.store.put("op/config", &split(2));
+    wait_until_configured([&one, &two], 2);
+    let began = begin_all(&one, &engines);
+    assert!(began.contains(&"v1") && began.contains(&"v2"), "both services began streams");
+    std::thread::sleep(SAVE_TIMEOUT);
+    kill_all(&mut one, &mut two);
+    wait_until_ready(&two);
+    continue_all(&two, &engines, &began);
+}
+
+/// Streams that a service began which its route no longer names go on nowhere else.
+#[test]
+fn no_stream_is_joined_though_its_route_was_split_before_all_routers_were_killed() {
+    let engines = engines_of_two_services();
+    let (mut one, mut two) = pair(&engines);
+    one.store.put("op/config", &split(2));
+    wait_until_configured([&one, &two], 2);
+    let began = begin_all(&one, &engines);
+    one.store.put("op/config", &without_retries_since(3));
+    wait_until_configured([&one, &two], 3);
+    std::thread::sleep(SAVE_TIMEOUT);
+    kill_all(&mut one, &mut two);
+    wait_until_ready(&two);
+    let of_engine = began.iter().filter(|began| **began == "v1").count();
+    assert_eq!(count_continued(&two, &engines, &began), of_engine);
+}
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -57,7 +57,7 @@
 }
 
 /// A configuration whose routers do not retry streams, so that only callers continue them.
-fn without_retries() -> Value {
+pub fn without_retries() -> Value {
     let mut configuration = configuration(1);
     configuration["routes"][3]["attempts"] = 1.into();
     configuration
