Let a stream go on in the service that began it though its route was split since

Callers saw: after a configuration split a route, the rest of a stream that had begun before was refused (no_upstream) wherever the hash of its id fell into the other service's share; no crash is needed.

Cause: the rest of a stream was drawn into a branch of its intent by the id of the stream, also where a record tells its service. A stream bound to a build now uses any part of its intent that gets requests; the binding excludes the rest. Parts with weight 0 and services that are no longer named stay out.

Evidence: killed_fleet::streams_go_on_though_their_route_was_split_meanwhile failed before (503 no_upstream for stream 3 of 16), passes now.

--- a/components/routing/src/selection/candidates.rs
+++ b/components/routing/src/selection/candidates.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use intents::{Intent, Selector, Target};
+use intents::{Intent, Labels, Selector, Target};
 use placement::{Pool, key, top};
 
 use crate::requests::continuation::{Binding, OTHER_BUILD};
 use crate::upstreams::allocation::{Allocation, is_degraded};
-use crate::upstreams::estimate::Estimate;
+use crate::upstreams::estimate::{Estimate, to_f64};
 use crate::upstreams::health::Outcomes;
 use crate::upstreams::upstream::{ALLOCATION_USED, OVER_BOUND, SUSPECT, UNHEALTHY};
 use crate::{Arrival, Exclusion, Policy, Settings, Upstream};
@@ -26,9 +26,47 @@
 /// Upstreams by name; the index refers to their positions.
 pub(crate) type Upstreams = IndexMap<Arc<str>, Upstream>;
 
-/// Intent name, requested model, branch of a split intent, and the workspace if it is restricted to
+/// Intent name, requested model, branch of the intent, and the workspace if it is restricted to
 /// certain upstreams.
-type IndexKey = (Arc<str>, Option<Arc<str>>, Option<usize>, Option<Arc<str>>);
+type IndexKey = (Arc<str>, Option<Arc<str>>, Branch, Option<Arc<str>>);
+
+/// The part of an intent's upstreams that a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Branch {
+    /// The intent's own upstreams.
+    Own,
+    /// Those of one of its shares, by index.
+    Share(usize),
+    /// Those of all parts that get requests: the stream is bound to a build, and its intent may have
+    /// been split since it began.
+    Any,
+}
+
+impl Branch {
+    /// The branch of a request, which continues a stream if it is `bound` to a build.
+    fn of(intent: &Intent, request: &str, bound: bool) -> Self {
+        if bound && !intent.split.is_empty() {
+            return Self::Any;
+        }
+        select_share(intent, request).map_or(Self::Own, Self::Share)
+    }
+
+    /// Whether an upstream with `labels` belongs to the branch.
+    fn contains(self, intent: &Intent, labels: &Labels) -> bool {
+        let matches = |selectors: &[Selector]| Selector::all_match(selectors, labels);
+        match self {
+            Self::Own => matches(&intent.upstreams),
+            Self::Share(index) => matches(&intent.split[index].upstreams),
+            Self::Any => {
+                let shares = || intent.split.iter().filter(|share| share.percent > 0.0);
+                let rest = 100.0 - shares().map(|share| share.percent).sum::<f64>();
+                let has_rest = rest >= 100.0 / to_f64(SPLIT_RESOLUTION);
+                (has_rest && matches(&intent.upstreams))
+                    || shares().any(|share| matches(&share.upstreams))
+            }
+        }
+    }
+}
 
 /// Cache of the upstreams that match an intent and model; cleared when upstreams, settings or the
 /// configuration change.
@@ -66,7 +104,7 @@
         settings: &Settings,
         estimate: &Estimate,
     ) -> Selection {
-        let matching = self.matching(upstreams, target, arrival);
+        let matching = self.matching(upstreams, target, arrival, binding.is_some());
         let matching = matching.iter().map(|index| &upstreams[*index]);
         let eligibility = Eligibility::new(matching, arrival.weight, binding, settings, estimate);
         let key = key(&arrival.workspace, &arrival.chat);
@@ -113,14 +151,14 @@
         upstreams: &Upstreams,
         target: &Target<'_>,
         arrival: &Arrival,
+        bound: bool,
     ) -> Arc<[usize]> {
         let (intent, workspace_upstreams) = (target.intent, target.workspace_upstreams);
         let model = arrival.model.as_deref();
-        let branch = select_branch(intent, arrival.stream());
-        let selectors = branch.map_or(&intent.upstreams, |index| &intent.split[index].upstreams);
+        let branch = Branch::of(intent, arrival.stream(), bound);
         let matches_target = |upstream: &Upstream| {
             intent.matches_model_and_domain(&upstream.labels, &upstream.host.domain, model)
-                && Selector::all_match(selectors, &upstream.labels)
+                && branch.contains(intent, &upstream.labels)
                 && Selector::all_match(workspace_upstreams, &upstream.labels)
         };
         let find = || {
@@ -134,16 +172,15 @@
     }
 }
 
-/// The branch of a split intent that a request is drawn into; `None` for the rest. A request that
+/// The share of a split intent that a request is drawn into; `None` for the rest. A request that
 /// continues a stream is drawn like the one that began it, whose id `request` is then.
-fn select_branch(intent: &Intent, request: &str) -> Option<usize> {
+fn select_share(intent: &Intent, request: &str) -> Option<usize> {
     if intent.split.is_empty() {
         return None;
     }
-    #[expect(clippy::cast_precision_loss, reason = "the remainder is small")]
-    let mut draw = (key("", request) % SPLIT_RESOLUTION) as f64 / 100.0;
-    intent.split.iter().position(|branch| {
-        draw -= branch.percent;
+    let mut draw = to_f64(key("", request) % SPLIT_RESOLUTION) / 100.0;
+    intent.split.iter().position(|share| {
+        draw -= share.percent;
         draw < 0.0
     })
 }
--- a/tests/platform/killed_fleet.rs
+++ b/tests/platform/killed_fleet.rs
@@ -228,6 +228,22 @@
     continue_all(&two, &engines, &began);
 }
 
+/// Guards against drawing the rest of a stream into a branch that its service is not in: the stream
+/// began before its route was split.
+#[test]
+fn streams_go_on_though_their_route_was_split_meanwhile() {
+    let engines = engines_of_two_services();
+    let (mut one, mut two) = pair(&engines);
+    let began = begin_all(&one, &engines);
+    one.store.put("op/config", &split(2));
+    wait_until_configured([&one, &two], 2);
+    continue_all(&two, &engines, &began);
+    std::thread::sleep(SAVE_TIMEOUT);
+    kill_all(&mut one, &mut two);
+    wait_until_ready(&two);
+    continue_all(&two, &engines, &began);
+}
+
 /// Streams that a service began which its route no longer names go on nowhere else.
 #[test]
 fn no_stream_is_joined_though_its_route_was_split_before_all_routers_were_killed() {
