Read each entry of the list of hosts by itself

What operators would see: one odd entry by another writer made every router with sidecars keep its last list for good, without a line in the log; hosts that joined got nothing, hosts that left were still sent to.

Cause: the list was parsed as a whole. Entries are now read one by one, and those that can't be are left out, counted and logged.

Evidence: store's an_entry_that_cant_be_read_hides_no_other failed before (missing field), passes now. On the platform's path the same report does not hold: odd_entries::routers_follow_the_list_beside_odd_entries passed at once and stays as a guard.

--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -9,7 +9,7 @@
 use intents::{Document, Plan};
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
-use spdlog::{error, info};
+use spdlog::{error, info, warn};
 use store::Update;
 use tokio::sync::mpsc::Receiver;
 use tokio::task::JoinSet;
@@ -65,8 +65,13 @@
     let mut connecting = JoinSet::new();
     loop {
         let event = match hosts.fetch().await {
-            Ok(Update { entries: Some(entries), bytes }) => {
+            Ok(Update { entries: Some(entries), unreadable, bytes }) => {
                 core.metrics.record_control("hosts", bytes);
+                if let Some(reason) = unreadable.first() {
+                    core.metrics.record_change("entry_unreadable");
+                    let entries = unreadable.len();
+                    warn!("hosts can't be read", kv: { entries, reason = &**reason });
+                }
                 Event::Hosts(entries.into_iter().map(to_host).collect())
             }
             Ok(Update { entries: None, .. }) | Err(_) => Event::Tick,
--- a/components/sidecar/src/peers.rs
+++ b/components/sidecar/src/peers.rs
@@ -20,7 +20,7 @@
     let interval = Duration::from_millis(core.settings.hosts_every_ms);
     let Ok(mut hosts) = store::Hosts::new(&core.settings.hosts_url).await else { return };
     loop {
-        if let Ok(Update { entries: Some(entries), bytes }) = hosts.fetch().await {
+        if let Ok(Update { entries: Some(entries), bytes, .. }) = hosts.fetch().await {
             core.metrics.record_control("hosts", bytes);
             apply_hosts(&core, entries);
         }
--- a/components/store/src/hosts.rs
+++ b/components/store/src/hosts.rs
@@ -6,6 +6,7 @@
 use ntex::client::Client;
 use ntex::time::{Millis, Seconds};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use snafu::ResultExt;
 
 use crate::Error;
@@ -49,6 +50,8 @@
 pub struct Update {
     /// The list; `None` if it has not changed.
     pub entries: Option<Vec<Entry>>,
+    /// Why entries of the list are left out: they can't be read.
+    pub unreadable: Vec<String>,
     /// The length of the list in bytes; 0 if it has not changed.
     pub bytes: usize,
 }
@@ -66,7 +69,7 @@
     }
 
     /// Reads the list if it has changed since the last call. It may be outdated: listed hosts may
-    /// be gone.
+    /// be gone. An entry that can't be read names no host; the others hold.
     ///
     /// # Errors
     ///
@@ -79,14 +82,22 @@
         let response = request.send().await.map_err(to_unreachable)?;
         match response.status().as_u16() {
             200 => {}
-            304 => return Ok(Update { entries: None, bytes: 0 }),
+            304 => return Ok(Update { entries: None, unreadable: Vec::new(), bytes: 0 }),
             status => return Err(Error::Status { status }),
         }
         let etag = response.header("etag").and_then(|value| value.to_str().ok()).map(str::to_owned);
         let body = response.body().limit(MAX_LIST_BYTES).await.map_err(to_incomplete)?;
-        let entries = serde_json::from_slice(&body).context(MalformedSnafu)?;
+        // The entries have several writers, so each is read by itself.
+        let texts: Vec<&RawValue> = serde_json::from_slice(&body).context(MalformedSnafu)?;
+        let (mut entries, mut unreadable) = (Vec::new(), Vec::new());
+        for text in texts {
+            match serde_json::from_str(text.get()) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => unreadable.push(error.to_string()),
+            }
+        }
         self.etag = etag;
-        Ok(Update { entries: Some(entries), bytes: body.len() })
+        Ok(Update { entries: Some(entries), unreadable, bytes: body.len() })
     }
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod hints;
 mod killed_fleet;
+mod odd_entries;
 mod path;
 mod permits;
 mod prompt_parts;
