Refuse a key that names nobody on routes that need no key, too

Cause: a key that names nobody was treated like an absent one, and whether a confirmation is needed was asked of the route rather than of the request. A configuration without workspaces has no keys, so that callers' keys stay without meaning there (Document::ignores_keys).

Evidence: configuration::a_key_that_names_nobody_is_refused_where_none_is_needed_too (200 for 401) and configuration::a_key_is_refused_while_unconfirmed_where_none_is_needed_too (never 503) failed before, pass now, at the router that ran on and at one that started later.

--- a/components/intents/src/document.rs
+++ b/components/intents/src/document.rs
@@ -20,6 +20,9 @@
 pub struct Document {
     /// Grows with each accepted change; processes refuse a lower one.
     pub generation: u64,
+    /// Whether there are no keys, so that callers' keys mean nothing to the router.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub ignores_keys: bool,
     /// The workspaces.
     pub workspaces: Vec<Workspace>,
     /// The kinds of requests.
--- a/components/intents/tests/matching.rs
+++ b/components/intents/tests/matching.rs
@@ -43,6 +43,7 @@
     )
         .prop_map(|(workspaces, kinds, intents)| Document {
             generation: 1,
+            ignores_keys: false,
             workspaces: workspaces
                 .into_iter()
                 .enumerate()
--- a/components/router/src/target.rs
+++ b/components/router/src/target.rs
@@ -38,9 +38,10 @@
         let host = requested_host(request);
         let kind =
             plan.match_path(&host, request.path()).ok_or(Kind::NotFound).map_err(unless_stale)?;
-        let holder = metadata.key.as_deref().and_then(|key| plan.workspace_by_key(key));
-        let caller = match holder {
-            Some(workspace) => Some(workspace),
+        let key = metadata.key.as_deref().filter(|_| !plan.document().ignores_keys);
+        // A key that names no workspace may have been revoked, also where none is needed.
+        let caller = match key {
+            Some(key) => plan.workspace_by_key(key),
             None if kind.anonymous => plan.anonymous_workspace(),
             None => None,
         };
@@ -48,7 +49,7 @@
         let model = metadata.model.clone().filter(|model| kind.events && plan.has_model(model));
         Ok(Self {
             workspace: workspace.clone(),
-            anonymous: holder.is_none(),
+            anonymous: key.is_none(),
             kind: kind.name.clone(),
             events: kind.events,
             model,
--- a/components/routing/src/requests/arrival.rs
+++ b/components/routing/src/requests/arrival.rs
@@ -58,7 +58,10 @@
         if !self.has_time_for(duration, now) {
             return Err((Kind::Draining, String::new()));
         }
-        if !target.kind.anonymous && !self.is_confirmed_within(self.settings.current_ms, now) {
+        // A key may have been revoked, also where none is needed.
+        let is_anonymous =
+            target.kind.anonymous && plan.anonymous_workspace() == Some(&arrival.workspace);
+        if !is_anonymous && !self.is_confirmed_within(self.settings.current_ms, now) {
             return Err((Kind::StaleConfiguration, String::new()));
         }
         // Callers resend quarantined work under new ids and to any router, or with other work.
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -152,13 +152,67 @@
     assert_eq!(status(&later, "GET /open/x", ""), 200);
 }
 
+/// A configuration with a route `open` that needs no key, and the keys `keys`.
+fn with_open_route(version: u64, keys: &[&str]) -> Value {
+    let mut configuration = configuration(version);
+    let mut open = route("open", "safe", "plain");
+    open["allowAnonymous"] = true.into();
+    configuration["routes"].as_array_mut().expect("routes").push(open);
+    configuration["tenants"] = json!([{ "name": "workspace-one", "apiKeys": keys }]);
+    configuration
+}
+
+/// Guards against running a request with a revoked key, or a wrong one, as if it had none.
+#[test]
+fn a_key_that_names_nobody_is_refused_where_none_is_needed_too() {
+    let upstream = plain_upstream();
+    let first = Router::start(&with_open_route(1, &["key-one", "key-two"]), &[&upstream]);
+    let status = |router: &Router, key: &str| {
+        router.request("GET /open/x", &[("Authorization", key)], "").unwrap().status
+    };
+    assert_eq!(
+        ["", "Bearer key-one", "Bearer wrong"].map(|key| status(&first, key)),
+        [200, 200, 401]
+    );
+    first.store.put("op/config", &with_open_route(2, &["key-two"]));
+    first.wait_until("refusing the revoked key", || status(&first, "Bearer key-one") == 401);
+    let later = Router::join(&first.store, "front-2");
+    let keys = ["Bearer key-one", "Bearer wrong", "Bearer key-two", ""];
+    for router in [&first, &later] {
+        assert_eq!(keys.map(|key| status(router, key)), [401, 401, 200, 200]);
+    }
+    // The last key is revoked.
+    first.store.put("op/config", &with_open_route(3, &[]));
+    for router in [&first, &later] {
+        router.wait_until("refusing the last key", || status(router, "Bearer key-two") == 401);
+        assert_eq!(status(router, ""), 200);
+    }
+}
+
+/// Guards against running a request with a key that may have been revoked because its route needs
+/// none.
+#[test]
+fn a_key_is_refused_while_unconfirmed_where_none_is_needed_too() {
+    let upstream = plain_upstream();
+    let router = Router::start(&with_open_route(1, &["key-one"]), &[&upstream]);
+    let status =
+        |key: &str| router.request("GET /open/x", &[("Authorization", key)], "").unwrap().status;
+    router.store.set_mode(Mode::Busy);
+    router.wait_until("refusing unconfirmed keys", || status("Bearer key-one") == 503);
+    assert_eq!(status("Bearer wrong"), 503);
+    assert_eq!(status(""), 200);
+}
+
 #[test]
 fn a_configuration_without_a_list_of_workspaces_requires_no_keys() {
     let upstream = plain_upstream();
     let mut open = configuration(1);
     open.as_object_mut().expect("a configuration").remove("tenants");
     let router = Router::start(&open, &[&upstream]);
-    assert_eq!(router.request("GET /safe/x", &[("Authorization", "")], "").unwrap().status, 200);
+    for key in ["", "Bearer key-one"] {
+        let answer = router.request("GET /safe/x", &[("Authorization", key)], "").unwrap();
+        assert_eq!(answer.status, 200, "{key:?}");
+    }
     // Unchanged routes are read again with the list.
     let mut closed = configuration(2);
     closed["tenants"] = json!([]);
