--- a/components/sidecar/src/upstream.rs
+++ b/components/sidecar/src/upstream.rs
@@ -11,8 +11,11 @@
 
 use crate::core::Core;
 
-/// The last event of a complete streamed answer.
-const FINAL_EVENT: &[u8] = b"data: [DONE]\n\n";
+/// The last event of a complete streamed answer, without its line endings.
+const FINAL_EVENT: &[u8] = b"data: [DONE]";
+
+/// The longest line endings that complete an event.
+const MAX_END_BYTES: usize = b"\r\n\r\n".len();
 
 /// The port of URLs without one.
 const DEFAULT_PORT: u16 = 80;
@@ -98,7 +101,7 @@
 /// A body, with its last bytes to check that an event stream is complete.
 pub(crate) struct Body {
     answer: outbound::Answer,
-    /// Whether the body must end with [`FINAL_EVENT`].
+    /// Whether the body must end with the final event.
     is_event_stream: bool,
     tail: Vec<u8>,
 }
@@ -145,20 +148,29 @@
                 Part::Chunk(bytes)
             }
             Some(Err(_)) => Part::Failed(Kind::Truncated),
-            None if self.is_event_stream && self.tail != FINAL_EVENT => {
-                Part::Failed(Kind::Truncated)
-            }
+            None if self.is_event_stream && !is_final(&self.tail) => Part::Failed(Kind::Truncated),
             None => Part::Ended,
         }
     }
 
     fn update_tail(&mut self, bytes: &[u8]) {
         self.tail.extend_from_slice(bytes);
-        let surplus = self.tail.len().saturating_sub(FINAL_EVENT.len());
+        let longest = FINAL_EVENT.len() + MAX_END_BYTES;
+        let surplus = self.tail.len().saturating_sub(longest);
         self.tail.drain(..surplus);
     }
 }
 
+/// Whether a stream that ends with `tail` is complete: with [`FINAL_EVENT`], the end of its line and a
+/// blank line, each ended by CR, LF or CR LF.
+fn is_final(tail: &[u8]) -> bool {
+    let is_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let text = tail.iter().rposition(|byte| !is_end(byte)).map_or(0, |last| last + 1);
+    let (text, end) = tail.split_at(text);
+    let lines = String::from_utf8_lossy(end).replace("\r\n", "\n").len();
+    text.ends_with(FINAL_EVENT) && lines >= 2
+}
+
 /// The key as the caller sent it: the part after `workspace/`.
 fn client_key(key: &str) -> &str {
     key.split_once('/').map_or(key, |(_, key)| key)
--- a/tests/end_to_end/broken_answers.rs
+++ b/tests/end_to_end/broken_answers.rs
@@ -96,6 +96,23 @@
     }
 }
 
+/// Guards against refusing a whole stream of events because its lines don't end in LF alone.
+#[ntex::test]
+async fn a_stream_is_whole_whatever_ends_its_lines() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+    let script = Script::new(Mutex::new(("", End::Close)));
+    let fleet = start(&script).await;
+    let ends = ["\n", "\r\n", "\r"].into_iter();
+    for (number, (end, lines)) in ends.flat_map(|end| [(end, 1), (end, 2)]).enumerate() {
+        let body = format!("data: x{end}{end}data: [DONE]{}", end.repeat(lines));
+        let answer = format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len());
+        *script.lock().expect("the lock is not poisoned") = (answer.leak(), End::Close);
+        let told = call(&fleet, number).await;
+        assert_eq!(told.is_ok(), lines == 2, "{body:?}: {told:?}");
+        assert!(told.is_err() || told == Ok(body));
+    }
+}
+
 /// Guards against passing on an answer as a whole one that broke off in its head or body.
 #[ntex::test]
 async fn an_answer_that_breaks_off_is_no_answer() {
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -160,3 +160,24 @@
         assert_eq!(event_ids(&answer.body), [1, 2]);
     }
 }
+
+/// Guards against running a stream to its end and answering 502 because its lines don't end in LF alone.
+#[test]
+fn a_stream_is_passed_on_whatever_ends_its_lines() {
+    for body in [
+        "id: 1\ndata: x\n\nid: 2\ndata: y\n\n",
+        "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n",
+        "id: 1\rdata: x\r\rid: 2\rdata: y\r\r",
+        "id: 1\r\ndata: x\n\r\nid: 2\rdata: y\r\n\n",
+    ] {
+        let engine = Upstream::start(&unused_host(), "i-1", "engine");
+        engine.set_actions(&[Action::Answer(200, body)]);
+        let router = Router::start(&configuration(1), &[&engine]);
+        for path in ["stream", "resumed"] {
+            let answer = router.request(&format!("POST /{path}/x"), &[], "b").expect("an answer");
+            let passed_on = (answer.status, &*answer.body, answer.whole);
+            assert_eq!(passed_on, (200, body, true), "{path}");
+        }
+        assert_eq!(engine.requests().len(), 2);
+    }
+}
