Hear an upstream whose start time lies before that of its last start

Cause: an entry with an earlier start time was ignored whatever came after. It is now believed once it was written twice more with rising sequences, with no write of the start that seems later in between. What an older copy of the store holds does not change, and a late write comes once, so that neither wins; both stay as they were tested.

Evidence: listing's believes_an_earlier_start_that_goes_on_writing and platform's restarts::an_instance_with_an_earlier_start_time_is_heard_once_it_goes_on_writing failed before, pass now; never_believes_an_earlier_start_while_the_later_one_writes_or_nothing_new_comes guards the other side.

--- a/components/routing/src/upstreams/listing.rs
+++ b/components/routing/src/upstreams/listing.rs
@@ -1,6 +1,5 @@
 //! The upstreams that the platform's store lists, and how long missing entries are kept.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -16,6 +15,10 @@
 /// Maximum number of removed entries whose versions are kept.
 const MAX_REMOVED: usize = 4_096;
 
+/// How often an entry of a start that seems earlier must be written again until it is believed, with
+/// no write of the later start in between. What is left in an older copy or written late comes once.
+const MIN_REWRITES: u32 = 2;
+
 /// The listed upstreams.
 #[derive(Debug, Default)]
 pub struct Listing {
@@ -23,6 +26,9 @@
     hosts: BTreeMap<Arc<str>, Entry>,
     /// Versions of removed entries, in the order of removal.
     removed: IndexMap<Arc<str>, Version>,
+    /// Entries of starts that seem earlier than the known ones: their start times are, which a clock
+    /// that was ahead at the known start explains as well.
+    earlier: IndexMap<Arc<str>, Earlier>,
     /// When the store recovered, until its first answer has been applied.
     recovered_at: Option<Millis>,
     /// Whether the store recovered from an older copy of its data.
@@ -36,6 +42,14 @@
     sequence: u64,
 }
 
+/// An entry of a start that seems earlier than the known one.
+#[derive(Clone, Copy, Debug)]
+struct Earlier {
+    version: Version,
+    /// How often it was written with a higher sequence number since it was first seen.
+    rewrites: u32,
+}
+
 #[derive(Debug)]
 struct Entry {
     host: Host,
@@ -65,21 +79,25 @@
     }
 
     /// Inserts or replaces an entry, unless a later version is known: one of a later start, or of
-    /// the same start with a higher sequence number. Returns whether the host is new or has
-    /// changed.
+    /// the same start with a higher sequence number. A start that seems earlier is believed once it
+    /// alone has gone on writing. Returns whether the host is new or has changed.
     pub fn put(&mut self, host: Host, sequence: u64) -> bool {
         let known = self.hosts.get(host.entry());
-        let is_older = |entry: &Entry| match host.born.cmp(&entry.host.born) {
-            Ordering::Less => true,
-            Ordering::Equal => sequence < entry.sequence && entry.expires_at.is_none(),
-            Ordering::Greater => false,
+        let is_older = |entry: &Entry| {
+            let is_same_start = host.born == entry.host.born;
+            is_same_start && sequence < entry.sequence && entry.expires_at.is_none()
         };
         if known.is_some_and(is_older) {
             return false;
         }
-        if self.is_outdated(&host, sequence) {
+        if self.is_earlier_start(&host) {
+            if !self.is_rewritten(&host, sequence) {
+                return false;
+            }
+        } else if self.is_outdated(&host, sequence) {
             return false;
         }
+        self.earlier.shift_remove(host.entry());
         self.removed.shift_remove(host.entry());
         let known = self.hosts.get(host.entry());
         let changed = known.is_none_or(|entry| entry.host != host);
@@ -87,6 +105,30 @@
         changed
     }
 
+    /// Whether a start seems earlier than the known or removed one of the same entry.
+    fn is_earlier_start(&self, host: &Host) -> bool {
+        let known = self.hosts.get(host.entry()).map(|entry| entry.host.born);
+        let removed = self.removed.get(host.entry()).map(|version| version.born);
+        known.or(removed).is_some_and(|born| host.born < born)
+    }
+
+    /// Whether the entry of a start that seems earlier was written often enough to be believed.
+    fn is_rewritten(&mut self, host: &Host, sequence: u64) -> bool {
+        let version = Version { born: host.born, sequence };
+        if self.earlier.len() >= MAX_REMOVED && !self.earlier.contains_key(host.entry()) {
+            self.earlier.shift_remove_index(0);
+        }
+        let new = Earlier { version, rewrites: 0 };
+        let seen = self.earlier.entry(host.entry().clone()).or_insert(new);
+        if seen.version.born != version.born {
+            *seen = new;
+        }
+        if sequence > seen.version.sequence {
+            *seen = Earlier { version, rewrites: seen.rewrites + 1 };
+        }
+        seen.rewrites >= MIN_REWRITES
+    }
+
     /// Whether an entry is older than a removed one. In an older copy of the store the same
     /// version is outdated too: an upstream that is up writes a later one.
     fn is_outdated(&self, host: &Host, sequence: u64) -> bool {
--- a/components/routing/tests/listing.rs
+++ b/components/routing/tests/listing.rs
@@ -119,6 +119,44 @@
     assert_eq!(names(&listing), ["a@20", "b"]);
 }
 
+/// Guards against ignoring a running upstream for good because an earlier start of it had a clock that
+/// was ahead.
+#[test]
+fn believes_an_earlier_start_that_goes_on_writing() {
+    let mut listing = listing_of_two();
+    assert!(listing.put(started(20), 7));
+    assert!(!listing.put(started(10), 1));
+    assert!(!listing.put(started(10), 2));
+    assert!(listing.put(started(10), 3));
+    assert_eq!(names(&listing), ["a@10", "b"]);
+    let leaving = Host { leaving: true, ..started(10) };
+    assert!(listing.put(leaving, 4));
+    assert!(listing.remove("a"));
+    // The same after the later start was removed.
+    assert!(listing.put(started(30), 1));
+    assert!(listing.remove("a"));
+    assert!(!listing.put(started(25), 1) && !listing.put(started(25), 2));
+    assert!(listing.put(started(25), 3));
+}
+
+#[test]
+fn never_believes_an_earlier_start_while_the_later_one_writes_or_nothing_new_comes() {
+    let mut listing = listing_of_two();
+    assert!(listing.put(started(20), 1));
+    for sequence in 2..20 {
+        assert!(!listing.put(started(10), sequence));
+        assert!(!listing.put(started(10), sequence));
+        assert!(!listing.put(started(20), sequence));
+    }
+    // An older copy of the store holds the same entry each time.
+    for _ in 0..20 {
+        listing.begin_restored_recovery(Millis(10_000));
+        assert!(!listing.put(started(10), 30));
+        listing.finish_recovery();
+    }
+    assert_eq!(names(&listing), ["a@20", "b"]);
+}
+
 #[test]
 fn drops_an_unreadable_entry_during_a_recovery() {
     let mut listing = listing_of_two();
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -62,6 +62,28 @@
     });
 }
 
+/// Guards against never hearing an upstream again whose earlier start had a clock that was ahead.
+#[test]
+fn an_instance_with_an_earlier_start_time_is_heard_once_it_goes_on_writing() {
+    let [ahead, running] = instances("i-1", "plain");
+    let other = Upstream::start(&unused_host(), "i-2", "plain");
+    let router = start_router(&[(&ahead, entry(&ahead, 20, 3)), (&other, entry(&other, 10, 1))]);
+    for sequence in 1..4 {
+        router.store.put(&running.key(), &entry(&running, 10, sequence));
+        // A poll sees each entry.
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    router.wait_until("using the instance", || {
+        (0..10).any(|number| is_served_by(&router, &running, number))
+    });
+    let mut leaving = entry(&running, 10, 4);
+    leaving["state"] = "draining".into();
+    router.store.put(&running.key(), &leaving);
+    router.wait_until("without the instance", || {
+        (0..10).all(|number| is_served_by(&router, &other, number))
+    });
+}
+
 #[test]
 fn a_later_instance_is_not_suspended_for_failures_of_the_earlier_one() {
     let [earlier, later] = instances("i-1", "plain");
