--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -307,6 +307,32 @@
     }
 }
 
+/// Guards against a bound so small that a margin uses it up being taken for none.
+#[test]
+fn the_smallest_bound_on_revoked_keys_is_kept() {
+    let upstream = plain_upstream();
+    for bound in ["0", "1", "1100"] {
+        let host = unused_host();
+        let mut router = Router::start_unready(&host, |store| {
+            store.put("op/config", &configuration(1));
+            store.put(&upstream.key(), &upstream.entry("ready", 1));
+        });
+        router.kill();
+        let settings = std::fs::read_to_string(router.settings()).expect("the settings");
+        let settings = settings.replace("revocationMs = 3000", &format!("revocationMs = {bound}"));
+        std::fs::write(router.settings(), settings).expect("the file is writable");
+        router.restart();
+        router.wait_until("listening again", || router.is_listening());
+        router.store.set_mode(Mode::Busy);
+        router.wait_until("failing to poll the store", || {
+            router.has_logged("the store does not answer")
+        });
+        let received = upstream.requests().len();
+        assert_eq!(router.request("GET /safe/x", &[], "").unwrap().status, 503, "{bound}");
+        assert_eq!(upstream.requests().len(), received, "{bound}");
+    }
+}
+
 #[test]
 fn check_rejects_an_unknown_mechanism() {
     let upstream = plain_upstream();
