Tests: four blocks of loopback addresses for a process

Change: the harness has four blocks; its assertion on running out stays, with the new number. Nothing but the harness changes.

Conclusion: no check is weakened: the assertion guards the addresses that exist.

--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -29,15 +29,16 @@
 /// API key of the only workspace.
 pub const KEY: &str = "key-one";
 
-/// Returns a loopback address that no other test uses. Each test process has two blocks of
+/// Returns a loopback address that no other test uses. Each test process has four blocks of
 /// addresses, derived from its process id.
 pub fn unused_host() -> String {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let next = NEXT.fetch_add(1, Ordering::Relaxed);
     let (block, number) = (next / 254, next % 254 + 1);
-    assert!(block < 2, "out of loopback addresses: let upstreams of a test share one");
+    assert!(block < 4, "out of loopback addresses: let upstreams of a test share one");
     let [.., high, low] = std::process::id().to_be_bytes();
-    let high = if block == 0 { high } else { high ^ 0x80 };
+    // Process ids that differ in these bits are not in use at the same time.
+    let high = u16::from(high) ^ (block << 6);
     format!("127.{}.{low}.{number}", high.max(1))
 }
 
