--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -83,6 +83,42 @@
     }
 }
 
+/// Guards against passing on an answer that breaks off in its head as a whole one, with a length, in
+/// chunks or with neither, to plain calls and as a stream.
+#[test]
+fn an_answer_that_breaks_off_in_its_head_is_no_answer() {
+    const RESTS: [&str; 3] = [
+        "content-length: 5\r\n\r\nwhole",
+        "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "connection: close\r\n\r\nwhole",
+    ];
+    let host = unused_host();
+    let plain = Upstream::start(&host, "i-1", "plain");
+    let engine = Upstream::start(&host, "i-2", "engine");
+    let router = Router::start(&configuration(1), &[&plain, &engine]);
+    let send = |line: &str| router.request(line, &[("Deadline-Remaining", "1500")], "b");
+    for (line, upstream, sound) in [
+        ("POST /unsafe/x", &plain, Action::Answer(200, "whole")),
+        ("POST /stream/x", &engine, Action::Events(1, 2, 1)),
+        ("POST /resumed/x", &engine, Action::Events(1, 2, 1)),
+    ] {
+        for (rest, missing) in RESTS.iter().flat_map(|rest| [1, 2, 20, 60].map(|cut| (*rest, cut)))
+        {
+            upstream.set_actions(&[Action::CutHead(rest, missing)]);
+            let before = upstream.requests().len();
+            let answer = send(line);
+            assert!(upstream.requests().len() > before, "{line}: the upstream is not asked");
+            let status = answer.map(|answer| answer.status);
+            assert!(status.is_none_or(|status| status >= 500), "{line}, {rest:?}: {status:?}");
+            // The upstream is used again after a whole answer.
+            upstream.set_actions(std::slice::from_ref(&sound));
+            router.wait_until("serving again", || {
+                send(line).is_some_and(|answer| answer.status == 200 && answer.whole)
+            });
+        }
+    }
+}
+
 #[test]
 fn retries_an_unexecuted_request_at_another_upstream_and_then_refuses() {
     for action in [Action::NotRun, Action::Misdirected] {
--- a/tests/platform/killed_fleet.rs
+++ b/tests/platform/killed_fleet.rs
@@ -228,6 +228,24 @@
     continue_all(&two, &engines, &began);
 }
 
+/// Guards against saving no record of a stream that began while one version served, though another
+/// came before the routers were killed.
+#[test]
+fn streams_go_on_though_another_version_came_after_they_had_begun() {
+    let all = engines();
+    let (first, later): (Vec<_>, Vec<_>) =
+        all.iter().cloned().partition(|engine| engine.version == "v1");
+    let (mut one, mut two) = pair(&first);
+    let began = begin_all(&one, &first);
+    for engine in &later {
+        one.store.put(&engine.key(), &engine.entry("ready", 1));
+    }
+    std::thread::sleep(SAVE_TIMEOUT);
+    kill_all(&mut one, &mut two);
+    wait_until_ready(&two);
+    continue_all(&two, &all, &began);
+}
+
 /// Guards against drawing the rest of a stream into a branch that its service is not in: the stream
 /// began before its route was split.
 #[test]
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -29,6 +29,9 @@
     Extra,
     /// A body shorter than its content length, then the end of the connection.
     Truncated,
+    /// An answer whose head goes on with this text, without the last bytes of the head and all that
+    /// follows; then the end of the connection.
+    CutHead(&'static str, usize),
     /// A body without a length, ended by closing the connection.
     Unframed(&'static str),
     /// A body without a length, then a reset of the connection.
@@ -289,6 +292,12 @@
                 send(writer, &format!("{}content-length: 50\r\n\r\npart", answer_head(200, &id)));
                 false
             }
+            Action::CutHead(rest, missing) => {
+                let answer = format!("{}{rest}", answer_head(200, &id));
+                let head = answer.find("\r\n\r\n").expect("a head") + 4;
+                send(writer, &answer[..head - missing]);
+                false
+            }
             Action::Unframed(body) => {
                 send(writer, &unframed_answer(&id, body));
                 false
