--- a/tests/platform/router.rs
+++ b/tests/platform/router.rs
@@ -118,6 +118,25 @@
         router
     }
 
+    /// Like [`Router::start`], on a host with this much memory in MB and this many descriptors.
+    #[allow(dead_code, reason = "for the tests of clients")]
+    pub fn start_limited(
+        configuration: &Value,
+        upstreams: &[&Upstream],
+        memory_mb: u64,
+        descriptors: usize,
+    ) -> Self {
+        let host = unused_host();
+        let store = Store::start(&host);
+        fill(&store, configuration, upstreams);
+        let limits = format!("[limits]\nmemoryMb = {memory_mb}\nfileDescriptors = {descriptors}\n");
+        let text = format!("{}{limits}", toml(&host, DEFAULT_NAME, &store));
+        let log = std::fs::File::create(log_path(&host)).expect("the file is writable");
+        let router = Self::spawn_with(&host, &text, log.into(), store);
+        router.wait_until("ready", || router.is_ready());
+        router
+    }
+
     /// Like [`Router::start`], with a log pipe that is never read.
     pub fn start_with_unread_log(configuration: &Value, upstreams: &[&Upstream]) -> Self {
         let router = Self::start_with(&unused_host(), Stdio::piped(), |store| {
@@ -182,6 +201,18 @@
         format!("{}:{INTERNAL_PORT}", self.host)
     }
 
+    /// The address for operators and the platform.
+    #[allow(dead_code, reason = "for the tests of clients")]
+    pub fn operator_address(&self) -> String {
+        format!("{}:{OPERATOR_PORT}", self.host)
+    }
+
+    /// The id of the process.
+    #[allow(dead_code, reason = "for the tests of clients")]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Opens a connection of a caller.
     pub fn caller(&self) -> Caller {
         Caller::connect(&self.caller_address())
