Bodies: one limit on the memory of all requests together

The router did not read the host's memory.

settings::Resources divides the memory of the host (memory_mb; limits.memoryMb on a platform). budget::Budget bounds the bodies of all requests. A share grows only while as much stays free, so small bodies find room beside any number of large ones. What finds no room is refused at once with 503 out_of_memory, which has not run; slow bodies end with 408 before that. A refused body is now read on for a moment on a platform too, so that the refusal isn't lost to a reset.

--- a/components/errors/src/table.rs
+++ b/components/errors/src/table.rs
@@ -107,6 +107,8 @@
     Unreachable: 503 NotRun true true "the upstream's host can't be reached";
     /// The request is quarantined, since upstreams crashed under the same work.
     HeldBack: 503 NotRun false true "upstreams have ended under this work; it is held back";
+    /// The bodies of other requests leave no memory for this one.
+    OutOfMemory: 503 NotRun false true "there is no memory for the request body now";
     /// The router is stopping.
     Draining: 503 NotRun false true "the router is stopping";
     /// The deadline passed before the request ran.
--- a/components/router/src/answer.rs
+++ b/components/router/src/answer.rs
@@ -36,7 +36,7 @@
     let status = StatusCode::from_u16(answer.kind.row().status);
     let mut builder = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     builder.content_type("application/json");
-    if matches!(answer.kind, Kind::TooLarge | Kind::SlowBody) {
+    if matches!(answer.kind, Kind::TooLarge | Kind::SlowBody | Kind::OutOfMemory) {
         builder.force_close();
     }
     builder
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -20,6 +20,7 @@
     UpstreamCrash, WarmPrefixes,
 };
 
+use crate::body::Bodies;
 use crate::clients::Clients;
 use crate::collection::Collections;
 use crate::crashes::Crashes;
@@ -60,6 +61,8 @@
     pub query_client: QueryClient,
     pub decisions: RefCell<Decisions>,
     directory_updates: Sender<Effect>,
+    /// The bodies of requests.
+    pub bodies: Bodies,
     /// The memory for parts of responses that can't be forwarded yet.
     pub collections: Rc<Collections>,
     /// Crashes that this router has observed.
@@ -115,6 +118,7 @@
             query_client: QueryClient::new(hello),
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             directory_updates,
+            bodies: Bodies::new(settings.resources().request_bytes()),
             collections: Rc::default(),
             crashes: Crashes::default(),
             permits: Permits::default(),
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use clock::Millis;
 use edge::Header;
 use errors::{Answer, Kind};
@@ -14,11 +13,12 @@
 use serde_json::json;
 
 use crate::answer::{self, REQUEST_ID, UPSTREAM, event};
+use crate::body::{self, Body};
 use crate::core::Core;
 use crate::prompt::Prompt;
 use crate::relay::{Relay, Step};
 use crate::template::Template;
-use crate::{body, headers, key};
+use crate::{headers, key};
 
 /// The kind of a chat request that names none.
 const DEFAULT_KIND: &str = "chat";
@@ -95,7 +95,7 @@
     header(request, "x-deadline-ms").and_then(|value| value.parse().ok()).map(Millis)
 }
 
-fn build_template(request: &HttpRequest, path: String, body: Bytes) -> Template {
+fn build_template(request: &HttpRequest, path: String, body: Body) -> Template {
     let headers = FORWARDED
         .iter()
         .filter_map(|name| Some(((*name).into(), header(request, name)?.into())))
@@ -104,7 +104,8 @@
         method: request.method().as_str().into(),
         path: path.into(),
         headers,
-        body,
+        body: body.bytes,
+        memory: body.memory,
         traceparent: header(request, "traceparent").map(Into::into),
         events: false,
         anonymous: false,
@@ -116,7 +117,7 @@
     core: &Core,
     request: &HttpRequest,
     mut payload: Payload,
-) -> Result<(Caller, Bytes), HttpResponse> {
+) -> Result<(Caller, Body), HttpResponse> {
     let caller = match Caller::check(core, request) {
         Ok(caller) => caller,
         Err(refusal) => {
@@ -124,7 +125,7 @@
             return Err(refusal);
         }
     };
-    match body::read(&mut payload, content_length(request), &core.settings).await {
+    match body::read(core, &mut payload, content_length(request)).await {
         Ok(body) => Ok((caller, body)),
         Err(kind) => {
             body::discard(&mut payload).await;
@@ -138,7 +139,7 @@
         Ok(received) => received,
         Err(refusal) => return refusal,
     };
-    let prompt = match Prompt::parse(&body) {
+    let prompt = match Prompt::parse(&body.bytes) {
         Ok(prompt) => prompt,
         Err(error) => return caller.refuse(&core, Kind::Malformed, &error),
     };
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -14,11 +14,12 @@
 use routing::{Arrival, Continuation};
 use tokio::task::JoinSet;
 
+use crate::body::{self, Body};
 use crate::core::Core;
 use crate::relay::{Relay, Step};
 use crate::target::Target;
 use crate::template::Template;
-use crate::{answer, body, headers, http};
+use crate::{answer, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
@@ -50,11 +51,13 @@
     let metadata = core.edges().dialect.parse_request(&headers);
     let (number, own_id) = core.next_id();
     let id = metadata.id.clone().unwrap_or(own_id);
-    let content_length =
-        edge::find(&headers, "content-length").and_then(|value| value.parse().ok());
-    let body = match body::read(&mut payload, content_length, &core.settings).await {
+    let declared = edge::find(&headers, "content-length").and_then(|value| value.parse().ok());
+    let body = match body::read(&core, &mut payload, declared).await {
         Ok(body) => body,
-        Err(kind) => return refuse(&core, kind, &id),
+        Err(kind) => {
+            body::discard(&mut payload).await;
+            return refuse(&core, kind, &id);
+        }
     };
     if !core.wait_until_configured().await {
         return refuse(&core, Kind::NoConfiguration, &id);
@@ -72,7 +75,7 @@
 fn build_template(
     request: &HttpRequest,
     headers: Vec<Header>,
-    body: Bytes,
+    body: Body,
     target: &Target,
 ) -> Template {
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -80,7 +83,8 @@
         method: request.method().as_str().into(),
         path: path.into(),
         headers: headers::end_to_end(headers),
-        body,
+        body: body.bytes,
+        memory: body.memory,
         traceparent: None,
         events: target.events,
         anonymous: target.anonymous,
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -52,6 +52,17 @@
     });
 }
 
+/// Logs that there is no memory for `length` bytes of a body: all bodies hold `held` bytes of
+/// `limit`.
+pub(crate) fn log_no_memory(length: usize, held: usize, limit: usize) {
+    info!("no memory for a body", kv: { length, held, limit });
+}
+
+/// Logs that a slow body was ended to make room; it held `freed` bytes of the `held` ones.
+pub(crate) fn log_slow_body(freed: usize, held: usize, limit: usize) {
+    info!("slow body ended", kv: { freed, held, limit });
+}
+
 /// Logs that a planned stop was requested, and its time limits.
 pub(crate) fn log_stop(in_flight: usize, notice: Millis, drain: Millis) {
     info!("stop requested", kv: { in_flight, notice_ms = notice.0, drain_ms = drain.0 });
--- a/components/router/src/template.rs
+++ b/components/router/src/template.rs
@@ -11,6 +11,9 @@
     pub path: Arc<str>,
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     pub body: Bytes,
+    /// The memory of the body, held until the request has ended.
+    #[expect(dead_code, reason = "returns the memory when dropped")]
+    pub memory: budget::Share,
     /// The trace context that came with the request.
     pub traceparent: Option<Arc<str>>,
     /// Whether the response is a stream of events; used by direct attempts only.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,11 +6,13 @@
 mod check;
 mod error;
 mod load;
+mod resources;
 mod router;
 mod sidecar;
 
 pub use check::Check;
 pub use error::Error;
 pub use load::{load, parse};
+pub use resources::Resources;
 pub use router::{Direct, Router};
 pub use sidecar::{Service, Sidecar};
--- a/components/settings/src/router.rs
+++ b/components/settings/src/router.rs
@@ -7,7 +7,7 @@
 use crate::check::{
     check_address, check_base_url, check_bound, check_key, check_name, check_positive,
 };
-use crate::{Check, Error};
+use crate::{Check, Error, Resources, resources};
 
 /// The settings of a router.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -37,6 +37,12 @@
     /// The time limit for receiving a request body, in milliseconds.
     #[serde(default = "defaults::body_ms")]
     pub body_ms: u64,
+    /// The memory of the host that the process may use, in MB.
+    #[serde(default = "resources::default_memory_mb")]
+    pub memory_mb: u64,
+    /// The descriptors that the process may have open.
+    #[serde(default = "resources::default_descriptors")]
+    pub descriptors: usize,
     /// The time limit for establishing a link, in milliseconds.
     #[serde(default = "defaults::connect_ms")]
     pub connect_ms: u64,
@@ -84,6 +90,11 @@
 }
 
 impl Router {
+    /// What the process may use of its host.
+    pub fn resources(&self) -> Resources {
+        Resources { memory_mb: self.memory_mb, descriptors: self.descriptors }
+    }
+
     /// The settings of a router that reaches its upstreams directly.
     pub fn direct(name: &Arc<str>, listen: &Arc<str>, domain: &Arc<str>, direct: Direct) -> Self {
         Self {
@@ -96,6 +107,8 @@
             hosts_every_ms: defaults::hosts_every_ms(),
             body_bytes: defaults::body_bytes(),
             body_ms: defaults::body_ms(),
+            memory_mb: resources::default_memory_mb(),
+            descriptors: resources::default_descriptors(),
             connect_ms: defaults::connect_ms(),
             drain_ms: defaults::drain_ms(),
             drain_notice_ms: defaults::drain_notice_ms(),
@@ -153,6 +166,8 @@
         let holds = self.body_bytes <= MAX_BODY_BYTES;
         crate::check::check_rule(holds, "body_bytes", self.body_bytes, "at most 1048576")?;
         check_positive("body_ms", self.body_ms)?;
+        check_positive("memory_mb", self.memory_mb)?;
+        check_positive("descriptors", self.descriptors as u64)?;
         check_positive("connect_ms", self.connect_ms)?;
         check_bound("routing.bound", &self.routing.bound)?;
         for weight in self.routing.weights.values() {
