Bodies: a line that gives a chunk's size is bounded

A chunk-size line whose extension never ends was buffered without bound, per connection and over all: the library asks for more bytes until the line is complete.

While a body is awaited, more than 64 KiB on its connection that hold no chunk end it with 400. The library reads at most two buffers of 16 KiB before the body is polled again, so the check sees the excess in time.

--- a/components/router/src/body.rs
+++ b/components/router/src/body.rs
@@ -6,12 +6,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use budget::{Budget, Share};
 use bytes::{Bytes, BytesMut};
 use clock::{Clock, Millis};
 use errors::Kind;
+use ntex::io::IoRef;
 use ntex::web::types::Payload;
 use tokio::sync::Notify;
 
@@ -26,6 +28,10 @@
 /// Memory that the library may take for the chunks of a body while it is read.
 const READING_BYTES: usize = 64 * 1024;
 
+/// The most bytes that may arrive on a connection without a chunk of the body among them, such as of
+/// a line that gives a chunk's size. More than the library reads at a time.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// The time over which the bytes of a body are counted.
 const WINDOW: Millis = Millis(1_000);
 
@@ -191,15 +197,20 @@
     }
 
     /// Reads the whole body.
-    async fn read(&self, payload: &mut Payload, limit: usize) -> Result<Body, Kind> {
+    async fn read(
+        &self,
+        payload: &mut Payload,
+        limit: usize,
+        connection: Option<&IoRef>,
+    ) -> Result<Body, Kind> {
         loop {
             let chunk = tokio::select! {
                 biased;
                 () = self.reader.ended.notified() => return Err(Kind::SlowBody),
-                chunk = payload.recv() => chunk,
+                chunk = next_chunk(payload, connection) => chunk?,
             };
             match chunk {
-                Some(bytes) => self.push(&bytes.map_err(|_| Kind::Malformed)?, limit)?,
+                Some(bytes) => self.push(&bytes, limit)?,
                 None => return self.finish(),
             }
         }
@@ -217,6 +228,27 @@
     }
 }
 
+/// The next chunk of a body, or `None` at its end.
+async fn next_chunk(
+    payload: &mut Payload,
+    connection: Option<&IoRef>,
+) -> Result<Option<ntex::util::Bytes>, Kind> {
+    let poll = |context: &mut Context<'_>| match payload.poll_recv(context) {
+        Poll::Ready(chunk) => Poll::Ready(chunk.transpose().map_err(|_| Kind::Malformed)),
+        Poll::Pending if has_long_framing(connection) => Poll::Ready(Err(Kind::Malformed)),
+        Poll::Pending => Poll::Pending,
+    };
+    std::future::poll_fn(poll).await
+}
+
+/// Whether the connection holds more bytes than the framing of a chunk needs. The library keeps
+/// such bytes without a bound.
+fn has_long_framing(connection: Option<&IoRef>) -> bool {
+    connection.is_some_and(|connection| {
+        connection.with_read_buf(|buffer| buffer.len()) > MAX_FRAMING_BYTES
+    })
+}
+
 /// Reads the whole body.
 ///
 /// # Errors
@@ -226,6 +258,7 @@
     core: &Core,
     payload: &mut Payload,
     declared: Option<usize>,
+    connection: Option<&IoRef>,
 ) -> Result<Body, Kind> {
     let limit = core.settings.body_bytes;
     let declared = declared.unwrap_or_default();
@@ -239,16 +272,16 @@
         reading.reader.received.borrow_mut().memory.resize(READING_BYTES);
     }
     let timeout = Duration::from_millis(core.settings.body_ms);
-    let reading = reading.read(payload, limit);
+    let reading = reading.read(payload, limit, connection);
     tokio::time::timeout(timeout, reading).await.unwrap_or(Err(Kind::SlowBody))
 }
 
 /// Reads and discards the rest of a body, so that the response isn't lost to a connection reset.
 /// Gives up on bodies that are too large or too slow.
-pub(crate) async fn discard(payload: &mut Payload) {
+pub(crate) async fn discard(payload: &mut Payload, connection: Option<&IoRef>) {
     let discarding = async {
         let mut remaining = MAX_DISCARDED_BYTES;
-        while let Some(Ok(bytes)) = payload.recv().await {
+        while let Ok(Some(bytes)) = next_chunk(payload, connection).await {
             if bytes.len() > remaining {
                 return;
             }
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -121,14 +121,14 @@
     let caller = match Caller::check(core, request) {
         Ok(caller) => caller,
         Err(refusal) => {
-            body::discard(&mut payload).await;
+            body::discard(&mut payload, request.io()).await;
             return Err(refusal);
         }
     };
-    match body::read(core, &mut payload, content_length(request)).await {
+    match body::read(core, &mut payload, content_length(request), request.io()).await {
         Ok(body) => Ok((caller, body)),
         Err(kind) => {
-            body::discard(&mut payload).await;
+            body::discard(&mut payload, request.io()).await;
             Err(caller.refuse(core, kind, ""))
         }
     }
@@ -297,8 +297,8 @@
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(core.metrics.render())
 }
 
-async fn not_found(mut payload: Payload, core: SharedCore) -> HttpResponse {
-    body::discard(&mut payload).await;
+async fn not_found(request: HttpRequest, mut payload: Payload, core: SharedCore) -> HttpResponse {
+    body::discard(&mut payload, request.io()).await;
     let (_, request) = core.next_id();
     refusal(&core, Kind::NotFound, &request, "")
 }
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -52,10 +52,10 @@
     let (number, own_id) = core.next_id();
     let id = metadata.id.clone().unwrap_or(own_id);
     let declared = edge::find(&headers, "content-length").and_then(|value| value.parse().ok());
-    let body = match body::read(&core, &mut payload, declared).await {
+    let body = match body::read(&core, &mut payload, declared, request.io()).await {
         Ok(body) => body,
         Err(kind) => {
-            body::discard(&mut payload).await;
+            body::discard(&mut payload, request.io()).await;
             return refuse(&core, kind, &id);
         }
     };
