Connections: limited by the host's memory and descriptors

Ordinary callers got no connection, or the process was over its descriptors: connections were accepted without a limit, and what arrived on them and was not read could grow to megabytes each, which counts as memory of the process.

A listener keeps to a number of connections that settings::Resources derives from the host. Above it the connection that has been idle for the longest is closed for the new one; if none is idle the largest slow body ends with 408; if there is none either, the new connection is closed unread, so that its caller may go elsewhere. Operators and the platform have 64 connections of their own.

--- a/components/process/src/lib.rs
+++ b/components/process/src/lib.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod bind;
 mod client;
+mod connections;
 mod hangup;
 mod listener;
 mod shutdown;
@@ -10,6 +11,7 @@
 pub use announce::announce;
 pub use bind::{Error, bind};
 pub use client::{CONNECT_TIMEOUT, client};
+pub use connections::{Connections, Evictions, Request};
 pub use hangup::Hangup;
 pub use listener::{ClosedEarly, Listener};
 pub use shutdown::Shutdown;
--- a/components/process/src/listener.rs
+++ b/components/process/src/listener.rs
@@ -10,10 +10,10 @@
 use ntex::service::{Pipeline, PipelineBinding, Service};
 use spdlog::warn;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::Shutdown;
+use crate::{Connections, Shutdown};
 
 /// Pause after a failed accept, such as for lack of descriptors.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -26,6 +26,7 @@
 pub struct Listener {
     socket: TcpListener,
     config: SharedCfg,
+    connections: Connections,
 }
 
 /// Number of connections that were closed before all was written.
@@ -33,28 +34,42 @@
 pub struct ClosedEarly(pub usize);
 
 impl Listener {
-    /// Creates a listener whose connections use `config`.
+    /// Creates a listener whose connections use `config` and are kept in `connections`.
     ///
     /// # Errors
     ///
     /// The socket can't be registered for events.
-    pub fn new(socket: std::net::TcpListener, config: SharedCfg) -> io::Result<Self> {
+    pub fn new(
+        socket: std::net::TcpListener,
+        config: SharedCfg,
+        connections: Connections,
+    ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        Ok(Self { socket: TcpListener::from_std(socket)?, config })
+        Ok(Self { socket: TcpListener::from_std(socket)?, config, connections })
     }
 
     /// Serves connections until `stop` is finished. Then it stops listening, closes idle
     /// connections, and waits for the others until `grace` after the stop was requested.
-    pub async fn serve<S>(self, service: S, stop: Shutdown, grace: Duration) -> ClosedEarly
+    ///
+    /// Above the limit on connections the one that has been idle for the longest is closed; if none
+    /// is idle, `end_request` may end a request, and the new connection is closed if it returns
+    /// `false`.
+    pub async fn serve<S>(
+        self,
+        service: S,
+        stop: Shutdown,
+        grace: Duration,
+        end_request: impl Fn() -> bool,
+    ) -> ClosedEarly
     where
         S: Service<Io, Response = ()> + 'static,
     {
-        let mut connections = Connections::new(service, self.config.clone());
+        let mut connections = Served::new(service, self.config.clone(), self.connections.clone());
         let mut finished = std::pin::pin!(stop.finished());
         loop {
             tokio::select! {
                 () = &mut finished => break,
-                accepted = self.accept() => connections.handle(accepted).await,
+                accepted = self.accept() => connections.handle(accepted, &end_request).await,
                 () = connections.join_next() => {}
             }
         }
@@ -70,7 +85,7 @@
 
     /// Accepts what is in the socket's queue, as its callers have connected already, and closes the
     /// socket.
-    fn accept_queue<S>(self, connections: &mut Connections<S>)
+    fn accept_queue<S>(self, connections: &mut Served<S>)
     where
         S: Service<Io, Response = ()> + 'static,
     {
@@ -86,29 +101,39 @@
     }
 }
 
-/// The open connections of a listener.
-struct Connections<S>
+/// The connections of a listener and the tasks that serve them.
+struct Served<S>
 where
     S: Service<Io>,
 {
     service: PipelineBinding<S, Io>,
     config: SharedCfg,
+    open: Connections,
     tasks: JoinSet<()>,
     /// Until when the latest connection is read at least.
     read_until: Instant,
 }
 
-impl<S> Connections<S>
+impl<S> Served<S>
 where
     S: Service<Io, Response = ()> + 'static,
 {
-    fn new(service: S, config: SharedCfg) -> Self {
+    fn new(service: S, config: SharedCfg, open: Connections) -> Self {
         let service = Pipeline::new(service).bind();
-        Self { service, config, tasks: JoinSet::new(), read_until: Instant::now() }
+        Self { service, config, open, tasks: JoinSet::new(), read_until: Instant::now() }
     }
 
-    async fn handle(&mut self, accepted: io::Result<TcpStream>) {
+    async fn handle(&mut self, accepted: io::Result<TcpStream>, end_request: &impl Fn() -> bool) {
         match accepted {
+            Ok(stream) if self.open.is_full() => {
+                if self.open.close_idle() || end_request() {
+                    self.start(stream);
+                } else {
+                    self.open.count_refused();
+                }
+                // The tasks of the connections that end close their sockets.
+                yield_now().await;
+            }
             Ok(stream) => self.start(stream),
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(error) => {
@@ -127,10 +152,13 @@
             }
         };
         self.read_until = Instant::now() + FIRST_REQUEST_TIMEOUT;
+        let (open, connection) = (self.open.clone(), io.get_ref());
+        open.insert(connection.clone());
         let served = self.service.call(io);
         self.tasks.spawn_local(async move {
             // Errors of a connection concern its caller only, who sees it closed.
             let _ = served.await;
+            open.remove(&connection);
         });
     }
 
--- a/components/router/src/background.rs
+++ b/components/router/src/background.rs
@@ -7,6 +7,7 @@
 
 use clock::Millis;
 use intents::{Document, Plan};
+use process::Evictions;
 use routing::{Effect, Event, Host};
 use snafu::ResultExt;
 use spdlog::{error, info, warn};
@@ -19,13 +20,16 @@
 use crate::error::{Error, IntentsSnafu, ReadSnafu};
 use crate::persistence::Saver;
 use crate::{
-    announcement, crashes, feed, hints, lateness, permits, persistence, query_server,
+    announcement, crashes, feed, hints, lateness, permits, persistence, query_server, report,
     stream_records,
 };
 
 /// How often the intents file is checked for changes.
 const INTENTS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often closed connections are reported.
+const EVICTIONS_INTERVAL: Duration = Duration::from_secs(1);
+
 pub(crate) fn read_plan(path: &str) -> Result<Arc<Plan>, Error> {
     let json = std::fs::read_to_string(path).context(ReadSnafu { path })?;
     let document = Document::parse(&json).context(IntentsSnafu { path })?;
@@ -54,11 +58,25 @@
         tasks.spawn_local(poll_hosts(core.clone()));
         tasks.spawn_local(watch_intents(core.clone()));
     }
+    tasks.spawn_local(report_evictions(core.clone()));
     tasks.spawn_local(watch_settings(core.clone()));
     tasks.spawn_local(send_directory_updates(core.clone(), directory_updates));
     tasks
 }
 
+/// Logs and counts the connections that were closed to keep to the limit.
+async fn report_evictions(core: Rc<Core>) {
+    loop {
+        tokio::time::sleep(EVICTIONS_INTERVAL).await;
+        let evictions = core.connections.take_evictions();
+        if evictions == Evictions::default() {
+            continue;
+        }
+        report::log_evictions(evictions, core.connections.len(), core.connections.limit());
+        core.metrics.record_change("connections_closed");
+    }
+}
+
 async fn poll_hosts(core: Rc<Core>) {
     let every = Duration::from_millis(core.settings.hosts_every_ms);
     let Ok(mut hosts) = store::Hosts::new(&core.settings.hosts_url).await else { return };
--- a/components/router/src/body.rs
+++ b/components/router/src/body.rs
@@ -42,7 +42,16 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     pub bytes: Bytes,
-    pub memory: Share,
+    pub held: Held,
+}
+
+/// What a request takes from others until it is dropped.
+#[derive(Debug)]
+#[expect(dead_code, reason = "returned when dropped")]
+pub(crate) struct Held {
+    memory: Share,
+    /// Keeps the connection open.
+    connection: Option<process::Request>,
 }
 
 /// The bodies that are being read, and the memory for all bodies.
@@ -131,7 +140,7 @@
     /// Takes the memory for `length` bytes of a body; ends slow bodies if it is not free.
     fn reserve(&self, reader: &Reader, length: usize) -> Result<(), Kind> {
         while !reader.received.borrow_mut().memory.resize(length + READING_BYTES) {
-            if !self.end_slow(reader.number) {
+            if !self.end_slow(Some(reader.number)) {
                 report::log_no_memory(length, self.budget.held(), self.budget.limit());
                 return Err(Kind::OutOfMemory);
             }
@@ -141,12 +150,12 @@
 
     /// Ends the largest slow body other than `except`, and frees its memory; returns whether there
     /// was one.
-    fn end_slow(&self, except: u64) -> bool {
+    pub(crate) fn end_slow(&self, except: Option<u64>) -> bool {
         let now = self.clock.now();
         let slow_bytes = |reader: &Rc<Reader>| {
             let mut received = reader.received.borrow_mut();
             received.window.advance(now);
-            let is_slow = reader.number != except && received.window.is_slow();
+            let is_slow = Some(reader.number) != except && received.window.is_slow();
             is_slow.then(|| received.memory.bytes())
         };
         let readers = self.readers.borrow();
@@ -173,6 +182,7 @@
 struct Reading<'a> {
     bodies: &'a Bodies,
     reader: Rc<Reader>,
+    request: Option<process::Request>,
 }
 
 impl Drop for Reading<'_> {
@@ -198,7 +208,7 @@
 
     /// Reads the whole body.
     async fn read(
-        &self,
+        mut self,
         payload: &mut Payload,
         limit: usize,
         connection: Option<&IoRef>,
@@ -216,7 +226,7 @@
         }
     }
 
-    fn finish(&self) -> Result<Body, Kind> {
+    fn finish(&mut self) -> Result<Body, Kind> {
         let mut received = self.reader.received.borrow_mut();
         if received.is_ended {
             return Err(Kind::SlowBody);
@@ -224,7 +234,7 @@
         let bytes = std::mem::take(&mut received.bytes).freeze();
         let mut memory = std::mem::replace(&mut received.memory, self.bodies.budget.share());
         memory.resize(bytes.len());
-        Ok(Body { bytes, memory })
+        Ok(Body { bytes, held: Held { memory, connection: self.request.take() } })
     }
 }
 
@@ -265,7 +275,8 @@
     if declared > limit {
         return Err(Kind::TooLarge);
     }
-    let reading = Reading { bodies: &core.bodies, reader: core.bodies.start() };
+    let request = connection.and_then(|connection| core.connections.start_request(connection));
+    let reading = Reading { bodies: &core.bodies, reader: core.bodies.start(), request };
     if declared > 0 {
         // Refuses at once what there is no room for, and keeps only what has arrived.
         core.bodies.reserve(&reading.reader, declared)?;
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -11,6 +11,7 @@
 use intents::Plan;
 use link::Links;
 use outbound::Client;
+use process::Connections;
 use routing::{Crash, Decision, Effect, Event, Owner, State, Unfinished};
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -61,6 +62,8 @@
     pub query_client: QueryClient,
     pub decisions: RefCell<Decisions>,
     directory_updates: Sender<Effect>,
+    /// The connections of callers.
+    pub connections: Connections,
     /// The bodies of requests.
     pub bodies: Bodies,
     /// The memory for parts of responses that can't be forwarded yet.
@@ -118,6 +121,7 @@
             query_client: QueryClient::new(hello),
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             directory_updates,
+            connections: Connections::new(settings.resources().connections()),
             bodies: Bodies::new(settings.resources().request_bytes()),
             collections: Rc::default(),
             crashes: Crashes::default(),
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -105,7 +105,7 @@
         path: path.into(),
         headers,
         body: body.bytes,
-        memory: body.memory,
+        held: body.held,
         traceparent: header(request, "traceparent").map(Into::into),
         events: false,
         anonymous: false,
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -84,7 +84,7 @@
         path: path.into(),
         headers: headers::end_to_end(headers),
         body: body.bytes,
-        memory: body.memory,
+        held: body.held,
         traceparent: None,
         events: target.events,
         anonymous: target.anonymous,
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -52,6 +52,13 @@
     });
 }
 
+/// Logs how many connections were closed since the last such line, as there were too many; `open` of
+/// at most `limit` are left.
+pub(crate) fn log_evictions(evictions: process::Evictions, open: usize, limit: usize) {
+    let process::Evictions { closed, refused } = evictions;
+    info!("connections closed for others", kv: { closed, refused, open, limit });
+}
+
 /// Logs that there is no memory for `length` bytes of a body: all bodies hold `held` bytes of
 /// `limit`.
 pub(crate) fn log_no_memory(length: usize, held: usize, limit: usize) {
--- a/components/router/src/server.rs
+++ b/components/router/src/server.rs
@@ -14,7 +14,7 @@
 use ntex::service::ServiceFactory;
 use ntex::time::Seconds;
 use ntex::web;
-use process::{ClosedEarly, Listener};
+use process::{ClosedEarly, Connections, Listener};
 use routing::Effect;
 use snafu::ResultExt;
 use spdlog::error;
@@ -31,6 +31,12 @@
 
 const MAX_HEADERS: usize = 64;
 
+/// The most bytes of a request's head.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// The number of connections for operators and the platform.
+const MAX_OPERATORS: usize = 64;
+
 /// How long after the drain the last bytes of answers may be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -125,7 +131,7 @@
                 let (core, updates) =
                     Core::new(settings, Some(plan), None, stop, reload.subscribe()).await;
                 let app = web::App::new().state(core.clone()).configure(http::routes);
-                let callers = serve(&core, callers, HttpService::new(app), limits());
+                let callers = serve_callers(&core, callers, HttpService::new(app), limits());
                 run(&core, updates, callers).await
             }
             Source::Platform { connect, operators } => {
@@ -169,7 +175,10 @@
 
 /// Limits on requests.
 fn limits() -> HttpServiceConfig {
-    HttpServiceConfig::new().set_max_headers(MAX_HEADERS).set_client_timeout(HEADERS_TIMEOUT)
+    HttpServiceConfig::new()
+        .set_max_headers(MAX_HEADERS)
+        .set_max_buf_size(MAX_HEAD_BYTES)
+        .set_client_timeout(HEADERS_TIMEOUT)
 }
 
 /// Serves callers and operators of a platform.
@@ -180,19 +189,37 @@
 ) -> Result<ClosedEarly, Error> {
     let limits = || limits().set_keepalive(IDLE_TIMEOUT);
     let app = web::App::new().state(core.clone()).default_service(web::to(ingress::serve));
-    let callers = serve(core, callers, HttpService::new(app), limits());
+    let callers = serve_callers(core, callers, HttpService::new(app), limits());
     let ready = core.edges().ready_path;
     let routes = move |config: &mut _| ingress::operators(config, ready);
     let app = web::App::new().state(core.clone()).configure(routes);
-    let operators = serve(core, operators, HttpService::new(app), limits());
+    let connections = Connections::new(MAX_OPERATORS);
+    let operators = serve(core, operators, connections, || false, HttpService::new(app), limits());
     let (callers, operators) = try_join(callers, operators).await?;
     Ok(ClosedEarly(callers.0 + operators.0))
 }
 
+/// Serves callers; slow bodies end where their connections leave no room for others.
+async fn serve_callers<F>(
+    core: &Rc<Core>,
+    socket: TcpListener,
+    factory: F,
+    limits: HttpServiceConfig,
+) -> Result<ClosedEarly, Error>
+where
+    F: ServiceFactory<Io, SharedCfg, Response = (), InitError = ()>,
+    F::Service: 'static,
+{
+    let end_request = || core.bodies.end_slow(None);
+    serve(core, socket, core.connections.clone(), end_request, factory, limits).await
+}
+
 /// Serves a listening socket until the router has stopped.
 async fn serve<F>(
     core: &Rc<Core>,
     socket: TcpListener,
+    connections: Connections,
+    end_request: impl Fn() -> bool,
     factory: F,
     limits: HttpServiceConfig,
 ) -> Result<ClosedEarly, Error>
@@ -207,6 +234,6 @@
     let closing = IoConfig::new().set_disconnect_timeout(Seconds::checked_new(seconds));
     let config: SharedCfg = SharedCfg::new("router").add(limits).add(closing).into();
     let service = factory.create(config.clone()).await.map_err(|()| Error::Service)?;
-    let listener = Listener::new(socket, config).context(SocketSnafu)?;
-    Ok(listener.serve(service, core.stop.clone(), grace).await)
+    let listener = Listener::new(socket, config, connections).context(SocketSnafu)?;
+    Ok(listener.serve(service, core.stop.clone(), grace, end_request).await)
 }
--- a/components/router/src/template.rs
+++ b/components/router/src/template.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::body::Held;
+
 /// What every attempt sends, to the sidecar or straight to the upstream.
 #[derive(Debug)]
 pub(crate) struct Template {
@@ -11,9 +13,8 @@
     pub path: Arc<str>,
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     pub body: Bytes,
-    /// The memory of the body, held until the request has ended.
-    #[expect(dead_code, reason = "returns the memory when dropped")]
-    pub memory: budget::Share,
+    #[expect(dead_code, reason = "returned when dropped")]
+    pub held: Held,
     /// The trace context that came with the request.
     pub traceparent: Option<Arc<str>>,
     /// Whether the response is a stream of events; used by direct attempts only.
--- a/tests/clients/connections.rs
+++ b/tests/clients/connections.rs
@@ -6,7 +6,7 @@
 
 use nix::sys::socket::{setsockopt, sockopt};
 
-use crate::crowd::{self, Script};
+use crate::crowd::{self, Crowd, Script};
 use crate::router::{Router, configuration, unused_host};
 use crate::scene::{self, Limits, head};
 use crate::standin::{Action, Upstream};
@@ -18,6 +18,9 @@
 /// Clients at once, where each holds a descriptor.
 const IDLE_CLIENTS: usize = 600;
 
+/// The time after which a body that brings nothing is slow.
+const SLOW_AFTER: Duration = Duration::from_millis(2_100);
+
 /// Clients at once, where each sends more than is read.
 const CLIENTS: usize = 48;
 
@@ -60,6 +63,24 @@
     scene::play(&LIMITS, IDLE_CLIENTS, |_| only(String::new()), PIECE);
 }
 
+// Guards against small bodies that stop short and keep their connections in use.
+#[test]
+fn small_bodies_that_stop_short() {
+    let _turn = crowd::turn();
+    let router = scene::start(&LIMITS);
+    let address: SocketAddr = router.caller_address().parse().expect("an address");
+    let usage = Usage::start(router.id(), vec![address]);
+    let begin = |number| format!("{}content-length: 9\r\n\r\n12345678", head("unsafe", number));
+    let mut crowd =
+        Crowd::connect(&router.caller_address(), IDLE_CLIENTS, |number| only(begin(number)));
+    crowd.send(PIECE);
+    std::thread::sleep(SLOW_AFTER);
+    let beside = scene::send(&router, 1);
+    drop(crowd);
+    scene::check(&LIMITS, &usage.finish());
+    assert_eq!(beside, Ok(()));
+}
+
 #[test]
 fn heads_that_stop_short() {
     let script = |number| only(format!("{}x-long: {}", head("unsafe", number), "x".repeat(12_000)));
