Answers: counted until they are written, not until they are whole

Callers that read nothing ended the process: a whole answer left the bound on collected answers when it was handed to the connection, where it stayed for as long as its caller did not read. Nothing ended such a connection either.

A collected answer keeps its share until its last part of 16 KiB is passed to the connection, which takes the next one only when the last is nearly written. A watchdog ends the connection when the caller has not read by the deadline, 5 s at least. The bound is a quarter of the shared memory and 16 MiB at most, as before; 16 KiB a request instead of 64 don't count, as connections do.

--- a/components/router/src/collection.rs
+++ b/components/router/src/collection.rs
@@ -8,19 +8,23 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// The most bytes held for all requests.
-const MAX_BYTES: usize = 16 * 1024 * 1024;
-
 /// Bytes that each request may hold without a share of the limit.
-const FREE_BYTES: usize = 64 * 1024;
+const FREE_BYTES: usize = 16 * 1024;
 
 /// The bytes held, by upstream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Collections {
+    /// The most bytes held for all requests.
+    limit: usize,
     held: RefCell<BTreeMap<Arc<str>, usize>>,
 }
 
 impl Collections {
+    /// Creates the memory for all requests, of `limit` bytes.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self { limit, held: RefCell::default() }
+    }
+
     /// Starts a collection of bytes from `upstream`.
     pub(crate) fn start(self: &Rc<Self>, upstream: &Arc<str>) -> Collection {
         Collection { all: self.clone(), upstream: upstream.clone(), held: 0 }
@@ -31,7 +35,7 @@
         let mut held = self.held.borrow_mut();
         let all: usize = held.values().sum();
         let own = held.get(upstream).copied().unwrap_or_default();
-        if own + bytes > MAX_BYTES.saturating_sub(all + bytes) {
+        if own + bytes > self.limit.saturating_sub(all + bytes) {
             return false;
         }
         held.insert(upstream.clone(), own + bytes);
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -123,7 +123,7 @@
             directory_updates,
             connections: Connections::new(settings.resources().connections()),
             bodies: Bodies::new(settings.resources().request_bytes()),
-            collections: Rc::default(),
+            collections: Rc::new(Collections::new(settings.resources().answer_bytes())),
             crashes: Crashes::default(),
             permits: Permits::default(),
             streams: Streams::default(),
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -8,18 +8,20 @@
 use edge::{Header, Metadata, Prefix};
 use errors::{Answer, Kind};
 use futures_util::stream;
+use ntex::http::body::Body;
 use ntex::io::IoRef;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::{Arrival, Continuation};
-use tokio::task::JoinSet;
 
-use crate::body::{self, Body};
+use crate::body;
+use crate::collected::Collected;
 use crate::core::Core;
 use crate::relay::{Relay, Step};
 use crate::target::Target;
 use crate::template::Template;
-use crate::{answer, headers, http};
+use crate::watchdog::Watchdog;
+use crate::{answer, headers, http, report};
 
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
@@ -27,9 +29,12 @@
 /// Maximum number of parts of a prompt to which crashes of upstreams are attributed.
 const MAX_PARTS: usize = 16;
 
-/// How long after its deadline a stream may still be written to a caller that does not read.
+/// How long after its deadline an answer may still be written to a caller that does not read.
 const WRITE_GRACE: Duration = Duration::from_millis(500);
 
+/// How long the writing of a whole answer may take at least.
+const MIN_WRITE_TIME: Duration = Duration::from_secs(5);
+
 type SharedCore = State<Rc<Core>>;
 
 /// Routes for operators and the platform.
@@ -75,7 +80,7 @@
 fn build_template(
     request: &HttpRequest,
     headers: Vec<Header>,
-    body: Body,
+    body: body::Body,
     target: &Target,
 ) -> Template {
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -184,7 +189,7 @@
     arrival: Arrival,
     template: Template,
 ) -> HttpResponse {
-    let events = template.events;
+    let (events, id) = (template.events, arrival.request.clone());
     let mut relay = Relay::start(core.get_ref().clone(), arrival, template);
     let (head, upstream) = match relay.next().await {
         Step::Head(head, upstream) => (head, upstream),
@@ -196,7 +201,8 @@
     let mut builder = answer::forwarded(&head);
     close_if_stopping(core, &mut builder);
     if events {
-        let rest = Rest::new(core, relay, request.io().cloned());
+        let watchdog = watch(&id, request.io(), remaining(core, &relay));
+        let rest = Rest { relay, connection: request.io().cloned(), _watchdog: watchdog };
         let parts = stream::unfold(Some(Box::new(rest)), next_part);
         return builder.streaming(Box::pin(parts));
     }
@@ -208,7 +214,15 @@
                 body.extend_from_slice(&bytes);
             }
             Step::Bytes(_) => relay.refuse_long_response(body.len()),
-            Step::Finished => return builder.body(body),
+            Step::Finished if Collected::is_small(&body) => return builder.body(body),
+            Step::Finished => {
+                let connection = request.io();
+                let time = remaining(core, &relay).max(MIN_WRITE_TIME);
+                let watchdog = watch(&id, connection, time);
+                let request = connection.and_then(|io| core.connections.start_request(io));
+                let body = Collected::new(body, collection, request, watchdog);
+                return builder.body(Body::from_message(body));
+            }
             Step::Failed(answer) | Step::Aborted(answer) => return failure(core, &answer),
             Step::Head(..) => {}
         }
@@ -222,22 +236,20 @@
     relay: Relay,
     /// The caller's connection.
     connection: Option<IoRef>,
-    /// Ends the connection after the deadline; stopped when dropped.
-    _watchdog: JoinSet<()>,
+    /// Ends the connection after the deadline.
+    _watchdog: Watchdog,
 }
 
-impl Rest {
-    fn new(core: &SharedCore, relay: Relay, connection: Option<IoRef>) -> Self {
-        let mut watchdog = JoinSet::new();
-        if let (Some(deadline), Some(connection)) = (relay.deadline(), connection.clone()) {
-            let remaining = core.clock.now().until(deadline).duration();
-            watchdog.spawn_local(async move {
-                tokio::time::sleep(remaining + WRITE_GRACE).await;
-                connection.terminate();
-            });
-        }
-        Self { relay, connection, _watchdog: watchdog }
-    }
+/// The time until the deadline of a request, and a little more.
+fn remaining(core: &Core, relay: &Relay) -> Duration {
+    let deadline = relay.deadline().unwrap_or_else(|| core.clock.now());
+    core.clock.now().until(deadline).duration() + WRITE_GRACE
+}
+
+/// Ends the connection of a caller that has not read its answer after `time`.
+fn watch(id: &Arc<str>, connection: Option<&IoRef>, time: Duration) -> Watchdog {
+    let id = id.clone();
+    Watchdog::start(connection.cloned(), time, move || report::log_unread(&id))
 }
 
 /// The next part of a stream. An incomplete stream ends by closing its connection, since the server
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod background;
 mod body;
 mod clients;
+mod collected;
 mod collection;
 mod core;
 mod crashes;
@@ -38,6 +39,7 @@
 mod target;
 mod template;
 mod watch_scope;
+mod watchdog;
 
 pub use error::Error;
 pub use server::Router;
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -52,6 +52,11 @@
     });
 }
 
+/// Logs that a caller's connection was ended, as it had not read its answer in time.
+pub(crate) fn log_unread(request: &str) {
+    info!("answer not read", kv: { request });
+}
+
 /// Logs how many connections were closed since the last such line, as there were too many; `open` of
 /// at most `limit` are left.
 pub(crate) fn log_evictions(evictions: process::Evictions, open: usize, limit: usize) {
--- a/components/settings/src/resources.rs
+++ b/components/settings/src/resources.rs
@@ -11,6 +11,9 @@
 /// The least memory in MB that is divided among callers.
 const MIN_SHARED_MEMORY_MB: u64 = 16;
 
+/// The most memory for answers, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
 /// The most memory in bytes that a connection takes by itself: for bytes that arrived and were not
 /// read, and for those that were read and are incomplete.
 const CONNECTION_BYTES: usize = 80 * 1024;
@@ -38,7 +41,7 @@
 
     /// The memory for parts of all answers that can't be forwarded yet, in bytes.
     pub fn answer_bytes(self) -> usize {
-        self.shared_bytes() / 4
+        (self.shared_bytes() / 4).min(MAX_ANSWER_BYTES)
     }
 
     /// The number of connections that others may open: limited by the rest of the memory, and by
