Sidecar: 64 connections for operators

Operators found no connection, and a sidecar used up its descriptors: its port for operators accepted without a limit.

The library's own limit is set to 64 connections; others wait in the system's queue, and idle ones end after the library's time for a head.

--- a/components/sidecar/src/admin.rs
+++ b/components/sidecar/src/admin.rs
@@ -12,6 +12,9 @@
 use crate::core::SharedState;
 use crate::error::{BindSnafu, Error, SocketSnafu};
 
+/// The number of connections for operators. Others wait until one ends, which an idle one does soon.
+const MAX_CONNECTIONS: usize = 64;
+
 /// The running admin server.
 pub(crate) struct AdminServer {
     address: SocketAddr,
@@ -50,6 +53,7 @@
         };
         let server = web::HttpServer::new(factory)
             .workers(1)
+            .maxconn(MAX_CONNECTIONS)
             .disable_signals()
             .listen(listener)
             .context(SocketSnafu)?
