Links: little may be sent before the greeting, and connections are limited

Anyone who reaches a sidecar's port, or a router's port for other routers, could end the process: headers of up to 16 MiB a stream and frames of up to 2 MiB on 4,096 streams were taken before the key was checked, on any number of connections, and a connection without a greeting stayed for ever.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -13,6 +13,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use budget::Budget;
 use fleet::{Fleet, LINK_KEY, Layout, until};
 use link::{Connection, Identity};
 use serde_json::json;
@@ -135,7 +136,7 @@
                 name: format!("engine-{number}").into(),
                 status: Status { incarnation: 1, ..Status::default() },
             };
-            let identity = Identity { key: LINK_KEY.into() };
+            let identity = Identity { key: LINK_KEY.into(), requests: Budget::new(usize::MAX) };
             ntex::rt::spawn(async move {
                 let _ = link::accept(socket, identity, welcome, async |_| {}).await;
             })
--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use h2::{RecvStream, SendStream};
-use snafu::ResultExt;
+use snafu::{OptionExt, ResultExt};
 use wire::Frame;
 
 use crate::Error;
@@ -95,16 +95,47 @@
             if let Some(frame) = self.reader.next_frame().context(FrameSnafu)? {
                 return Ok(Some(frame));
             }
-            let Some(data) = self.stream.data().await else {
+            let Some(data) = self.data().await? else {
                 if self.reader.is_partial() {
                     return UnexpectedEndSnafu.fail();
                 }
                 return Ok(None);
             };
-            let data = data.context(BrokenSnafu)?;
             self.reader.push(&data);
-            let flow_control = self.stream.flow_control();
-            flow_control.release_capacity(data.len()).context(BrokenSnafu)?;
         }
     }
+
+    /// Returns the only frame of a request, or `None` if `allows` forbids to hold its bytes; the rest
+    /// of it is then read and discarded.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::next`], and a stream without a frame.
+    pub(crate) async fn request(
+        &mut self,
+        mut allows: impl FnMut(usize) -> bool,
+    ) -> Result<Option<Frame>, Error> {
+        loop {
+            if let Some(frame) = self.reader.next_frame().context(FrameSnafu)? {
+                return Ok(Some(frame));
+            }
+            let data = self.data().await?.context(UnexpectedEndSnafu)?;
+            if !allows(self.reader.len() + data.len()) {
+                self.reader = wire::Reader::default();
+                allows(0);
+                while self.data().await?.is_some() {}
+                return Ok(None);
+            }
+            self.reader.push(&data);
+        }
+    }
+
+    /// The next bytes of the stream, or `None` at its end.
+    async fn data(&mut self) -> Result<Option<Bytes>, Error> {
+        let Some(data) = self.stream.data().await else { return Ok(None) };
+        let data = data.context(BrokenSnafu)?;
+        let flow_control = self.stream.flow_control();
+        flow_control.release_capacity(data.len()).context(BrokenSnafu)?;
+        Ok(Some(data))
+    }
 }
--- a/components/link/tests/greeting.rs
+++ b/components/link/tests/greeting.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use budget::Budget;
 use link::{Connection, Error, Identity};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,7 +27,7 @@
 
 /// Accepts a link whose key is not that of the greeting.
 async fn accept_other_key(socket: TcpStream) {
-    let identity = Identity { key: "another-key".into() };
+    let identity = Identity { key: "another-key".into(), requests: Budget::new(1024) };
     let welcome = || Welcome { name: "other".into(), status: Status::default() };
     let _ = link::accept(socket, identity, welcome, |_| async {}).await;
 }
--- a/components/router/src/query_server.rs
+++ b/components/router/src/query_server.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use budget::Budget;
 use bytes::Bytes;
 use clock::Millis;
 use edge::{Era, Peer, Revision};
 use link::{Exchange, Identity, Sink};
 use spdlog::{debug, error, info};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
+use tokio::net::TcpListener;
 use wire::{Changes, Chunk, Frame, Query, Referral, Status, Welcome};
 
 use crate::core::Core;
@@ -24,29 +24,38 @@
 /// The pause after a failed accept, which fails again at once while descriptors are used up.
 const ACCEPT_RETRY_INTERVAL: Millis = Millis(200);
 
+/// The memory for the queries of all other routers together, in bytes.
+const MAX_QUERY_BYTES: usize = 8 * 1024 * 1024;
+
 /// The most bytes of facts in one frame.
 const MAX_CHUNK_BYTES: usize = 64 * 1_024;
 
 /// Answers queries until shutdown.
 pub(crate) async fn serve(core: Rc<Core>) {
     let Some(address) = core.peers().map(crate::peers::Peers::address) else { return };
-    let listener = match listen(address).await {
+    let listener = match listen(address) {
         Ok(listener) => listener,
         Err(error) => {
-            error!("other routers can't ask this one", kv: { fault = error.to_string() });
+            error!("other routers can't ask this one", kv: { fault = error });
             return;
         }
     };
-    let mut connections = JoinSet::new();
+    let identity =
+        Identity { key: core.settings.link_key.clone(), requests: Budget::new(MAX_QUERY_BYTES) };
+    let mut server = link::Server::new(identity, core.settings.resources().connections());
     loop {
-        core.fleet().set_connections(connections.len());
+        core.fleet().set_connections(server.len());
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            Some(_) = connections.join_next() => continue,
+            Some(()) = server.join_next() => continue,
         };
         match accepted {
             Ok((socket, _)) => {
-                connections.spawn_local(serve_connection(core.clone(), socket));
+                let (name, core) = (core.settings.name.clone(), core.clone());
+                let welcome = move || Welcome { name: name.clone(), status: Status::default() };
+                server
+                    .serve(socket, welcome, move |exchange| handle_query(core.clone(), exchange))
+                    .await;
             }
             Err(error) => {
                 debug!("connection of another router not accepted", kv: {
@@ -58,24 +67,16 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
-/// Answers the queries of one connection until it closes.
-async fn serve_connection(core: Rc<Core>, socket: TcpStream) {
-    let identity = Identity { key: core.settings.link_key.clone() };
-    let name = core.settings.name.clone();
-    let welcome = move || Welcome { name: name.clone(), status: Status::default() };
-    let handle = move |exchange| handle_query(core.clone(), exchange);
-    if let Err(error) = link::accept(socket, identity, welcome, handle).await {
-        debug!("a connection of another router ended", kv: { fault = error.to_string() });
-    }
+/// Listens for other routers.
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let (listener, _) = process::bind(&address.to_string()).map_err(|error| error.to_string())?;
+    let prepared = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
+    prepared.map_err(|error| error.to_string())
 }
 
 async fn handle_query(core: Rc<Core>, exchange: Exchange) {
-    let Exchange { frame, mut sink } = exchange;
-    let Frame::Query(query) = frame else { return sink.reset() };
+    let Exchange { frame, mut sink, memory: _memory } = exchange;
+    let Some(Frame::Query(query)) = frame else { return sink.reset() };
     let sender = query.routers.first().map(|peer| peer.name.clone()).unwrap_or_default();
     let result = if core.fleet().register(query.routers.clone(), core.clock.now()) {
         answer_query(&core, &query, &mut sink).await
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -8,7 +8,7 @@
 use crate::check::{
     check_address, check_base_url, check_bound, check_key, check_name, check_positive,
 };
-use crate::{Check, Error};
+use crate::{Check, Error, Resources, resources};
 
 /// The settings of a sidecar.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -37,6 +37,12 @@
     /// The time limit for requests in flight during a planned stop, in milliseconds.
     #[serde(default = "defaults::drain_ms")]
     pub drain_ms: u64,
+    /// The memory of the host that the process may use, in MB.
+    #[serde(default = "resources::default_memory_mb")]
+    pub memory_mb: u64,
+    /// The descriptors that the process may have open.
+    #[serde(default = "resources::default_descriptors")]
+    pub descriptors: usize,
     /// The URL of the trace collector, such as `http://127.0.0.1:4318`; without one, no spans
     /// are recorded.
     #[serde(default)]
@@ -66,6 +72,13 @@
     }
 }
 
+impl Sidecar {
+    /// What the process may use of its host.
+    pub fn resources(&self) -> Resources {
+        Resources { memory_mb: self.memory_mb, descriptors: self.descriptors }
+    }
+}
+
 impl Check for Sidecar {
     fn check(&self) -> Result<(), Error> {
         check_name("name", &self.name)?;
@@ -78,6 +91,8 @@
             check_base_url("traces_url", url)?;
         }
         check_positive("hosts_every_ms", self.hosts_every_ms)?;
+        check_positive("memory_mb", self.memory_mb)?;
+        check_positive("descriptors", self.descriptors as u64)?;
         check_bound("admission.bound", &self.admission.bound)?;
         check_positive("admission.slots", self.admission.slots as u64)
     }
--- a/components/sidecar/src/call.rs
+++ b/components/sidecar/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use admission::{CallId, Effect, Event};
-use errors::Outcome;
+use errors::{Kind, Outcome};
 use link::Sink;
 use spdlog::info;
 use telemetry::Span;
@@ -69,6 +69,14 @@
     core.unregister(id);
 }
 
+/// Refuses a request for which there is no memory.
+pub(crate) async fn refuse(core: &Core, mut sink: Sink) {
+    info!("no memory for a request", kv: { calls = core.open_calls() });
+    let kind = Kind::QueueFull;
+    core.metrics.record_request(kind.row().outcome.into(), Some(kind.into()));
+    let _ = sink.finish(&Frame::Refused(core.refusal(kind))).await;
+}
+
 /// Applies the load report of a member of the pool and answers with the pool's load.
 pub(crate) async fn aggregate(core: Rc<Core>, report: Report, mut sink: Sink) {
     let (id, mut mailbox) = core.register();
--- a/components/sidecar/src/core.rs
+++ b/components/sidecar/src/core.rs
@@ -6,9 +6,10 @@
 
 use admission::{CallId, Effect, Event, Peer, State};
 use clock::Clock;
+use errors::Kind;
 use telemetry::{Metrics, Tracer};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use wire::Welcome;
+use wire::{Refused, Welcome};
 
 use crate::upstream::Upstream;
 
@@ -121,6 +122,12 @@
         Welcome { name: self.settings.name.clone(), status: state.status() }
     }
 
+    /// The refusal of a request that can be tried elsewhere at once.
+    pub(crate) fn refusal(&self, kind: Kind) -> Refused {
+        let status = self.state.lock().status();
+        Refused { kind, retry_after_ms: 0, hints: Vec::new(), status }
+    }
+
     /// Number of calls with a mailbox.
     pub(crate) fn open_calls(&self) -> usize {
         self.mailboxes.borrow().len()
--- a/components/sidecar/src/server.rs
+++ b/components/sidecar/src/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use admission::{Event, Peer, State};
+use budget::Budget;
 use clock::Clock;
 use link::{Exchange, Identity};
 use settings::Service;
@@ -123,32 +124,37 @@
 
 /// Accepts connections of routers and of other members of the pool.
 async fn listen(core: Rc<Core>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
+    let resources = core.settings.resources();
+    let requests = Budget::new(usize::MAX);
+    let identity = Identity { key: core.settings.link_key.clone(), requests };
+    let mut server = link::Server::new(identity, resources.connections());
     loop {
-        while connections.try_join_next().is_some() {}
-        let Ok((socket, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(()) = server.join_next() => continue,
+        };
+        let Ok((socket, _)) = accepted else {
             tokio::time::sleep(TICK_INTERVAL).await;
             continue;
         };
-        let core = core.clone();
-        let identity = Identity { key: core.settings.link_key.clone() };
-        connections.spawn_local(async move {
-            let welcome_core = core.clone();
-            let handle = move |exchange: Exchange| dispatch(core.clone(), exchange);
-            let _ = link::accept(socket, identity, move || welcome_core.welcome(), handle).await;
-        });
+        let (core, welcome_core) = (core.clone(), core.clone());
+        let handle = move |exchange: Exchange| dispatch(core.clone(), exchange);
+        server.serve(socket, move || welcome_core.welcome(), handle).await;
     }
 }
 
 /// Handles a stream by the type of its request frame.
 async fn dispatch(core: Rc<Core>, mut exchange: Exchange) {
     match exchange.frame {
-        Frame::Open(open) => call::serve(core, open, exchange.sink).await,
-        Frame::Report(report) => call::aggregate(core, report, exchange.sink).await,
-        Frame::DirectoryUpdate(update) => {
+        // The memory of the request is free once it has ended.
+        Some(Frame::Open(open)) => call::serve(core, open, exchange.sink).await,
+        Some(Frame::Report(report)) => call::aggregate(core, report, exchange.sink).await,
+        Some(Frame::DirectoryUpdate(update)) => {
             core.apply(Event::DirectoryUpdate(update));
             exchange.sink.end();
         }
-        _ => exchange.sink.reset(),
+        Some(_) => exchange.sink.reset(),
+        None => call::refuse(&core, exchange.sink).await,
     }
+    drop(exchange.memory);
 }
--- a/components/wire/src/codec.rs
+++ b/components/wire/src/codec.rs
@@ -84,6 +84,16 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// The number of bytes that have not been returned as a frame.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Whether there are no such bytes.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Whether there are bytes that have not been returned as a frame.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -14,6 +14,10 @@
 use standin::{Engine, EngineSettings, Hosts, PlainService, Store};
 use tokio::task::JoinSet;
 
+/// What each sidecar may use: the processes of a fleet share one host here.
+const MEMORY_MB: u64 = 256;
+const DESCRIPTORS: usize = 4_096;
+
 /// Any free port of this host.
 const ANY_PORT: &str = "127.0.0.1:0";
 
@@ -208,6 +212,8 @@
             hosts_url: self.hosts.server().url().into(),
             pool: pool.clone(),
             hosts_every_ms: 200,
+            memory_mb: MEMORY_MB,
+            descriptors: DESCRIPTORS,
             drain_ms: 5_000,
             traces_url: None,
             admission: admission::Settings::default(),
--- a/tests/clients/sidecar.rs
+++ b/tests/clients/sidecar.rs
@@ -187,24 +187,34 @@
     })
 }
 
-/// Opens a stream on an HTTP/2 connection and sends these bytes on it.
-async fn send_part(sender: h2::client::SendRequest<Bytes>, mut bytes: Bytes, is_end: bool) {
+fn post() -> http::Request<()> {
+    http::Request::post("http://silverstack/link").body(()).expect("a request")
+}
+
+/// Sends a greeting and waits until it is answered.
+async fn greet(sender: h2::client::SendRequest<Bytes>, hello: Hello) {
+    let mut sender = sender.ready().await.expect("a connection");
+    let (answer, mut stream) = sender.send_request(post(), false).expect("a stream");
+    let greeting = wire::encode(&Frame::Hello(hello)).expect("a frame");
+    stream.send_data(greeting, true).expect("an open stream");
+    let mut answer = answer.await.expect("an answer").into_body();
+    answer.data().await.expect("a welcome").expect("a welcome");
+}
+
+/// Opens a stream on an HTTP/2 connection, sends these bytes on it and leaves it open.
+async fn send_part(sender: h2::client::SendRequest<Bytes>, mut bytes: Bytes) {
     let Ok(mut sender) = sender.ready().await else { return };
-    let request = http::Request::post("http://silverstack/link").body(()).expect("a request");
-    let Ok((_answer, mut stream)) = sender.send_request(request, false) else { return };
+    let Ok((_answer, mut stream)) = sender.send_request(post(), false) else { return };
     while !bytes.is_empty() {
         stream.reserve_capacity(bytes.len());
         let capacity = std::future::poll_fn(|context| stream.poll_capacity(context)).await;
         let Some(Ok(capacity)) = capacity else { return };
         let part = bytes.split_to(capacity.min(bytes.len()));
-        let is_last = is_end && bytes.is_empty();
-        if stream.send_data(part, is_last).is_err() {
+        if stream.send_data(part, false).is_err() {
             return;
         }
     }
-    if !is_end {
-        std::future::pending::<()>().await;
-    }
+    std::future::pending::<()>().await;
 }
 
 /// Opens `streams` streams to a sidecar, each with a frame that stops short. `hello` is sent first.
@@ -215,13 +225,11 @@
         let _ = driver.await;
     });
     if let Some(hello) = hello {
-        let greeting = wire::encode(&Frame::Hello(hello)).expect("a frame");
-        send_part(sender.clone(), greeting, true).await;
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        greet(sender.clone(), hello).await;
     }
     let frame = wire::encode(&open_frame(0)).expect("a frame");
     let part = frame.slice(..frame.len() - 1);
-    let sends = (0..streams).map(|_| send_part(sender.clone(), part.clone(), false));
+    let sends = (0..streams).map(|_| send_part(sender.clone(), part.clone()));
     let _ = tokio::time::timeout(OPEN_TIME, join_all(sends)).await;
 }
 
