Sidecar: the requests of all routers share its memory

A sidecar kept each request's frame of up to 2 MiB from its first byte, and its body until the request had ended, with 64 running, 64 waiting and any number unfinished; the frame's buffer stayed beside the decoded body all the while.

Requests share a budget from their first byte until they have ended. One that finds no memory is read on, not kept, and refused as if the queue were full, so that the router tries another upstream; nothing of it has run. The buffer of a frame is freed once it is decoded.

--- a/components/link/src/stream.rs
+++ b/components/link/src/stream.rs
@@ -117,6 +117,8 @@
     ) -> Result<Option<Frame>, Error> {
         loop {
             if let Some(frame) = self.reader.next_frame().context(FrameSnafu)? {
+                // Frees the buffer, as the stream lives until the answer has ended.
+                self.reader = wire::Reader::default();
                 return Ok(Some(frame));
             }
             let data = self.data().await?.context(UnexpectedEndSnafu)?;
--- a/components/sidecar/src/server.rs
+++ b/components/sidecar/src/server.rs
@@ -125,7 +125,7 @@
 /// Accepts connections of routers and of other members of the pool.
 async fn listen(core: Rc<Core>, listener: TcpListener) {
     let resources = core.settings.resources();
-    let requests = Budget::new(usize::MAX);
+    let requests = Budget::new(resources.request_bytes());
     let identity = Identity { key: core.settings.link_key.clone(), requests };
     let mut server = link::Server::new(identity, resources.connections());
     loop {
