Bodies: on the way to a sidecar a body counts twice

A router of the sidecar path went over its memory although its bodies were within their limit: while the frame of a request is written, its body stands in the frame as well.

Bodies count twice there: as they arrive, and in the frame.

--- a/components/router/src/body.rs
+++ b/components/router/src/body.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub(crate) struct Bodies {
     budget: Budget,
+    /// How often a body is held at most.
+    copies: usize,
     clock: Clock,
     readers: RefCell<BTreeMap<u64, Rc<Reader>>>,
     last_reader: Cell<u64>,
@@ -111,10 +113,11 @@
 }
 
 impl Bodies {
-    /// Creates the memory for all bodies, of `limit` bytes.
-    pub(crate) fn new(limit: usize) -> Self {
+    /// Creates the memory for all bodies, of `limit` bytes, where each may be held `copies` times.
+    pub(crate) fn new(limit: usize, copies: usize) -> Self {
         Self {
             budget: Budget::new(limit),
+            copies,
             clock: Clock::new(),
             readers: RefCell::default(),
             last_reader: Cell::default(),
@@ -139,7 +142,7 @@
 
     /// Takes the memory for `length` bytes of a body; ends slow bodies if it is not free.
     fn reserve(&self, reader: &Reader, length: usize) -> Result<(), Kind> {
-        while !reader.received.borrow_mut().memory.resize(length + READING_BYTES) {
+        while !reader.received.borrow_mut().memory.resize(length * self.copies + READING_BYTES) {
             if !self.end_slow(Some(reader.number)) {
                 report::log_no_memory(length, self.budget.held(), self.budget.limit());
                 return Err(Kind::OutOfMemory);
@@ -233,7 +236,7 @@
         }
         let bytes = std::mem::take(&mut received.bytes).freeze();
         let mut memory = std::mem::replace(&mut received.memory, self.bodies.budget.share());
-        memory.resize(bytes.len());
+        memory.resize(bytes.len() * self.bodies.copies);
         Ok(Body { bytes, held: Held { memory, connection: self.request.take() } })
     }
 }
--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -122,7 +122,7 @@
             decisions: RefCell::new(Decisions::new(settings.routing.decisions)),
             directory_updates,
             connections: Connections::new(settings.resources().connections()),
-            bodies: Bodies::new(settings.resources().request_bytes()),
+            bodies: bodies(&settings),
             collections: Rc::new(Collections::new(settings.resources().answer_bytes())),
             crashes: Crashes::default(),
             permits: Permits::default(),
@@ -517,6 +517,13 @@
     }
 }
 
+/// The memory for bodies. On the way to a sidecar a body is held once more, in the frame that is
+/// written.
+fn bodies(settings: &settings::Router) -> Bodies {
+    let copies = if settings.direct.is_some() { 1 } else { 2 };
+    Bodies::new(settings.resources().request_bytes(), copies)
+}
+
 fn links(settings: &settings::Router) -> Links {
     let hello = Hello { key: settings.link_key.clone(), name: settings.name.clone() };
     Links::new(hello, Duration::from_millis(settings.connect_ms))
