Sidecar: its operators' port closes idle connections for new ones

The limit of the library that was set before is not kept while a crowd connects: the test of it failed once in four runs, with 535 descriptors where 400 are for sockets; the listening thread accepts on until its worker tells it to stop.

The port is served like the operators' port of a router, by process::Listener with 64 connections, on the sidecar's own thread.

--- a/components/sidecar/src/admin.rs
+++ b/components/sidecar/src/admin.rs
@@ -1,75 +1,83 @@
 //! The admin HTTP endpoints: health, readiness, status, metrics and drain.
 
-use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 
+use ntex::SharedCfg;
+use ntex::http::HttpService;
+use ntex::io::Io;
+use ntex::service::ServiceFactory;
 use ntex::web::{self, HttpResponse};
+use process::{Connections, Listener, Shutdown};
 use serde_json::json;
 use snafu::ResultExt;
+use spdlog::error;
 use telemetry::Metrics;
 
 use crate::core::SharedState;
-use crate::error::{BindSnafu, Error, SocketSnafu};
+use crate::error::{BindSnafu, Error};
 
-/// The number of connections for operators. Others wait until one ends, which an idle one does soon.
+/// The number of connections for operators.
 const MAX_CONNECTIONS: usize = 64;
 
-/// The running admin server.
+/// The admin server, whose socket is bound.
+#[derive(Debug)]
 pub(crate) struct AdminServer {
     address: SocketAddr,
-    server: ntex::server::Server,
-}
-
-impl std::fmt::Debug for AdminServer {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("AdminServer")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    listener: TcpListener,
+    admin: AdminState,
 }
 
 /// What the endpoints read, and the stop that `/drain` requests.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(crate) struct AdminState {
     pub name: Arc<str>,
     pub state: SharedState,
-    pub stop: process::Shutdown,
+    pub stop: Shutdown,
     pub metrics: Arc<Metrics>,
 }
 
 impl AdminServer {
-    pub(crate) fn start(address: &str, admin: AdminState) -> Result<Self, Error> {
+    pub(crate) fn bind(address: &str, admin: AdminState) -> Result<Self, Error> {
         let (listener, address) = process::bind(address).context(BindSnafu)?;
-        let factory = async move || {
-            web::App::new()
-                .state(admin.clone())
-                .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
-                .route("/readyz", web::get().to(ready))
-                .route("/status", web::get().to(status))
-                .route("/metrics", web::get().to(metrics))
-                .route("/drain", web::post().to(drain))
-        };
-        let server = web::HttpServer::new(factory)
-            .workers(1)
-            .maxconn(MAX_CONNECTIONS)
-            .disable_signals()
-            .listen(listener)
-            .context(SocketSnafu)?
-            .run();
-        Ok(Self { address, server })
+        Ok(Self { address, listener, admin })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(crate) fn stop(&self) -> impl Future<Output = ()> + use<> {
-        self.server.stop(false)
+    /// Serves operators until the task is stopped.
+    pub(crate) async fn serve(self) {
+        let admin = self.admin;
+        let app = web::App::new()
+            .state(admin)
+            .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
+            .route("/readyz", web::get().to(ready))
+            .route("/status", web::get().to(status))
+            .route("/metrics", web::get().to(metrics))
+            .route("/drain", web::post().to(drain));
+        let config = SharedCfg::new("sidecar");
+        if let Err(fault) = serve(self.listener, HttpService::new(app), config.into()).await {
+            error!("operators can't be served", kv: { fault });
+        }
     }
 }
 
+async fn serve<F>(socket: TcpListener, factory: F, config: SharedCfg) -> Result<(), String>
+where
+    F: ServiceFactory<Io, SharedCfg, Response = (), InitError = ()>,
+    F::Service: 'static,
+{
+    let service = factory.create(config.clone()).await;
+    let service = service.map_err(|()| "the service can't be created".to_owned())?;
+    let connections = Connections::new(MAX_CONNECTIONS);
+    let listener = Listener::new(socket, config, connections).map_err(|error| error.to_string())?;
+    listener.serve(service, Shutdown::new(), Duration::ZERO, || false).await;
+    Ok(())
+}
+
 async fn ready(admin: web::types::State<AdminState>) -> HttpResponse {
     if admin.state.lock().is_leaving() {
         return HttpResponse::ServiceUnavailable().body("leaving\n");
--- a/components/sidecar/src/server.rs
+++ b/components/sidecar/src/server.rs
@@ -40,7 +40,7 @@
 }
 
 impl Sidecar {
-    /// Binds the sockets and starts the admin server.
+    /// Binds the sockets.
     ///
     /// # Errors
     ///
@@ -61,7 +61,7 @@
             stop: stop.clone(),
             metrics: metrics.clone(),
         };
-        let admin = admin::AdminServer::start(&settings.admin, admin_state)?;
+        let admin = admin::AdminServer::bind(&settings.admin, admin_state)?;
         Ok(Self { settings, state, listener, address, admin, stop, metrics })
     }
 
@@ -101,6 +101,7 @@
         tasks.spawn_local(peers::poll_hosts(core.clone()));
         tasks.spawn_local(peers::send_reports(core.clone(), reports));
         tasks.spawn_local(listen(core.clone(), self.listener));
+        tasks.spawn_local(self.admin.serve());
         self.stop.requested().await;
         core.apply(Event::Leave);
         let timeout = Duration::from_millis(core.settings.drain_ms);
@@ -108,7 +109,6 @@
         call::wait_for_calls(&core).await;
         let interrupted = core.in_flight();
         tasks.shutdown().await;
-        self.admin.stop().await;
         interrupted
     }
 }
