Bodies: five eighths of the shared memory; a quarter of a body stays free

The divisor between a share and what must stay free goes from 1 to 4, which still leaves 1 MiB beside bodies of 4 MiB, and bodies get five eighths of the shared memory instead of half, answers an eighth instead of a quarter.

--- a/components/budget/src/lib.rs
+++ b/components/budget/src/lib.rs
@@ -1,11 +1,14 @@
 //! A limit on the memory that many holders share, such as the bodies of all requests.
 //!
-//! A holder may grow only while as much as it then holds would stay free. So holders of little find
-//! room beside those of much, however many of the latter there are.
+//! A holder may grow only while a quarter of what it then holds would stay free. So holders of little
+//! find room beside those of much, however many of the latter there are.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// The part of what a holder has that must stay free for others, as a divisor.
+const FREE_DIVISOR: usize = 4;
+
 /// A limit in bytes. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -37,7 +40,8 @@
     /// Whether a share that holds `own` bytes may hold `bytes`.
     pub fn allows(&self, own: usize, bytes: usize) -> bool {
         let others = self.held().saturating_sub(own);
-        bytes <= own || bytes.saturating_mul(2).saturating_add(others) <= self.limit()
+        let free = bytes / FREE_DIVISOR;
+        bytes <= own || bytes.saturating_add(free).saturating_add(others) <= self.limit()
     }
 
     /// A share of nothing.
--- a/components/settings/src/resources.rs
+++ b/components/settings/src/resources.rs
@@ -34,17 +34,17 @@
 }
 
 impl Resources {
-    /// The memory for the bodies of all requests together, in bytes: half of what is shared.
+    /// The memory for the bodies of all requests together, in bytes: five eighths of what is shared.
     pub fn request_bytes(self) -> usize {
-        self.shared_bytes() / 2
+        self.shared_bytes() / 8 * 5
     }
 
-    /// The memory for parts of all answers that can't be forwarded yet, in bytes.
+    /// The memory for parts of all answers that can't be forwarded yet, in bytes: an eighth.
     pub fn answer_bytes(self) -> usize {
-        (self.shared_bytes() / 4).min(MAX_ANSWER_BYTES)
+        (self.shared_bytes() / 8).min(MAX_ANSWER_BYTES)
     }
 
-    /// The number of connections that others may open: limited by the rest of the memory, and by
+    /// The number of connections that others may open: limited by the last quarter, and by
     /// the descriptors, as a request in progress may need one more for its upstream.
     pub fn connections(self) -> usize {
         let by_memory = self.shared_bytes() / 4 / CONNECTION_BYTES;
