Answers with a status that no answer has are failures of the upstream

But 101 came through, which changes the protocol that nobody asked to change, and so did 600 to 999, on all four kinds of routes and with sidecars.

The client of upstreams, which both paths use, takes a final status of 200 to 599 only.

Evidence: odd_statuses (four routes, 15 texts) failed with 101, 600 and 999 on each route, and broken_answers (sidecar path, 13 texts) with the same three; both pass now.

--- a/components/outbound/src/client.rs
+++ b/components/outbound/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,11 +12,15 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 
 use crate::Answer;
 use crate::connection::Connection;
-use crate::error::{Error, InterruptedSnafu, InvalidRequestSnafu};
+use crate::error::{Error, InterruptedSnafu, InvalidRequestSnafu, StatusSnafu};
+
+/// The statuses of final answers. Interim ones before them are skipped, and no request asks for a
+/// change of the protocol.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// A request to an upstream.
 #[derive(Clone, Debug)]
@@ -112,7 +117,8 @@
     ///
     /// # Errors
     ///
-    /// The request is invalid, no connection could be opened, or the connection ended.
+    /// The request is invalid, no connection could be opened, the connection ended, or the answer has no
+    /// status of a final answer.
     pub async fn send(
         &self,
         address: Arc<str>,
@@ -123,7 +129,7 @@
         let take_idle = || if new_connection { None } else { self.pool.take(&address) };
         while let Some(mut connection) = take_idle() {
             match connection.send(request).await {
-                Ok(response) => return Ok(self.answer(address, connection, response)),
+                Ok(response) => return self.answer(address, connection, response),
                 Err(mut error) => match error.take_message() {
                     // The connection ended before anything was written.
                     Some(unsent) => request = unsent,
@@ -133,7 +139,7 @@
         }
         let mut connection = Connection::open(&address, self.connect_timeout).await?;
         let sent = connection.send(request).await.map_err(TrySendError::into_error);
-        Ok(self.answer(address, connection, sent.context(InterruptedSnafu)?))
+        self.answer(address, connection, sent.context(InterruptedSnafu)?)
     }
 
     /// Opens a connection to `address` and adds it to the idle ones.
@@ -157,7 +163,9 @@
         address: Arc<str>,
         connection: Connection,
         response: http::Response<Incoming>,
-    ) -> Answer {
-        Answer::new(self.pool.clone(), address, connection, response)
+    ) -> Result<Answer, Error> {
+        let status = response.status().as_u16();
+        ensure!(FINAL_STATUSES.contains(&status), StatusSnafu { status });
+        Ok(Answer::new(self.pool.clone(), address, connection, response))
     }
 }
--- a/components/outbound/src/error.rs
+++ b/components/outbound/src/error.rs
@@ -23,6 +23,12 @@
     /// The connection was not opened in time; nothing was sent.
     #[snafu(display("timed out connecting"))]
     Timeout,
+    /// The answer has a status that no final answer has.
+    #[snafu(display("{status} is no status of an answer"))]
+    Status {
+        /// The number in its place.
+        status: u16,
+    },
     /// The connection ended before the answer was complete.
     #[snafu(display("the connection ended: {source}"))]
     Interrupted {
@@ -41,7 +47,7 @@
     pub fn may_have_been_sent(&self) -> bool {
         match self {
             Self::InvalidRequest { .. } | Self::Connect { .. } | Self::Timeout => false,
-            Self::Interrupted { .. } => true,
+            Self::Status { .. } | Self::Interrupted { .. } => true,
         }
     }
 }
--- a/tests/end_to_end/broken_answers.rs
+++ b/tests/end_to_end/broken_answers.rs
@@ -5,6 +5,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 
+use load::Error;
 use nix::sys::socket::{setsockopt, sockopt};
 use serde_json::json;
 
@@ -137,3 +138,26 @@
         }
     }
 }
+
+/// Guards against passing on an answer whose status is none.
+#[ntex::test]
+async fn an_odd_status_never_reaches_a_caller() {
+    let script = Script::new(Mutex::new(("", End::Close)));
+    let fleet = start(&script).await;
+    let caller = fleet.call_caller(0).await;
+    let mut passed_on = Vec::new();
+    let statuses =
+        ["000", "001", "099", "100", "101", "102", "199", "600", "999", "1000", "0200", "2x0", ""];
+    for (number, status) in statuses.into_iter().enumerate() {
+        let answer = format!("HTTP/1.1 {status} .\r\ncontent-length: 3\r\n\r\nodd");
+        *script.lock().expect("the lock is not poisoned") = (answer.leak(), End::Close);
+        let path = format!("/orders/{number}");
+        let told = caller.call("pickup", &path, Some(&format!("odd-{number}")), "{}").await;
+        let is_own =
+            matches!(&told, Err(Error::Refused { status: 500..600, kind, .. }) if !kind.is_empty());
+        if !is_own {
+            passed_on.push((status, told));
+        }
+    }
+    assert!(passed_on.is_empty(), "{passed_on:?}");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod hints;
 mod killed_fleet;
 mod odd_entries;
+mod odd_statuses;
 mod path;
 mod permits;
 mod prompt_parts;
--- a/tests/platform/standin/upstream.rs
+++ b/tests/platform/standin/upstream.rs
@@ -21,6 +21,8 @@
     Answer(u16, &'static str),
     /// A complete answer after a delay.
     Delayed(u64, u16, &'static str),
+    /// A complete answer with this text as its status.
+    Status(&'static str),
     /// An answer with the id of another request.
     Crossed,
     /// A success without the seal.
@@ -282,6 +284,7 @@
                 std::thread::sleep(Duration::from_millis(*ms));
                 self.send_with_notice(writer, request, &complete_answer(*status, &id, body))
             }
+            Action::Status(status) => send(writer, &odd_answer(status, &id)),
             Action::Crossed => send(writer, &complete_answer(200, "another", "another's answer")),
             Action::Unsigned => send(writer, &unsigned_answer(&id)),
             Action::Extra => {
@@ -450,6 +453,11 @@
     format!("{}content-length: {}\r\n\r\n{body}", answer_head(status, id), body.len())
 }
 
+/// A complete answer with this text as its status.
+fn odd_answer(status: &str, id: &str) -> String {
+    complete_answer(200, id, "odd").replacen("200", status, 1)
+}
+
 /// An answer without a content length.
 fn unframed_answer(id: &str, body: &str) -> String {
     format!("{}connection: close\r\n\r\n{body}", answer_head(200, id))
