Answers: unread ones end on a router's own interface, too

Callers of the sidecar path that read nothing kept their connections for ever: an answer that is passed on as it comes waits for its caller, and nothing looked at the deadline meanwhile.

The watchdog of platform streams moves into a module of its own and watches all answers on both paths.

Evidence: sidecar::answers_that_are_not_read (24 clients, answers of 7 MiB) waited 20 s in vain for the connections to end, and passes now.

--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -18,6 +18,7 @@
 use crate::prompt::Prompt;
 use crate::relay::{Relay, Step};
 use crate::template::Template;
+use crate::watchdog::Watchdog;
 use crate::{headers, key};
 
 /// The kind of a chat request that names none.
@@ -161,7 +162,7 @@
         deadline: deadline(&request),
         continuation: None,
     };
-    relay(&core, arrival, template).await
+    relay(&core, &request, arrival, template).await
 }
 
 async fn service(request: HttpRequest, payload: Payload, core: SharedCore) -> HttpResponse {
@@ -193,7 +194,7 @@
         deadline: deadline(&request),
         continuation: None,
     };
-    relay(&core, arrival, template).await
+    relay(&core, &request, arrival, template).await
 }
 
 /// The path and query after `/v1/services/KIND`.
@@ -204,7 +205,12 @@
     if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") }
 }
 
-async fn relay(core: &SharedCore, arrival: Arrival, template: Template) -> HttpResponse {
+async fn relay(
+    core: &SharedCore,
+    http: &HttpRequest,
+    arrival: Arrival,
+    template: Template,
+) -> HttpResponse {
     let request = arrival.request.clone();
     let mut relay = Relay::start(core.get_ref().clone(), arrival, template);
     let (head, upstream) = match relay.next().await {
@@ -222,13 +228,21 @@
     if let Some(traceparent) = relay.traceparent() {
         builder.header("traceparent", traceparent);
     }
-    let parts = stream::unfold(Rest::Answer(Box::new(relay)), move |rest| next_part(rest, events));
+    let connection = http.io();
+    let watchdog = if events {
+        Watchdog::of_stream(core, &relay, connection)
+    } else {
+        Watchdog::of_answer(core, &relay, connection)
+    };
+    let rest = Rest::Answer(Box::new(relay), watchdog);
+    let parts = stream::unfold(rest, move |rest| next_part(rest, events));
     builder.streaming(Box::pin(parts))
 }
 
 /// The rest of a response body.
 enum Rest {
-    Answer(Box<Relay>),
+    /// An answer that its caller is to read in time.
+    Answer(Box<Relay>, Watchdog),
     /// Abort the connection, so that the response isn't taken to be complete.
     Abort,
     Nothing,
@@ -240,15 +254,15 @@
 /// events, and always with an aborted connection.
 async fn next_part(rest: Rest, events: bool) -> Option<(Part, Rest)> {
     let aborted = || Some((Err(answer::aborted()), Rest::Nothing));
-    let mut relay = match rest {
-        Rest::Answer(relay) => relay,
+    let (mut relay, watchdog) = match rest {
+        Rest::Answer(relay, watchdog) => (relay, watchdog),
         Rest::Abort => return aborted(),
         Rest::Nothing => return None,
     };
     match relay.next().await {
         Step::Bytes(bytes) => {
             let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
-            Some((Ok(bytes), Rest::Answer(relay)))
+            Some((Ok(bytes), Rest::Answer(relay, watchdog)))
         }
         Step::Finished => None,
         Step::Failed(answer) | Step::Aborted(answer) if events => {
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use edge::{Header, Metadata, Prefix};
@@ -21,7 +20,7 @@
 use crate::target::Target;
 use crate::template::Template;
 use crate::watchdog::Watchdog;
-use crate::{answer, headers, http, report};
+use crate::{answer, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
@@ -29,12 +28,6 @@
 /// Maximum number of parts of a prompt to which crashes of upstreams are attributed.
 const MAX_PARTS: usize = 16;
 
-/// How long after its deadline an answer may still be written to a caller that does not read.
-const WRITE_GRACE: Duration = Duration::from_millis(500);
-
-/// How long the writing of a whole answer may take at least.
-const MIN_WRITE_TIME: Duration = Duration::from_secs(5);
-
 type SharedCore = State<Rc<Core>>;
 
 /// Routes for operators and the platform.
@@ -189,7 +182,7 @@
     arrival: Arrival,
     template: Template,
 ) -> HttpResponse {
-    let (events, id) = (template.events, arrival.request.clone());
+    let events = template.events;
     let mut relay = Relay::start(core.get_ref().clone(), arrival, template);
     let (head, upstream) = match relay.next().await {
         Step::Head(head, upstream) => (head, upstream),
@@ -201,7 +194,7 @@
     let mut builder = answer::forwarded(&head);
     close_if_stopping(core, &mut builder);
     if events {
-        let watchdog = watch(&id, request.io(), remaining(core, &relay));
+        let watchdog = Watchdog::of_stream(core, &relay, request.io());
         let rest = Rest { relay, connection: request.io().cloned(), _watchdog: watchdog };
         let parts = stream::unfold(Some(Box::new(rest)), next_part);
         return builder.streaming(Box::pin(parts));
@@ -217,8 +210,7 @@
             Step::Finished if Collected::is_small(&body) => return builder.body(body),
             Step::Finished => {
                 let connection = request.io();
-                let time = remaining(core, &relay).max(MIN_WRITE_TIME);
-                let watchdog = watch(&id, connection, time);
+                let watchdog = Watchdog::of_answer(core, &relay, connection);
                 let request = connection.and_then(|io| core.connections.start_request(io));
                 let body = Collected::new(body, collection, request, watchdog);
                 return builder.body(Body::from_message(body));
@@ -240,18 +232,6 @@
     _watchdog: Watchdog,
 }
 
-/// The time until the deadline of a request, and a little more.
-fn remaining(core: &Core, relay: &Relay) -> Duration {
-    let deadline = relay.deadline().unwrap_or_else(|| core.clock.now());
-    core.clock.now().until(deadline).duration() + WRITE_GRACE
-}
-
-/// Ends the connection of a caller that has not read its answer after `time`.
-fn watch(id: &Arc<str>, connection: Option<&IoRef>, time: Duration) -> Watchdog {
-    let id = id.clone();
-    Watchdog::start(connection.cloned(), time, move || report::log_unread(&id))
-}
-
 /// The next part of a stream. An incomplete stream ends by closing its connection, since the server
 /// would write an error response into it otherwise.
 async fn next_part(rest: Option<Box<Rest>>) -> Option<(Chunk, Option<Box<Rest>>)> {
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -162,6 +162,11 @@
         self.apply(Event::Reply { id, attempt, reply: Reply::Unexpected });
     }
 
+    /// The request's public id.
+    pub(crate) fn request(&self) -> &Arc<str> {
+        &self.request
+    }
+
     /// The request's deadline, once it was sent.
     pub(crate) fn deadline(&self) -> Option<Millis> {
         self.deadline
--- a/tests/clients/sidecar.rs
+++ b/tests/clients/sidecar.rs
@@ -1,5 +1,7 @@
 //! Clients of routers that use sidecars, and connections to the sidecars' own ports.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +9,7 @@
 use futures_util::future::join_all;
 use link::Connection;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
+use nix::sys::socket::{setsockopt, sockopt};
 use serde_json::json;
 use wire::{Frame, Hello, Open};
 
@@ -38,6 +41,11 @@
 /// The upstream of the slow service.
 const SLOW: &str = "pickup-1";
 
+/// Clients at once that read no answer, the length of an answer and their receive buffer in bytes.
+const SILENT_CLIENTS: usize = 24;
+const LONG_ANSWER: usize = 7 * 1024 * 1024;
+const RECEIVE_BUFFER: usize = 4 * 1024;
+
 /// Bytes that a client sends at a time.
 const PIECE: usize = 64 * 1024;
 
@@ -47,8 +55,21 @@
 /// For how long unfinished frames are left open.
 const OPEN_TIME: Duration = Duration::from_secs(2);
 
-/// Starts a router, an engine and a slow service.
-async fn start() -> Fleet {
+/// A router, an engine and a slow service.
+struct Scene {
+    fleet: Fleet,
+    slow: Upstream,
+}
+
+impl std::ops::Deref for Scene {
+    type Target = Fleet;
+
+    fn deref(&self) -> &Fleet {
+        &self.fleet
+    }
+}
+
+async fn start() -> Scene {
     let own = getrlimit(Resource::RLIMIT_NOFILE).expect("a limit");
     setrlimit(Resource::RLIMIT_NOFILE, LIMITS.descriptors as u64, own.1).expect("a limit");
     let layout = Layout { routers: 0, engines: 1, services: 0, ..Layout::default() };
@@ -60,7 +81,7 @@
     fleet.start_router();
     fleet.wait_until_met().await;
     setrlimit(Resource::RLIMIT_NOFILE, own.0, own.1).expect("a limit");
-    fleet
+    Scene { fleet, slow }
 }
 
 /// Checks that an ordinary chat is answered.
@@ -277,6 +298,38 @@
     scene::check(&LIMITS, &usage.finish());
 }
 
+/// Sends requests whose answers are not read, and waits until their connections have been ended.
+fn leave_unread(router: &(u32, String)) {
+    let (id, address) = router;
+    let before = usage::descriptors(*id);
+    let head = "POST /v1/services/pickup/x HTTP/1.1\r\nhost: x\r\nx-deadline-ms: 1500\r\n\
+                authorization: Bearer courier:courier-laptop-key\r\ncontent-length: 0\r\n";
+    let mut silent = Vec::new();
+    for number in 0..SILENT_CLIENTS {
+        let mut connection = TcpStream::connect(address).expect("the router listens");
+        connection.set_read_timeout(Some(OPEN_TIME)).expect("a socket");
+        setsockopt(&connection, sockopt::RcvBuf, &RECEIVE_BUFFER).expect("a socket");
+        let request = format!("{head}idempotency-key: silent-{number}\r\n\r\n");
+        connection.write_all(request.as_bytes()).expect("the router reads");
+        let _ = connection.peek(&mut [0]);
+        silent.push(connection);
+    }
+    usage::wait_until(|| usage::descriptors(*id) <= before);
+}
+
+#[ntex::test]
+async fn answers_that_are_not_read() {
+    let _turn = crowd::turn();
+    let fleet = start().await;
+    let long: &'static str = "y".repeat(LONG_ANSWER).leak();
+    fleet.slow.set_actions(&[Action::Answer(200, long)]);
+    let router = router(&fleet);
+    let usage = Usage::start(router.0, vec![router.1.parse().expect("an address")]);
+    tokio::task::spawn_blocking(move || leave_unread(&router)).await.expect("all are ended");
+    check_ordinary(&fleet).await;
+    scene::check(&LIMITS, &usage.finish());
+}
+
 // Guards against limits that a single client within the pages' limits meets.
 #[ntex::test]
 async fn the_largest_body_is_served_in_calm() {
--- a/tests/clients/usage.rs
+++ b/tests/clients/usage.rs
@@ -31,7 +31,17 @@
     }
 }
 
-fn descriptors(id: u32) -> usize {
+/// Waits until `condition` is true.
+pub fn wait_until(condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < MAX_WAIT, "the condition did not become true");
+        std::thread::sleep(INTERVAL);
+    }
+}
+
+/// The number of a process's descriptors.
+pub fn descriptors(id: u32) -> usize {
     let count = Process::new(id.cast_signed()).and_then(|process| process.fd_count());
     count.unwrap_or_default()
 }
