Permits: a waiting request skips upstreams that are gone

A request that waits for a permit goes on with the candidates that were ranked before; one that had left the list since was not dropped, no attempt could be recorded there, and the request stayed without an effect or a timer, past its deadline.

An upstream that is not listed counts as closed, so that the next candidate is taken, or the request fails with no_upstream.

--- a/components/routing/src/upstreams/notices.rs
+++ b/components/routing/src/upstreams/notices.rs
@@ -104,14 +104,14 @@
         }
     }
 
-    /// Whether an upstream has been evacuated, is leaving or backs off, so that requests that were
-    /// ranked before may not be sent there.
+    /// Whether an upstream is gone, has been evacuated, is leaving or backs off, so that requests that
+    /// were ranked before may not be sent there.
     pub(crate) fn is_closed(&self, upstream: &str, now: Millis) -> bool {
         let is_closed = |upstream: &Upstream| {
             upstream.evacuated
                 || upstream.notice.is_leaving()
                 || upstream.notice.is_backing_off(now)
         };
-        self.upstreams.get(upstream).is_some_and(is_closed)
+        self.upstreams.get(upstream).is_none_or(is_closed)
     }
 }
--- a/components/routing/tests/direct/permits.rs
+++ b/components/routing/tests/direct/permits.rs
@@ -222,3 +222,34 @@
         assert_eq!(release_in(&effects), Some((number, Finish::Unused)));
     }
 }
+
+/// The candidate that a request would be sent to next, whose service has `count` upstreams.
+fn next_candidate(count: usize) -> Arc<str> {
+    let mut state = saturated_router(count);
+    let number = claim_permit(&mut state, 1, "unsafe");
+    sent_to(&state.apply(Event::Unanswered { id: 1, number }, NOW)).expect("it is sent")
+}
+
+// Guards against a request that waits for ever, as its next candidate has left the list meanwhile.
+#[test]
+fn a_waiting_request_skips_upstreams_that_are_gone() {
+    let first = next_candidate(2);
+    let gone = services(2);
+    let Event::Hosts(hosts) = gone else { unreachable!("hosts") };
+    let left = hosts.into_iter().filter(|host| host.name != first).collect();
+    let mut state = saturated_router(2);
+    let number = claim_permit(&mut state, 1, "unsafe");
+    state.apply(Event::Hosts(left), NOW);
+    let effects = state.apply(Event::Unanswered { id: 1, number }, NOW);
+    let sent = sent_to(&effects).expect("it is sent");
+    assert_ne!(sent, first);
+}
+
+#[test]
+fn a_waiting_request_fails_if_all_upstreams_are_gone() {
+    let mut state = saturated_router(1);
+    let number = claim_permit(&mut state, 1, "unsafe");
+    state.apply(Event::Hosts(Vec::new()), NOW);
+    let effects = state.apply(Event::Unanswered { id: 1, number }, NOW);
+    assert_eq!(failure(&effects), Some(Kind::NoUpstream), "{effects:?}");
+}
