Bodies: a module for the shared memory, and the request's id in its log lines

Cause: body.rs had two jobs, and no memory and slow bodies were logged without the request they concern. Change: bodies.rs keeps what bodies hold, body.rs reads them; the lines have the id. No other behaviour changes.

--- a/components/router/src/core.rs
+++ b/components/router/src/core.rs
@@ -21,7 +21,7 @@
     UpstreamCrash, WarmPrefixes,
 };
 
-use crate::body::Bodies;
+use crate::bodies::Bodies;
 use crate::clients::Clients;
 use crate::collection::Collections;
 use crate::crashes::Crashes;
--- a/components/router/src/http.rs
+++ b/components/router/src/http.rs
@@ -13,13 +13,13 @@
 use serde_json::json;
 
 use crate::answer::{self, REQUEST_ID, UPSTREAM, event};
-use crate::body::{self, Body};
+use crate::bodies::Body;
 use crate::core::Core;
 use crate::prompt::Prompt;
 use crate::relay::{Relay, Step};
 use crate::template::Template;
 use crate::watchdog::Watchdog;
-use crate::{headers, key};
+use crate::{body, headers, key};
 
 /// The kind of a chat request that names none.
 const DEFAULT_KIND: &str = "chat";
@@ -126,7 +126,9 @@
             return Err(refusal);
         }
     };
-    match body::read(core, &mut payload, content_length(request), request.io()).await {
+    match body::read(core, &caller.request, &mut payload, content_length(request), request.io())
+        .await
+    {
         Ok(body) => Ok((caller, body)),
         Err(kind) => {
             body::discard(&mut payload, request.io()).await;
--- a/components/router/src/ingress.rs
+++ b/components/router/src/ingress.rs
@@ -13,14 +13,13 @@
 use ntex::web::{self, HttpRequest, HttpResponse, HttpResponseBuilder};
 use routing::{Arrival, Continuation};
 
-use crate::body;
 use crate::collected::Collected;
 use crate::core::Core;
 use crate::relay::{Relay, Step};
 use crate::target::Target;
 use crate::template::Template;
 use crate::watchdog::Watchdog;
-use crate::{answer, headers, http};
+use crate::{answer, bodies, body, headers, http};
 
 /// The load of one request: upstreams that are reached directly are compared by requests.
 const REQUEST_WEIGHT: u64 = 1;
@@ -50,7 +49,7 @@
     let (number, own_id) = core.next_id();
     let id = metadata.id.clone().unwrap_or(own_id);
     let declared = edge::find(&headers, "content-length").and_then(|value| value.parse().ok());
-    let body = match body::read(&core, &mut payload, declared, request.io()).await {
+    let body = match body::read(&core, &id, &mut payload, declared, request.io()).await {
         Ok(body) => body,
         Err(kind) => {
             body::discard(&mut payload, request.io()).await;
@@ -73,7 +72,7 @@
 fn build_template(
     request: &HttpRequest,
     headers: Vec<Header>,
-    body: body::Body,
+    body: bodies::Body,
     target: &Target,
 ) -> Template {
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod announcement;
 mod answer;
 mod background;
+mod bodies;
 mod body;
 mod clients;
 mod collected;
--- a/components/router/src/report.rs
+++ b/components/router/src/report.rs
@@ -66,13 +66,13 @@
 
 /// Logs that there is no memory for `length` bytes of a body: all bodies hold `held` bytes of
 /// `limit`.
-pub(crate) fn log_no_memory(length: usize, held: usize, limit: usize) {
-    info!("no memory for a body", kv: { length, held, limit });
+pub(crate) fn log_no_memory(request: &str, length: usize, held: usize, limit: usize) {
+    info!("no memory for a body", kv: { request, length, held, limit });
 }
 
 /// Logs that a slow body was ended to make room; it held `freed` bytes of the `held` ones.
-pub(crate) fn log_slow_body(freed: usize, held: usize, limit: usize) {
-    info!("slow body ended", kv: { freed, held, limit });
+pub(crate) fn log_slow_body(request: &str, freed: usize, held: usize, limit: usize) {
+    info!("slow body ended", kv: { request, freed, held, limit });
 }
 
 /// Logs that a planned stop was requested, and its time limits.
--- a/components/router/src/template.rs
+++ b/components/router/src/template.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::body::Held;
+use crate::bodies::Held;
 
 /// What every attempt sends, to the sidecar or straight to the upstream.
 #[derive(Debug)]
