--- a/tests/clients/main.rs
+++ b/tests/platform/clients/main.rs
@@ -4,19 +4,19 @@
 //! memory and descriptors to itself.
 
 #[expect(dead_code, reason = "shared with the tests of the platform")]
-#[path = "../platform/caller.rs"]
+#[path = "../caller.rs"]
 mod caller;
 #[expect(dead_code, reason = "shared with the end-to-end tests")]
-#[path = "../end_to_end/fleet.rs"]
+#[path = "../../end_to_end/fleet.rs"]
 mod fleet;
 #[expect(dead_code, reason = "shared with the end-to-end tests")]
-#[path = "../end_to_end/process.rs"]
+#[path = "../../end_to_end/process.rs"]
 mod process;
 #[expect(dead_code, reason = "shared with the tests of the platform")]
-#[path = "../platform/router.rs"]
+#[path = "../router.rs"]
 mod router;
 #[expect(dead_code, unused_imports, reason = "shared with the tests of the platform")]
-#[path = "../platform/standin/mod.rs"]
+#[path = "../standin/mod.rs"]
 mod standin;
 
 mod bodies;
